--- /dev/null
+++ b/src/policy/policy.cpp
@@ -0,0 +1,771 @@
+// The decision module of pearspar. Its interface (settings, events, actions) is src/policy/policy.h.
+//
+// One Broker decides for one aggregator. In the order of this file:
+//   membership   the list of nodes, drains, and asking for the list where it does not come by itself
+//   node health  smoothed latency, failures, who is avoided for a while, who is cold
+//   narrowing    the coverage share (DESIGN): whole at first, less under strain, never under a class's floor
+//   replica      least smoothed latency x (1 + our calls outstanding there); an unheard-of node is average
+//   admission    what is refused on arrival
+//   attempts     sends, time-outs, further attempts and second copies
+//   answering    when a query ends, and how
+//   rule guards  may_send() and finish(): every send and every final answer passes there and nowhere else
+#include "policy/policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <random>
+
+namespace pearspar {
+namespace {
+
+using namespace std::chrono_literals;
+
+// ---- tuned constants ----
+// Narrowing: DESIGN's starting values.
+constexpr Duration strain_window = 2s;    // outcomes looked at
+constexpr double strain_step = 0.1;       // share of the weight
+constexpr double strain_share = 0.1;      // of outcomes: above it coverage drops, under half of it it regains
+constexpr std::size_t strain_least = 20;  // outcomes: with fewer, coverage holds
+// Node health.
+constexpr double latency_gain = 0.2;     // weight of a new sample in the smoothed latency
+constexpr Duration latency_memory = 4s;  // a sample after a silence of this length weighs about two thirds
+constexpr double failure_gain = 0.25;    // weight of a new outcome in a node's share of failures
+constexpr double failure_limit = 0.4;    // share: two failures in a row pass it, one does not
+constexpr Duration avoid_first = 1s;     // first time of avoidance; it doubles
+constexpr Duration avoid_most = 8s;      // so that a node that is back waits no longer than this
+constexpr Duration avoid_full = 250ms;   // after "queue full": a few parts' worth of work
+// Cold nodes: the share of what the rule allows that we plan to use, since all brokers' sends add up.
+constexpr double cold_use = 0.5;
+constexpr Duration rate_memory = 5s;  // own send rate to warm nodes is smoothed over this
+// Attempts.
+constexpr double patience_devs = 4;        // deviations above the mean until an attempt is overdue
+constexpr double patience_least = 0.15;    // of the aim
+constexpr double patience_most = 0.45;     // of the aim, so that one more attempt can still be in time
+constexpr double patience_unknown = 0.35;  // of the aim, while nothing has been heard
+constexpr double extra_ratio = 0.15;       // further attempts that one sent part earns
+constexpr double extra_most = 10;          // further attempts saved up at most
+// Answering.
+constexpr double first_step_share = 0.6;  // of the aim, where a second step has to follow
+constexpr Duration answer_margin = 8ms;   // way to the client, kept free besides two batch spans
+constexpr Duration return_advice = 1s;    // named with a refusal
+
+constexpr double weight_slack = 5e-5;  // a sum of weights may miss by this (rule: 1e-4)
+
+struct Attempt {
+  NodeId node = 0;
+  Time sent{};
+  Time overdue_at{};
+  std::uint64_t call = 0;
+  bool out = true;
+  bool overdue = false;
+  bool may_have_run = true;
+};
+
+struct Part {
+  PartId id = 0;
+  int step = 1;
+  int shard = 0;
+  double weight = 0;
+  bool chosen = false;  // within the coverage share
+  bool in = false;
+  bool lost = false;  // no further attempt is allowed or possible
+  std::vector<Attempt> attempts;
+
+  int out() const {
+    return static_cast<int>(std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.out; }));
+  }
+  bool may_have_run() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](auto& a) { return a.may_have_run; });
+  }
+};
+
+struct Query {
+  QueryId id = 0;
+  std::uint32_t ordinal = 0;
+  int cls = 0;
+  int tenant = 0;
+  Time arrived{};
+  Time aim_at{};
+  Time deadline{};
+  int step = 1;
+  int expected = 0;  // parts of this step that are still to be told
+  bool first_whole = true;
+  bool ended = false;
+  bool past_aim = false;
+  std::vector<Part> parts;
+};
+
+struct Node {
+  Member member;
+  bool listed = false;
+  Time told_leaving{};
+  double latency = 0;  // smoothed, seconds; 0 = not heard of yet
+  Time last_sample{};
+  double failures = 0;  // smoothed share
+  Duration avoid_for = avoid_first;
+  Time avoid_until{};
+  bool on_trial = false;  // avoided lately: one call at a time until it answers
+  bool fell = false;      // a connection broke or failed since its last answer
+  Time started{};         // last known or assumed start
+  int calls = 0;
+  std::deque<Time> outstanding;  // send times of attempts that are out
+  std::deque<Time> cold_sends;
+};
+
+class Broker final : public Policy {
+ public:
+  Broker(const Settings& settings, std::uint64_t seed) : s_(settings), random_(seed) {}
+
+  void handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions) override {
+    now_ = now;
+    actions_ = &actions;
+    if (!awake_) {
+      awake_ = true;
+      born_ = now;
+      if (s_.membership_by_asking) ask_list();
+    }
+    ++batch_;
+    round_calls_.clear();
+    for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
+    renew_list();
+    adjust_coverage();
+    for (auto& [id, query] : queries_) drive(query);
+    forget_ended();
+    arm_timer();
+    actions_ = nullptr;
+  }
+
+ private:
+  // ---- membership ----
+
+  void on(const MembersChanged& change) {
+    if (change.form == ListForm::failed) {
+      subscribed_ = false;
+      ask_again_ = now_ + s_.ask_within * (0.1 + 0.2 * uniform());
+      return;
+    }
+    subscribed_ = true;
+    if (change.form != ListForm::changes) {
+      for (auto& [id, node] : nodes_) node.member.status = mark(node, NodeStatus::gone);
+    }
+    for (const Member& member : *change.members) {
+      Node& node = nodes_[member.node];
+      bool known = node.listed;
+      NodeStatus status = mark(node, member.status);
+      node.member = member;
+      node.member.status = status;
+      node.listed = true;
+      if (member.start_known && (!known || member.started > node.started)) {
+        if (known && member.started > node.started + 1ms) forget_past(node);
+        node.started = std::max(node.started, member.started);
+      }
+    }
+  }
+
+  NodeStatus mark(Node& node, NodeStatus status) {
+    if (status != NodeStatus::ready && node.member.status == NodeStatus::ready) node.told_leaving = now_;
+    return status;
+  }
+
+  // A process that started anew owes nothing to its predecessor's record.
+  void forget_past(Node& node) {
+    node.latency = 0;
+    node.failures = 0;
+    node.avoid_until = Time{};
+    node.avoid_for = avoid_first;
+    node.on_trial = true;
+    node.fell = false;
+  }
+
+  void ask_list() {
+    actions_->push_back(SubscribeMembers{true});
+    asked_ = now_;
+    ask_again_ = now_ + s_.ask_within * 0.5;
+  }
+
+  void renew_list() {
+    if (s_.membership_by_asking && !subscribed_ && now_ >= ask_again_) ask_list();
+  }
+
+  // ---- node health ----
+
+  bool avoided(const Node& node) const {
+    return now_ < node.avoid_until || (node.on_trial && node.calls > 0);
+  }
+
+  void take_latency(Node& node, double sample) {
+    if (node.latency <= 0) {
+      node.latency = sample;
+    } else {
+      double silence = Duration(now_ - node.last_sample).count() / latency_memory.count();
+      node.latency += std::max(latency_gain, 1 - std::exp(-silence)) * (sample - node.latency);
+    }
+    node.last_sample = now_;
+  }
+
+  void take_failure(Node& node, bool failed) {
+    node.failures += failure_gain * ((failed ? 1 : 0) - node.failures);
+    if (failed && (node.failures > failure_limit || node.on_trial)) avoid(node);
+  }
+
+  void avoid(Node& node) {
+    if (now_ < node.avoid_until) return;
+    node.avoid_until = now_ + node.avoid_for * (0.9 + 0.2 * uniform());
+    node.avoid_for = std::min(node.avoid_for * 2, Duration(avoid_most));
+    node.on_trial = true;
+    log("node " + std::to_string(node.member.node) + " avoided: its attempts fail or stay out");
+  }
+
+  void take_success(Node& node, double took) {
+    if (node.fell) {
+      node.fell = false;
+      node.started = std::max(node.started, now_);  // it was down and is back: take it for cold
+      node.latency = 0;
+    }
+    take_latency(node, took);
+    take_failure(node, false);
+    if (node.on_trial && now_ >= node.avoid_until) {
+      node.on_trial = false;
+      node.failures = std::min(node.failures, failure_limit / 2);
+      node.avoid_for = avoid_first;
+    }
+    mean_ += 0.05 * (took - mean_);
+    deviation_ += 0.05 * (std::abs(took - mean_) - deviation_);
+    if (!heard_) mean_ = took, deviation_ = took / 2, heard_ = true;
+  }
+
+  bool cold(const Node& node) const { return node.started != Time{} && now_ < node.started + s_.warm_within; }
+
+  // Sends of ours that a cold node may get within one span of the rule. The sum over all brokers counts, and
+  // none knows the others' part; but what warm nodes get from each of us adds up to what a warm node can do,
+  // so each stays within that share of its own rate.
+  double cold_allowance(const Node& node) const {
+    double age = std::max(0.0, Duration(now_ - node.started).count());
+    double ready = s_.start_capacity + (1 - s_.start_capacity) * std::min(1.0, age / s_.warm_within.count());
+    double warm = 0;
+    for (const auto& [id, other] : nodes_)
+      if (other.member.status == NodeStatus::ready && !cold(other) && !avoided(other)) ++warm;
+    double lived = std::max(Duration(now_ - born_).count(), 0.5);
+    double rate = warm_rate_ * std::exp(-Duration(now_ - warm_rate_at_).count() / rate_memory.count()) /
+                  (1 - std::exp(-lived / rate_memory.count())) / std::max(1.0, warm);
+    return std::max(1.0, cold_use * s_.fall_multiple * ready * rate * s_.fall_span.count());
+  }
+
+  void note_warm_send() {
+    double gap = Duration(now_ - warm_rate_at_).count();
+    warm_rate_ = warm_rate_ * std::exp(-gap / rate_memory.count()) + 1 / rate_memory.count();
+    warm_rate_at_ = now_;
+  }
+
+  // ---- narrowing ----
+
+  void note_outcome(bool strained) { outcomes_.push_back({now_, strained}); }
+
+  void adjust_coverage() {
+    while (!outcomes_.empty() && outcomes_.front().first < now_ - strain_window) outcomes_.pop_front();
+    if (now_ < coverage_changed_ + strain_window || outcomes_.size() < strain_least) return;
+    auto strained = std::count_if(outcomes_.begin(), outcomes_.end(), [](auto& o) { return o.second; });
+    double share = static_cast<double>(strained) / static_cast<double>(outcomes_.size());
+    double before = coverage_;
+    if (share > strain_share) coverage_ = std::max(0.0, coverage_ - strain_step);
+    if (share < strain_share / 2) coverage_ = std::min(1.0, coverage_ + strain_step);
+    if (coverage_ == before) return;
+    coverage_changed_ = now_;
+    char text[80];
+    std::snprintf(text, sizeof text, "coverage %.1f: %.0f%% of our parts refused or timed out", coverage_,
+                  100 * share);
+    log(text);
+  }
+
+  // Marks the heaviest parts until their weights reach the share; parts that are lost make room for the next.
+  void choose_parts(Query& query) {
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+    bool may_narrow = cls.floor < cls.need;
+    double target = may_narrow ? std::max(cls.floor, coverage_) : 1;
+    std::vector<Part*> ranked;
+    double sum = 0;
+    for (Part& part : query.parts) {
+      if (part.step != query.step) continue;
+      ranked.push_back(&part);
+      if (part.chosen && !part.lost) sum += part.weight;
+    }
+    std::stable_sort(ranked.begin(), ranked.end(), [](auto* a, auto* b) { return a->weight > b->weight; });
+    for (Part* part : ranked) {
+      if (sum >= target - weight_slack && target < 1) break;
+      if (part->chosen) continue;
+      part->chosen = true;
+      sum += part->weight;
+    }
+  }
+
+  // ---- replica choice ----
+
+  bool holds(const Node& node, int shard) const {
+    int ahead = (node.member.cell - shard % s_.cells + s_.cells) % s_.cells;
+    return ahead < std::min(s_.cells_per_shard, s_.cells);
+  }
+
+  double average_latency() const {
+    double sum = 0;
+    int count = 0;
+    for (const auto& [id, node] : nodes_)
+      if (node.latency > 0 && node.member.status == NodeStatus::ready) sum += node.latency, ++count;
+    return count > 0 ? sum / count : 0.1;
+  }
+
+  double cost_of(const Node& node, double average) const {
+    double latency = node.latency > 0 ? node.latency : average;
+    // A silent node looks idle: what it has not answered for longer than that is its latency so far.
+    if (!node.outstanding.empty())
+      latency = std::max(latency, Duration(now_ - node.outstanding.front()).count());
+    return latency * (1 + node.calls);
+  }
+
+  // The node for the part's next attempt, or none. Healthy nodes that this part has not tried come first;
+  // when all look bad, the least bad still gets it.
+  Node* choose_node(const Query& query, const Part& part) {
+    double average = average_latency();
+    Node* best = nullptr;
+    std::pair<int, double> best_rank;
+    for (auto& [id, node] : nodes_) {
+      if (!holds(node, part.shard) || !may_send(query, part, node)) continue;
+      int tier = 0;
+      if (avoided(node)) tier += 1;
+      for (const Attempt& attempt : part.attempts)
+        if (attempt.node == id) tier += attempt.out ? 8 : 2;
+      if (node.member.status != NodeStatus::ready) tier += 4;
+      std::pair<int, double> rank{tier, cost_of(node, average)};
+      if (!best || rank < best_rank) best = &node, best_rank = rank;
+    }
+    return best;
+  }
+
+  // ---- admission ----
+
+  void on(const QueryArrived& arrival) {
+    note_taken();
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(arrival.cls)];
+    Query& query = queries_[arrival.query];
+    query = Query{};
+    query.id = arrival.query;
+    query.ordinal = arrival.ordinal;
+    query.cls = arrival.cls;
+    query.tenant = arrival.tenant;
+    query.arrived = now_;
+    query.deadline = arrival.deadline;
+    Duration stretch = arrival.cost_known ? arrival.cost * cls.aim_stretch : Duration{};
+    query.aim_at = std::min(now_ + std::min(cls.aim + stretch, cls.give_up), arrival.deadline);
+    query.expected = arrival.parts;
+    by_ordinal_[arrival.ordinal] = arrival.query;
+  }
+
+  void on(const PartArrived& arrival) {
+    note_taken();
+    auto owner = by_ordinal_.find(arrival.ordinal);
+    if (owner == by_ordinal_.end()) return;
+    Query& query = queries_.at(owner->second);
+    if (query.ended) return;
+    Part part;
+    part.id = arrival.part;
+    part.step = query.step;
+    part.shard = arrival.shard;
+    part.weight = arrival.weight;
+    query.parts.push_back(part);
+    part_owner_[arrival.part] = query.id;
+    if (query.expected > 0) --query.expected;
+  }
+
+  // ---- attempts ----
+
+  void send(Query& query, Part& part, Node& node) {
+    bool further = !part.attempts.empty();
+    Attempt attempt;
+    attempt.node = node.member.node;
+    attempt.sent = now_;
+    Duration patience = patience_for(query);
+    attempt.overdue_at = now_ + patience;
+    auto& [call, used] = round_calls_[attempt.node];
+    if (used == 0 || used >= s_.parts_per_call) {
+      call = ++last_call_;
+      used = 0;
+      ++node.calls;
+    }
+    ++used;
+    attempt.call = call;
+    ++call_parts_[call];
+    part.attempts.push_back(attempt);
+    node.outstanding.push_back(now_);
+    if (cold(node))
+      node.cold_sends.push_back(now_);
+    else
+      note_warm_send();
+    if (further) extras_.push_back(now_);
+    Duration wait = end_of(query) - now_;
+    if (!s_.may_copy && more_allowed(query, part) && now_ + patience * 2 < query.aim_at) wait = patience;
+    actions_->push_back(SendPart{part.id, attempt.node, std::max(wait, s_.quantum)});
+  }
+
+  Duration patience_for(const Query& query) const {
+    Duration aim = query.aim_at - query.arrived;
+    if (!heard_) return aim * patience_unknown;
+    return std::clamp(Duration(mean_ + patience_devs * deviation_), aim * patience_least,
+                      aim * patience_most);
+  }
+
+  // Whether the class and the counts would let the part have one more attempt after the present ones.
+  bool more_allowed(const Query& query, const Part& part) const {
+    return static_cast<int>(part.attempts.size()) < s_.max_attempts &&
+           s_.classes[static_cast<std::size_t>(query.cls)].effect != Effect::unsafe;
+  }
+
+  void on(const AttemptEnded& ended) {
+    auto found = nodes_.find(ended.node);
+    auto owner = part_owner_.find(ended.part);
+    if (found == nodes_.end() || owner == part_owner_.end()) return;
+    Query& query = queries_.at(owner->second);
+    Part& part =
+        *std::find_if(query.parts.begin(), query.parts.end(), [&](auto& p) { return p.id == ended.part; });
+    if (ended.attempt < 0 || static_cast<std::size_t>(ended.attempt) >= part.attempts.size()) return;
+    Attempt& attempt = part.attempts[static_cast<std::size_t>(ended.attempt)];
+    if (!attempt.out || attempt.node != ended.node) return;
+    Node& node = found->second;
+    close_attempt(node, attempt);
+    judge(node, attempt, ended);
+    if (ended.outcome == Outcome::refused || ended.outcome == Outcome::connect_failed ||
+        ended.outcome == Outcome::moot)
+      attempt.may_have_run = false;
+    if (ended.outcome != Outcome::ok || query.ended || part.in || part.step != query.step) return;
+    part.in = true;
+    cancel_out(part);
+  }
+
+  void close_attempt(Node& node, Attempt& attempt) {
+    attempt.out = false;
+    auto sent = std::find(node.outstanding.begin(), node.outstanding.end(), attempt.sent);
+    if (sent != node.outstanding.end()) node.outstanding.erase(sent);
+    auto call = call_parts_.find(attempt.call);
+    if (--call->second > 0) return;
+    call_parts_.erase(call);
+    --node.calls;
+  }
+
+  void judge(Node& node, const Attempt& attempt, const AttemptEnded& ended) {
+    double took = ended.took.count();
+    switch (ended.outcome) {
+      case Outcome::ok:
+        take_success(node, took);
+        if (!attempt.overdue) note_outcome(false);
+        break;
+      case Outcome::refused:
+        note_outcome(true);
+        node.avoid_until = std::max(node.avoid_until, now_ + avoid_full);
+        break;
+      case Outcome::timeout:
+        take_latency(node, std::max(node.latency, took));
+        if (!attempt.overdue) {
+          take_failure(node, true);
+          note_outcome(true);
+        }
+        break;
+      case Outcome::connect_failed:
+      case Outcome::reset:
+        node.fell = true;
+        note_outcome(false);
+        take_failure(node, true);
+        avoid(node);
+        break;
+      case Outcome::error:
+        note_outcome(false);
+        take_failure(node, true);
+        break;
+      case Outcome::cancelled:
+        if (took > node.latency) take_latency(node, took);
+        break;
+      case Outcome::moot:
+        break;
+    }
+  }
+
+  void cancel_out(Part& part) {
+    if (!s_.may_cancel) return;
+    for (std::size_t i = 0; i < part.attempts.size(); ++i)
+      if (part.attempts[i].out) actions_->push_back(CancelAttempt{part.id, static_cast<int>(i)});
+  }
+
+  // Sends what is chosen and not out; an overdue attempt gets a second copy where that is allowed and earned.
+  void pursue(Query& query, Part& part) {
+    if (!part.chosen || part.in || part.lost || query.ended) return;
+    int out = part.out();
+    bool overdue = false;
+    for (Attempt& attempt : part.attempts) {
+      if (!attempt.out || now_ < attempt.overdue_at) continue;
+      if (!attempt.overdue) {
+        attempt.overdue = true;
+        Node& node = nodes_.at(attempt.node);
+        take_failure(node, true);
+        note_outcome(true);
+      }
+      overdue = true;
+    }
+    if (out > 0 && !(overdue && out == 1 && s_.may_copy)) return;
+    bool unpaid = out > 0;
+    if (unpaid && extra_credit_ < 1) return;
+    Node* node = choose_node(query, part);
+    if (!node) {
+      if (out == 0 && !could_ever_send(query, part)) part.lost = true;
+      return;
+    }
+    if (out > 0 && (avoided(*node) || node->member.node == part.attempts.back().node)) return;
+    if (unpaid) extra_credit_ -= 1;
+    if (part.attempts.empty()) extra_credit_ = std::min(extra_most, extra_credit_ + extra_ratio);
+    send(query, part, *node);
+  }
+
+  // Whether waiting may help a part that nothing can be sent for now: a cold node's allowance grows and a
+  // budget refills, but no time brings back a spent attempt limit or a shard without listed nodes.
+  bool could_ever_send(const Query& query, const Part& part) const {
+    if (static_cast<int>(part.attempts.size()) >= s_.max_attempts) return false;
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+    if (cls.effect == Effect::unsafe && part.may_have_run()) return false;
+    if (cls.effect == Effect::keyed && !within_dedup(cls, part)) return false;
+    return std::any_of(nodes_.begin(), nodes_.end(), [&](auto& entry) {
+      return entry.second.member.status == NodeStatus::ready && holds(entry.second, part.shard);
+    });
+  }
+
+  // ---- answering ----
+
+  Duration margin() const { return s_.quantum * 2 + answer_margin; }
+
+  Time end_of(const Query& query) const {
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+    return (cls.late_worth > 0 ? query.deadline : std::min(query.aim_at, query.deadline)) - margin();
+  }
+
+  double weight_in(const Query& query) const {
+    double sum = 0;
+    bool all = true, any = false;
+    for (const Part& part : query.parts) {
+      if (part.step != query.step) continue;
+      any = true;
+      if (part.in)
+        sum += part.weight;
+      else
+        all = false;
+    }
+    return all && any ? std::max(sum, 1.0) : sum;
+  }
+
+  // What a query's parts in hand would earn now, as a share of a whole answer's worth.
+  double earned(const Query& query, double weight) const {
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+    if (weight >= cls.need - weight_slack) return 1;
+    return weight >= cls.floor - weight_slack && cls.floor < cls.need ? cls.partial * weight / cls.need : 0;
+  }
+
+  void drive(Query& query) {
+    if (query.ended) return;
+    if (now_ >= query.deadline - margin()) return finish(query);
+    if (query.expected > 0) return;
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+    choose_parts(query);
+    for (Part& part : query.parts)
+      if (part.step == query.step) pursue(query, part);
+    choose_parts(query);
+    bool waiting = false;
+    double reachable = 0;
+    for (const Part& part : query.parts) {
+      if (part.step != query.step) continue;
+      if (!part.lost) reachable += part.weight;
+      waiting = waiting || (part.chosen && !part.in && !part.lost);
+    }
+    double weight = weight_in(query);
+    if (weight >= cls.need - weight_slack || !waiting) return finish(query);
+    if (reachable < cls.floor - 2 * weight_slack) return finish(query);
+    Time aim = query.aim_at - margin();
+    if (cls.fetch_parts > 0 && query.step == 1)
+      aim = query.arrived + (aim - query.arrived) * first_step_share;
+    if (now_ < aim || query.past_aim) return;
+    query.past_aim = true;
+    if (earned(query, weight) >= cls.late_worth) return finish(query);
+  }
+
+  void on(const ClientLeft& left) {
+    auto found = queries_.find(left.query);
+    if (found == queries_.end() || found->second.ended) return;
+    found->second.ended = true;
+    for (Part& part : found->second.parts)
+      if (!part.in) cancel_out(part);
+  }
+
+  void forget_ended() {
+    for (auto it = queries_.begin(); it != queries_.end();) {
+      Query& query = it->second;
+      bool done = query.ended && std::all_of(query.parts.begin(), query.parts.end(),
+                                             [](const Part& part) { return part.out() == 0; });
+      if (!done) {
+        ++it;
+        continue;
+      }
+      for (const Part& part : query.parts) part_owner_.erase(part.id);
+      auto named = by_ordinal_.find(query.ordinal);
+      if (named != by_ordinal_.end() && named->second == query.id) by_ordinal_.erase(named);
+      it = queries_.erase(it);
+    }
+  }
+
+  // One timer at a time, for the next moment at which something is due without an event.
+  void arm_timer() {
+    Time next = Time::max();
+    for (const auto& [id, query] : queries_) {
+      if (query.ended) continue;
+      next = std::min(next, query.deadline - margin());
+      if (!query.past_aim) {
+        Time aim = query.aim_at - margin();
+        const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+        if (cls.fetch_parts > 0 && query.step == 1)
+          aim = query.arrived + (aim - query.arrived) * first_step_share;
+        next = std::min(next, aim);
+      }
+      for (const Part& part : query.parts) {
+        if (part.in || part.lost || !part.chosen || part.step != query.step) continue;
+        if (part.out() == 0) next = std::min(next, now_ + s_.quantum * 4);
+        for (const Attempt& attempt : part.attempts)
+          if (attempt.out && !attempt.overdue) next = std::min(next, attempt.overdue_at);
+      }
+    }
+    if (s_.membership_by_asking && !subscribed_) next = std::min(next, ask_again_);
+    if (next == Time::max()) return;
+    if (armed_ > now_ && armed_ <= next) return;
+    armed_ = std::max(next, now_ + s_.quantum);
+    actions_->push_back(SetTimer{armed_ - now_, ++timer_token_});
+  }
+
+  void on(const TimerFired&) {}
+  void on(const StreamStarted&) {}
+  void on(const ProbeEnded&) {}
+  void on(const PeerMessage&) {}
+
+  // ---- rule guards ----
+
+  bool within_dedup(const ClassSettings& cls, const Part& part) const {
+    for (const Attempt& attempt : part.attempts)
+      if (attempt.may_have_run) return now_ + s_.quantum * 2 < attempt.sent + cls.dedup_window;
+    return true;
+  }
+
+  void note_taken() { taken_.push_back(now_); }
+
+  // Counts a little more of the past for sends than for arrivals, so that rounding never favours us.
+  bool within_budget() {
+    if (!s_.has_budget) return true;
+    while (!extras_.empty() && extras_.front() < now_ - s_.budget_span - s_.quantum) extras_.pop_front();
+    while (!taken_.empty() && taken_.front() <= now_ - s_.budget_span + s_.quantum) taken_.pop_front();
+    double allowed = s_.budget_extra + s_.budget_ratio * static_cast<double>(taken_.size());
+    return static_cast<double>(extras_.size()) + 1 <= allowed + 1e-9;
+  }
+
+  // The one place that every send passes: is this attempt within the rules?
+  bool may_send(const Query& query, const Part& part, Node& node) {
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+    if (query.ended || part.in || part.step != query.step || now_ >= query.deadline - margin()) return false;
+    if (static_cast<int>(part.attempts.size()) >= s_.max_attempts) return false;
+    if (!part.attempts.empty()) {
+      if (part.out() > 0 && !s_.may_copy) return false;
+      if (cls.effect == Effect::unsafe && part.may_have_run()) return false;
+      if (cls.effect == Effect::keyed && !within_dedup(cls, part)) return false;
+      if (!within_budget()) return false;
+    }
+    // Drains: nothing new once told, but for the first half of the grace when no other node is left.
+    if (node.member.status != NodeStatus::ready && now_ >= node.told_leaving + s_.drain_grace * 0.5)
+      return false;
+    if (cold(node)) {
+      while (!node.cold_sends.empty() && node.cold_sends.front() <= now_ - s_.fall_span)
+        node.cold_sends.pop_front();
+      if (static_cast<double>(node.cold_sends.size()) + 1 > cold_allowance(node)) return false;
+    }
+    return true;
+  }
+
+  // The one place that every final answer passes: an answer if the class's floor is in, whole only if it is,
+  // else a refusal, or a failure where an unsafe part may have run.
+  void finish(Query& query) {
+    if (query.ended) return;
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+    for (Part& part : query.parts)
+      if (!part.in) cancel_out(part);
+    double weight = weight_in(query);
+    if (earned(query, weight) > 0) {
+      bool whole = query.step == 1 ? weight >= cls.need - weight_slack : weight >= 1 - weight_slack;
+      actions_->push_back(AnswerQuery{query.id, whole && query.first_whole});
+      if (query.step == 1 && cls.fetch_parts > 0) {
+        query.first_whole = whole;
+        query.step = 2;
+        query.past_aim = false;
+        int in = static_cast<int>(
+            std::count_if(query.parts.begin(), query.parts.end(), [](auto& p) { return p.in; }));
+        query.expected = std::min(cls.fetch_parts, in);
+        return;
+      }
+    } else if (cls.effect == Effect::unsafe && std::any_of(query.parts.begin(), query.parts.end(),
+                                                           [](auto& part) { return part.may_have_run(); })) {
+      actions_->push_back(FailQuery{query.id});
+    } else {
+      Duration advice =
+          s_.may_advise_return ? std::min(Duration(return_advice), s_.max_return_advice) : Duration{};
+      actions_->push_back(RefuseQuery{query.id, advice});
+    }
+    query.ended = true;
+  }
+
+  void log(const std::string& text) { actions_->push_back(LogLine{text}); }
+
+  double uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
+
+  const Settings s_;
+  std::mt19937_64 random_;
+  Time now_{};
+  std::vector<Action>* actions_ = nullptr;
+  bool awake_ = false;
+  Time born_{};
+  std::uint64_t batch_ = 0;
+
+  std::map<NodeId, Node> nodes_;
+  bool subscribed_ = false;
+  Time asked_{};
+  Time ask_again_{};
+
+  std::map<QueryId, Query> queries_;
+  std::map<std::uint32_t, QueryId> by_ordinal_;
+  std::map<PartId, QueryId> part_owner_;
+  std::map<NodeId, std::pair<std::uint64_t, int>> round_calls_;  // of this batch: call and its parts so far
+  std::map<std::uint64_t, int> call_parts_;                      // parts still out, by call
+  std::uint64_t last_call_ = 0;
+
+  bool heard_ = false;
+  double mean_ = 0;       // of part latencies, seconds, smoothed
+  double deviation_ = 0;  // mean absolute, seconds, smoothed
+  double warm_rate_ = 0;  // own sends a second to warm nodes, smoothed
+  Time warm_rate_at_{};
+  double extra_credit_ = extra_most;
+  std::deque<Time> extras_;
+  std::deque<Time> taken_;
+
+  double coverage_ = 1;
+  Time coverage_changed_{};
+  std::deque<std::pair<Time, bool>> outcomes_;
+
+  Time armed_{};
+  std::uint64_t timer_token_ = 0;
+};
+
+}  // namespace
+
+std::unique_ptr<Policy> make_policy(const Settings& settings, std::uint64_t seed) {
+  return std::make_unique<Broker>(settings, seed);
+}
+
+}  // namespace pearspar
--- /dev/null
+++ b/tests/harness.h
@@ -0,0 +1,173 @@
+// A broker on a bench of its own: hands events to the module and reads its actions. It plays no servers; each
+// test says itself what every attempt comes to.
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+#include "policy/policy.h"
+
+namespace pearspar::testing {
+
+using namespace std::chrono_literals;
+
+inline ClassSettings class_of(double floor, double need, Effect effect = Effect::safe) {
+  ClassSettings cls;
+  cls.name = "any";
+  cls.aim = 2s;
+  cls.give_up = 4s;
+  cls.worth = 1;
+  cls.late_worth = 0.3;
+  cls.effect = effect;
+  cls.dedup_window = 1s;
+  cls.floor = floor;
+  cls.need = need;
+  cls.partial = 0.9;
+  return cls;
+}
+
+// Two cells of three nodes, one cell to a shard; class 0 may be answered from 40%, class 1 needs all.
+inline Settings plain_settings() {
+  Settings s;
+  s.brokers = 2;
+  s.classes = {class_of(0.4, 1), class_of(1, 1)};
+  s.cells = 2;
+  s.cells_per_shard = 1;
+  s.shards = 8;
+  s.may_cancel = true;
+  s.may_copy = true;
+  s.may_advise_return = true;
+  s.max_return_advice = 2s;
+  s.connect_timeout = 250ms;
+  s.max_attempts = 4;
+  s.max_open = 200;
+  s.quantum = 5ms;
+  s.answer_slack = 20ms;
+  s.drain_grace = 1s;
+  s.ask_within = 10s;
+  s.fall_multiple = 2;
+  s.fall_span = 3s;
+  s.start_capacity = 0.2;
+  s.warm_within = 15s;
+  return s;
+}
+
+struct Bench {
+  Settings settings;
+  std::unique_ptr<Policy> policy;
+  Time now{100s};
+  std::vector<Event> pending;
+  std::vector<Action> actions;  // of the last round
+  std::uint32_t version = 0;
+  QueryId next_query = 1;
+  PartId next_part = 1000;
+
+  explicit Bench(Settings s = plain_settings(), std::uint64_t seed = 7) : settings(std::move(s)) {
+    policy = make_policy(settings, seed);
+  }
+
+  static Member member(NodeId node, int cell, NodeStatus status = NodeStatus::ready) {
+    Member m;
+    m.node = node;
+    m.cell = cell;
+    m.status = status;
+    return m;
+  }
+
+  void list(std::vector<Member> members, ListForm form = ListForm::changes) {
+    pending.emplace_back(
+        MembersChanged{form, ++version, std::make_shared<const std::vector<Member>>(std::move(members))});
+  }
+
+  // Nodes 1..per_cell in cell 0, 11.. in cell 1, and so on.
+  void list_all(int per_cell = 3) {
+    std::vector<Member> members;
+    for (int cell = 0; cell < settings.cells; ++cell)
+      for (int i = 1; i <= per_cell; ++i) members.push_back(member(static_cast<NodeId>(cell * 10 + i), cell));
+    list(members, ListForm::saved);
+  }
+
+  // A query with one part for each weight; part i needs shard shards[i], or shard 0.
+  QueryId query(int cls, std::vector<double> weights, std::vector<int> shards = {}, Duration wait = 4s) {
+    QueryArrived q;
+    q.query = next_query++;
+    q.ordinal = q.query;
+    q.cls = cls;
+    q.deadline = now + wait;
+    q.parts = static_cast<int>(weights.size());
+    pending.emplace_back(q);
+    parts(q.query, weights, shards);
+    return q.query;
+  }
+
+  void parts(QueryId ordinal, std::vector<double> weights, std::vector<int> shards = {}) {
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+      PartArrived p;
+      p.part = next_part++;
+      p.ordinal = ordinal;
+      p.weight = weights[i];
+      p.shard = i < shards.size() ? shards[i] : 0;
+      pending.emplace_back(p);
+    }
+  }
+
+  void outcome(PartId part, NodeId node, int attempt, Outcome outcome, Duration took = 100ms) {
+    AttemptEnded e;
+    e.part = part;
+    e.node = node;
+    e.attempt = attempt;
+    e.outcome = outcome;
+    e.took = took;
+    pending.emplace_back(e);
+  }
+
+  std::vector<Action>& step(Duration after = 5ms) {
+    now += after;
+    actions.clear();
+    if (pending.empty()) pending.emplace_back(TimerFired{0});
+    policy->handle(now, pending, actions);
+    pending.clear();
+    return actions;
+  }
+
+  // Steps on, quietly, and returns all actions on the way.
+  std::vector<Action> run(Duration length, Duration pace = 5ms) {
+    std::vector<Action> all;
+    for (Time end = now + length; now < end;) {
+      step(pace);
+      all.insert(all.end(), actions.begin(), actions.end());
+    }
+    actions = all;
+    return all;
+  }
+
+  template <typename T>
+  std::vector<T> of() const {
+    std::vector<T> found;
+    for (const Action& action : actions)
+      if (auto* a = std::get_if<T>(&action)) found.push_back(*a);
+    return found;
+  }
+  std::vector<SendPart> sends() const { return of<SendPart>(); }
+  std::vector<AnswerQuery> answers() const { return of<AnswerQuery>(); }
+  std::vector<RefuseQuery> refusals() const { return of<RefuseQuery>(); }
+  std::vector<FailQuery> failures() const { return of<FailQuery>(); }
+
+  // Every send of the last round answers after `took`, which passes now.
+  void answer_sends(Duration took = 100ms) {
+    for (const SendPart& send : sends()) outcome(send.part, send.node, 0, Outcome::ok, took);
+    step(took);
+  }
+
+  // So many one-part queries, each answered before the next: gives every node a latency and a rate.
+  void warm_up(int queries, Duration took = 100ms, Duration pause = 5ms) {
+    for (int i = 0; i < queries; ++i) {
+      query(1, {1.0}, {i % settings.shards});
+      step(pause);
+      answer_sends(took);
+    }
+  }
+};
+
+}  // namespace pearspar::testing
--- /dev/null
+++ b/tests/host_test.cpp
@@ -0,0 +1,155 @@
+#include "benchlink/host.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace pearspar::benchlink {
+namespace {
+
+const char* const settings_text =
+    "balancers=2\nme=0\nzone=0\nclasses.count=1\nclasses.0.aim_s=2.0\nclasses.0.give_up_s=4.0\n"
+    "classes.0.dedup_window_s=5.0\nclasses.0.effect=retryable\nclasses.0.late_worth=0.3\nclasses.0.name=x\n"
+    "classes.0.worth=5.0\ncounted_by=request\nlimits.cancel=true\nlimits.max_open=159\nlimits.peers=false\n"
+    "limits.probes=false\nlimits.retry_after=true\nlimits.second_copies=true\nlimits.try_limit=4\n"
+    "registry_mode=push\nsafety.fall_multiple=2.0\nsafety.fall_s=3.0\nsafety.start_capacity=0.23\n"
+    "safety.warm_within_s=16.0\nspecifics.class_floor=0.4\nspecifics.class_partial=0.95\n"
+    "specifics.fetch_parts=0\nspecifics.in_a_row=1\nspecifics.parts_a_call=1\nspecifics.sets=1\n"
+    "specifics.slabs=4\nspecifics.whole_at=1.0\nstats.fields=\nstats.source=silent\nweights=silent\n"
+    "quantum_s=0.005\n";
+
+// Builds a batch's frame record by record, independently of the codec under test.
+class Frame {
+ public:
+  explicit Frame(double now) : now_(now) {}
+
+  template <typename... T>
+  Frame& record(std::uint8_t code, T... fields) {
+    put(code);
+    (put(fields), ...);
+    ++count_;
+    return *this;
+  }
+  Frame& text(const std::string& text) {
+    bytes_.insert(bytes_.end(), text.begin(), text.end());
+    return *this;
+  }
+  Frame& instance(std::uint32_t number) { return record(12, number); }
+  Frame& open(std::uint64_t seed) {
+    std::string text = settings_text;
+    return record(1, seed, static_cast<std::uint32_t>(text.size())).text(text);
+  }
+  Frame& list(std::uint8_t page, std::vector<std::uint32_t> nodes) {
+    record(11, page, static_cast<std::uint32_t>(nodes.size()));
+    for (std::uint32_t node : nodes) {
+      put(node);
+      put(std::uint8_t{0});
+      put(std::uint16_t{0});
+      put(std::uint16_t{0});
+      put(std::uint8_t{1});
+      put(1.0f);
+      put(0.0);
+    }
+    return *this;
+  }
+  Frame& news(std::uint8_t form, std::uint8_t page) { return record(2, form, std::uint32_t{1}, page); }
+  Frame& submit(std::uint32_t id, std::uint16_t cls, float ordinal, float shard, float amount) {
+    return record(3, id, cls, std::uint32_t{0}, std::uint64_t{0}, now_ + 4, 0.0, ordinal, shard, amount,
+                  std::uint16_t{0});
+  }
+  Bytes bytes() const {
+    Bytes frame(bytes_.size() + 16);
+    auto size = static_cast<std::uint32_t>(frame.size());
+    std::memcpy(frame.data(), &size, 4);
+    std::memcpy(frame.data() + 4, &now_, 8);
+    std::memcpy(frame.data() + 12, &count_, 4);
+    std::copy(bytes_.begin(), bytes_.end(), frame.begin() + 16);
+    return frame;
+  }
+
+ private:
+  template <typename T>
+  void put(T value) {
+    std::size_t at = bytes_.size();
+    bytes_.resize(at + sizeof(T));
+    std::memcpy(bytes_.data() + at, &value, sizeof(T));
+  }
+
+  double now_;
+  std::uint32_t count_ = 0;
+  Bytes bytes_;
+};
+
+std::uint32_t record_count(const Bytes& reply) {
+  std::uint32_t count;
+  std::memcpy(&count, reply.data(), 4);
+  return count;
+}
+
+Frame& one_query(Frame& frame) {
+  return frame.submit(1, 0, 1, -1, 2).submit(2, 0, 1, 0, 0.5f).submit(3, 0, 1, 1, 0.5f);
+}
+
+TEST(Host, ASendComesBackForEachPart) {
+  Host host;
+  Frame frame(10);
+  frame.instance(4).open(9).list(0, {7, 8}).news(2, 0);
+  Bytes reply = host.answer(one_query(frame).bytes());
+  ASSERT_EQ(reply[8], 6);  // INSTANCE 4
+  EXPECT_EQ(reply[9], 4);
+  EXPECT_EQ(reply[13], 9);             // ISSUE
+  EXPECT_EQ(reply[13 + 17], 9);        // ISSUE
+  EXPECT_EQ(record_count(reply), 4u);  // with one timer
+}
+
+TEST(Host, RestartUnderTheSameNumberInOneBatchForgetsTheFormerLife) {
+  Host host;
+  Frame first(10);
+  first.instance(0).open(9).list(0, {7, 8}).news(2, 0);
+  host.answer(one_query(first).bytes());
+  Frame second(11);
+  second.instance(0).record(10).open(10).news(2, 0);
+  second.record(5, std::uint32_t{2}, std::uint32_t{7}, 0.1, std::uint16_t{1}, std::uint8_t{1},
+                std::uint8_t{0}, std::uint8_t{0});
+  Bytes reply = host.answer(second.bytes());
+  EXPECT_EQ(record_count(reply), 0u);
+}
+
+TEST(Host, ListsAreSharedByNumberAndReplacedInOrder) {
+  Host host;
+  Frame frame(10);
+  frame.instance(0).open(9).list(0, {7}).news(2, 0).list(0, {8}).instance(1).open(9).news(2, 0);
+  frame.instance(0).submit(1, 0, 1, -1, 1).submit(2, 0, 1, 0, 1.0f);
+  frame.instance(1).submit(1, 0, 1, -1, 1).submit(2, 0, 1, 0, 1.0f);
+  Bytes reply = host.answer(frame.bytes());
+  // INSTANCE 5 bytes, ISSUE 17, TIMER 17, twice, after a header of 8
+  ASSERT_EQ(reply.size(), 8u + 2 * (5 + 17 + 17));
+  EXPECT_EQ(reply[8 + 5 + 5], 7);
+  EXPECT_EQ(reply[8 + 39 + 5 + 5], 8);
+}
+
+// The same events give the same actions however the instances are dealt out among processes.
+TEST(Host, InstancesDoNotTouchEachOther) {
+  Host together, alone;
+  Frame both(10), one(10);
+  both.instance(0).open(9).list(0, {7, 8, 9}).news(2, 0);
+  one_query(both).instance(1).open(9).news(2, 0);
+  Bytes shared = together.answer(one_query(both).bytes());
+  one.instance(1).open(9).list(0, {7, 8, 9}).news(2, 0);
+  Bytes single = alone.answer(one_query(one).bytes());
+  Bytes tail(shared.end() - static_cast<std::ptrdiff_t>(single.size() - 8), shared.end());
+  EXPECT_EQ(tail, Bytes(single.begin() + 8, single.end()));
+}
+
+TEST(Host, WhatCannotBeCarriedOutIsNamed) {
+  EXPECT_THROW(Host().answer(Frame(1).instance(2).record(7, std::uint64_t{1}).bytes()), WireError);
+  EXPECT_THROW(Host().answer(Frame(1).record(7, std::uint64_t{1}).bytes()), WireError);
+  EXPECT_THROW(Host().answer(Frame(1).instance(0).open(1).news(2, 0).bytes()), WireError);
+  EXPECT_THROW(Host().answer(Frame(1).instance(0).open(1).open(1).bytes()), WireError);
+  EXPECT_THROW(Host().answer(Frame(1).instance(0).record(10).bytes()), WireError);
+  EXPECT_THROW(Host().answer(Frame(1).instance(0).open(1).submit(1, 9, 1, -1, 1).bytes()), WireError);
+}
+
+}  // namespace
+}  // namespace pearspar::benchlink
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,358 @@
+// The ordinary path: ranking and coverage, narrowing and widening, replica choice, attempts, answering.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "harness.h"
+
+namespace pearspar::testing {
+namespace {
+
+// Drives the share of strained outcomes: `good` parts answered and `bad` ones turned away, all at once.
+void outcomes(Bench& bench, int good, int bad) {
+  bench.query(1, std::vector<double>(static_cast<std::size_t>(good + bad), 1.0 / (good + bad)));
+  bench.step();
+  auto sends = bench.sends();
+  for (std::size_t i = 0; i < sends.size(); ++i)
+    bench.outcome(sends[i].part, sends[i].node, 0,
+                  static_cast<int>(i) < bad ? Outcome::refused : Outcome::ok);
+  bench.step(100ms);
+  for (const SendPart& again : bench.sends()) bench.outcome(again.part, again.node, 1, Outcome::ok);
+  bench.step(100ms);
+}
+
+std::size_t parts_sent(Bench& bench) {
+  bench.query(0, {0.05, 0.3, 0.1, 0.05, 0.2, 0.1, 0.1, 0.1});
+  bench.step();
+  std::size_t count = bench.sends().size();
+  bench.answer_sends();
+  return count;
+}
+
+TEST(Coverage, StartsWholeAndSendsTheHeaviestFirst) {
+  Bench bench;
+  bench.list_all();
+  bench.query(0, {0.1, 0.4, 0.2, 0.3});
+  bench.step();
+  std::set<PartId> sent;
+  for (const SendPart& send : bench.sends()) sent.insert(send.part);
+  EXPECT_EQ(sent, (std::set<PartId>{1000, 1001, 1002, 1003}));
+}
+
+TEST(Coverage, NarrowsUnderStrainAndLeavesOutTheLightest) {
+  Bench bench;
+  bench.list_all();
+  EXPECT_EQ(parts_sent(bench), 8u);
+  outcomes(bench, 20, 10);
+  bench.query(0, {0.05, 0.3, 0.1, 0.05, 0.2, 0.1, 0.1, 0.1});
+  PartId first = bench.next_part - 8;
+  bench.step();
+  std::set<PartId> sent;
+  for (const SendPart& send : bench.sends()) sent.insert(send.part);
+  EXPECT_EQ(sent.size(), 6u);
+  EXPECT_FALSE(sent.count(first));
+  EXPECT_FALSE(sent.count(first + 3));
+}
+
+TEST(Coverage, AClassWithoutPartialAnswersGetsEveryPart) {
+  Bench bench;
+  bench.list_all();
+  outcomes(bench, 20, 10);
+  bench.query(1, {0.05, 0.3, 0.1, 0.05, 0.2, 0.1, 0.1, 0.1});
+  bench.step();
+  EXPECT_EQ(bench.sends().size(), 8u);
+}
+
+TEST(Coverage, NeverGoesUnderTheFloorAndWidensAgain) {
+  Bench bench;
+  bench.list_all();
+  for (int i = 0; i < 12; ++i) {
+    outcomes(bench, 20, 20);
+    bench.run(2s);
+  }
+  // floor 0.4: 0.3 and 0.2 reach it
+  EXPECT_EQ(parts_sent(bench), 2u);
+  for (int i = 0; i < 12; ++i) {
+    outcomes(bench, 60, 0);
+    bench.run(2s);
+  }
+  EXPECT_EQ(parts_sent(bench), 8u);
+}
+
+TEST(Coverage, HoldsOnFewOutcomes) {
+  Bench bench;
+  bench.list_all();
+  outcomes(bench, 2, 5);
+  EXPECT_EQ(parts_sent(bench), 8u);
+}
+
+TEST(Coverage, ANarrowedQueryIsAnsweredOnceItsChosenPartsAreInAndNotAsWhole) {
+  Bench bench;
+  bench.list_all();
+  outcomes(bench, 20, 10);
+  bench.query(0, {0.05, 0.3, 0.1, 0.05, 0.2, 0.1, 0.1, 0.1});
+  bench.step();
+  bench.answer_sends();
+  ASSERT_EQ(bench.answers().size(), 1u);
+  EXPECT_FALSE(bench.answers()[0].whole);
+}
+
+TEST(ReplicaChoice, TakesTheLeastLatencyTimesCalls) {
+  Bench bench;
+  bench.list_all(2);
+  // node 1 answers in 50 ms, node 2 in 200 ms
+  for (int i = 0; i < 12; ++i) {
+    bench.query(1, {1.0});
+    bench.step();
+    auto send = bench.sends().at(0);
+    Duration took = send.node == 1 ? 50ms : 200ms;
+    bench.outcome(send.part, send.node, 0, Outcome::ok, took);
+    bench.step(took);
+  }
+  bench.query(1, std::vector<double>(5, 0.2));
+  bench.step();
+  std::map<NodeId, int> count;
+  for (const SendPart& send : bench.sends()) ++count[send.node];
+  // 50 ms x (1 + calls) stays under 200 ms for three calls; with four of five there at least
+  EXPECT_GE(count[1], 3);
+  EXPECT_LE(count[2], 2);
+}
+
+TEST(ReplicaChoice, AnUnheardOfNodeCountsAsAverage) {
+  Bench bench;
+  bench.list_all(2);
+  bench.warm_up(16, 100ms);
+  bench.list({Bench::member(3, 0)});
+  bench.query(1, std::vector<double>(3, 1.0 / 3));
+  bench.step();
+  std::set<NodeId> nodes;
+  for (const SendPart& send : bench.sends()) nodes.insert(send.node);
+  EXPECT_EQ(nodes, (std::set<NodeId>{1, 2, 3}));
+}
+
+TEST(ReplicaChoice, PartsThatShareACallCountAsOne) {
+  Settings settings = plain_settings();
+  settings.parts_per_call = 4;
+  Bench bench(settings);
+  bench.list({Bench::member(1, 0), Bench::member(2, 0)}, ListForm::saved);
+  // Node 2 is three times as slow. With calls counted once, node 1 opens its second call with the fifth part
+  // and is the lesser until then; counted by part it would be after two parts.
+  for (int i = 0; i < 16; ++i) {
+    bench.query(1, {1.0});
+    bench.step();
+    auto send = bench.sends().at(0);
+    Duration took = send.node == 1 ? 100ms : 290ms;
+    bench.outcome(send.part, send.node, 0, Outcome::ok, took);
+    bench.step(took);
+  }
+  bench.query(1, std::vector<double>(5, 0.2));
+  bench.step();
+  for (const SendPart& send : bench.sends()) EXPECT_EQ(send.node, 1u);
+}
+
+TEST(ReplicaChoice, ASilentNodeLosesItsPlaceBeforeAnyTimeOut) {
+  Settings settings = plain_settings();
+  settings.may_copy = false;
+  Bench bench(settings);
+  bench.list_all(2);
+  bench.warm_up(8, 100ms);
+  bench.query(1, {0.5, 0.5});
+  bench.step();
+  auto sends = bench.sends();
+  ASSERT_EQ(sends.size(), 2u);
+  // one answers, the other stays silent: what comes later goes to the one that answers
+  bench.outcome(sends[0].part, sends[0].node, 0, Outcome::ok);
+  bench.step(250ms);
+  bench.query(1, {0.5, 0.5});
+  bench.step();
+  for (const SendPart& send : bench.sends()) EXPECT_EQ(send.node, sends[0].node);
+}
+
+TEST(ReplicaChoice, WhenAllLookBadTheLeastBadStillGetsIt) {
+  Bench bench;
+  bench.list_all(2);
+  for (int i = 0; i < 6; ++i) {
+    bench.query(1, {1.0});
+    bench.step();
+    for (int attempt = 0; attempt < 4 && !bench.sends().empty(); ++attempt) {
+      auto send = bench.sends().at(0);
+      bench.outcome(send.part, send.node, attempt, Outcome::reset, 10ms);
+      bench.step();
+    }
+  }
+  bench.query(1, {1.0});
+  bench.step();
+  EXPECT_EQ(bench.sends().size(), 1u);
+}
+
+TEST(Health, ANodeThatFailsFastIsAvoided) {
+  Bench bench;
+  bench.list_all(2);
+  bench.warm_up(8, 100ms);
+  int to_failing = 0;
+  for (int i = 0; i < 20; ++i) {
+    bench.query(1, {1.0});
+    bench.step();
+    auto send = bench.sends().at(0);
+    if (send.node == 1) {
+      ++to_failing;
+      bench.outcome(send.part, 1, 0, Outcome::error, 2ms);
+      bench.step(2ms);
+      ASSERT_EQ(bench.sends().size(), 1u);
+      EXPECT_EQ(bench.sends()[0].node, 2u);
+      bench.outcome(send.part, 2, 1, Outcome::ok);
+      bench.step(25ms);
+    } else {
+      bench.outcome(send.part, 2, 0, Outcome::ok);
+      bench.step(25ms);
+    }
+  }
+  EXPECT_LE(to_failing, 4);
+}
+
+TEST(Attempts, AnOverduePartGetsASecondCopyElsewhereAndTheLoserIsCalledOff) {
+  Bench bench;
+  bench.list_all(2);
+  bench.warm_up(16, 100ms);
+  bench.query(1, {1.0});
+  bench.step();
+  auto first = bench.sends().at(0);
+  bench.run(950ms);
+  ASSERT_EQ(bench.sends().size(), 1u);
+  auto copy = bench.sends()[0];
+  EXPECT_NE(copy.node, first.node);
+  bench.outcome(first.part, copy.node, 1, Outcome::ok);
+  bench.step();
+  ASSERT_EQ(bench.answers().size(), 1u);
+  EXPECT_TRUE(bench.answers()[0].whole);
+  ASSERT_EQ(bench.of<CancelAttempt>().size(), 1u);
+  EXPECT_EQ(bench.of<CancelAttempt>()[0].attempt, 0);
+}
+
+TEST(Attempts, SecondCopiesAreEarnedByTraffic) {
+  Bench bench;
+  bench.list_all(3);
+  bench.warm_up(10, 100ms);
+  bench.query(0, std::vector<double>(100, 0.01));
+  bench.step();
+  EXPECT_EQ(bench.sends().size(), 100u);
+  bench.run(1500ms);
+  EXPECT_GT(bench.sends().size(), 0u);
+  EXPECT_LT(bench.sends().size(), 35u);
+}
+
+TEST(Answering, APartialAnswerIsGivenBeforeTheAimIsLost) {
+  Bench bench;
+  bench.list_all();
+  QueryId id = bench.query(0, {0.5, 0.3, 0.2});
+  Time start = bench.now;
+  bench.step();
+  auto sends = bench.sends();
+  bench.outcome(sends[0].part, sends[0].node, 0, Outcome::ok);
+  bench.step(100ms);
+  while (bench.answers().empty() && bench.now < start + 5s) bench.step();
+  ASSERT_EQ(bench.answers().size(), 1u);
+  EXPECT_EQ(bench.answers()[0].query, id);
+  EXPECT_FALSE(bench.answers()[0].whole);
+  EXPECT_LT(bench.now, start + 2s + 5ms);
+}
+
+TEST(Answering, WhatCannotBeServedIsRefusedAtOnceWithATimeToComeBack) {
+  Bench bench;
+  bench.list({Bench::member(1, 0)}, ListForm::saved);
+  bench.query(1, {0.5, 0.5}, {0, 1});  // nobody holds shard 1
+  bench.step();
+  ASSERT_EQ(bench.refusals().size(), 1u);
+  EXPECT_GT(bench.refusals()[0].come_back, Duration{});
+}
+
+TEST(Answering, AQueryWithoutPartsEndsAtOnce) {
+  Bench bench;
+  bench.list_all();
+  bench.query(0, {});
+  bench.step();
+  EXPECT_EQ(bench.refusals().size() + bench.failures().size(), 1u);
+  EXPECT_TRUE(bench.answers().empty());
+}
+
+TEST(Answering, OutcomesAndDeparturesAfterTheEndAreIgnored) {
+  Bench bench;
+  bench.list_all();
+  QueryId id = bench.query(1, {1.0});
+  bench.step();
+  auto send = bench.sends().at(0);
+  bench.answer_sends();
+  ASSERT_EQ(bench.answers().size(), 1u);
+  bench.outcome(send.part, send.node, 0, Outcome::ok);
+  bench.outcome(send.part, send.node, 3, Outcome::timeout);
+  bench.outcome(99, 98, 0, Outcome::ok);
+  bench.pending.emplace_back(ClientLeft{id});
+  bench.pending.emplace_back(ClientLeft{12345});
+  bench.step();
+  EXPECT_TRUE(bench.actions.empty());
+}
+
+TEST(Answering, ASecondStepIsAnsweredFromItsOwnParts) {
+  Settings settings = plain_settings();
+  settings.classes[1].fetch_parts = 2;
+  Bench bench(settings);
+  bench.list_all();
+  QueryId id = bench.query(1, {0.5, 0.5});
+  bench.step();
+  bench.answer_sends();
+  ASSERT_EQ(bench.answers().size(), 1u);
+  EXPECT_TRUE(bench.answers()[0].whole);
+  bench.parts(id, {0.5, 0.5});
+  bench.step();
+  ASSERT_EQ(bench.sends().size(), 2u);
+  bench.answer_sends();
+  ASSERT_EQ(bench.answers().size(), 1u);
+  EXPECT_EQ(bench.answers()[0].query, id);
+  EXPECT_TRUE(bench.answers()[0].whole);
+}
+
+TEST(Determinism, TheSameEventsGiveTheSameActions) {
+  auto play = [](std::uint64_t seed) {
+    Bench bench(plain_settings(), seed);
+    bench.list_all();
+    std::vector<std::pair<PartId, NodeId>> sent;
+    for (int i = 0; i < 50; ++i) {
+      bench.query(i % 2, {0.5, 0.25, 0.25}, {i % 8, (i + 1) % 8, (i + 2) % 8});
+      bench.step();
+      for (const SendPart& send : bench.sends()) {
+        sent.emplace_back(send.part, send.node);
+        bench.outcome(send.part, send.node, 0, i % 7 == 0 ? Outcome::error : Outcome::ok, 20ms);
+      }
+      bench.step(20ms);
+      for (const SendPart& send : bench.sends()) {
+        sent.emplace_back(send.part, send.node);
+        bench.outcome(send.part, send.node, 1, Outcome::ok, 20ms);
+      }
+    }
+    return sent;
+  };
+  EXPECT_EQ(play(1), play(1));
+}
+
+TEST(Determinism, InstancesInOneProcessShareNothing) {
+  Bench alone, beside, noisy;
+  for (Bench* bench : {&alone, &beside, &noisy}) bench->list_all();
+  for (int i = 0; i < 20; ++i) {
+    noisy.query(1, {1.0});
+    noisy.step();
+    for (const SendPart& send : noisy.sends()) noisy.outcome(send.part, send.node, 0, Outcome::reset, 1ms);
+    beside.query(0, {0.5, 0.5}, {0, 1});
+    beside.step();
+  }
+  for (int i = 0; i < 20; ++i) {
+    alone.query(0, {0.5, 0.5}, {0, 1});
+    alone.step();
+  }
+  ASSERT_EQ(alone.sends().size(), beside.sends().size());
+  for (std::size_t i = 0; i < alone.sends().size(); ++i)
+    EXPECT_EQ(alone.sends()[i].node, beside.sends()[i].node);
+}
+
+}  // namespace
+}  // namespace pearspar::testing
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,373 @@
+// One or more tests for each of the six rules; each fails when the rule's guard is taken out of the module.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "harness.h"
+
+namespace pearspar::testing {
+namespace {
+
+std::size_t ends(const Bench& bench) {
+  return bench.answers().size() + bench.refusals().size() + bench.failures().size();
+}
+
+// ---- no query is lost ----
+
+TEST(NoQueryIsLost, EachGetsOneFinalAnswerBeforeTheClientLeaves) {
+  Bench bench;
+  bench.list_all();
+  bench.query(1, {0.5, 0.5}, {}, 3s);
+  Time deadline = bench.now + 3s;
+  std::size_t ended = 0;
+  Time at{};
+  while (bench.now < deadline + 2s) {
+    bench.step();
+    if (ends(bench) > 0) at = bench.now;
+    ended += ends(bench);
+  }
+  EXPECT_EQ(ended, 1u);
+  EXPECT_LE(at, deadline);
+}
+
+TEST(NoQueryIsLost, OneThatArrivesWithItsTimeNearlyOverIsEndedInTheSameBatch) {
+  Bench bench;
+  bench.list_all();
+  bench.query(1, {1.0}, {}, 6ms);
+  bench.step();
+  EXPECT_EQ(ends(bench), 1u);
+  EXPECT_TRUE(bench.sends().empty());
+}
+
+TEST(NoQueryIsLost, NothingIsSentAfterTheEnd) {
+  Bench bench;
+  bench.list_all();
+  bench.query(0, {0.6, 0.4});
+  bench.step();
+  auto sends = bench.sends();
+  bench.outcome(sends[0].part, sends[0].node, 0, Outcome::ok);
+  bool ended = false;
+  for (int i = 0; i < 900; ++i) {
+    bench.step();
+    if (ended) {
+      EXPECT_TRUE(bench.sends().empty());
+    }
+    ended = ended || ends(bench) > 0;
+  }
+  EXPECT_TRUE(ended);
+  bench.outcome(sends[1].part, sends[1].node, 0, Outcome::error);
+  bench.step();
+  EXPECT_TRUE(bench.sends().empty());
+}
+
+TEST(NoQueryIsLost, NothingIsSentForAClientThatLeft) {
+  Bench bench;
+  bench.list_all();
+  QueryId id = bench.query(1, {1.0});
+  bench.step();
+  auto send = bench.sends().at(0);
+  bench.pending.emplace_back(ClientLeft{id});
+  bench.outcome(send.part, send.node, 0, Outcome::refused);
+  bench.step();
+  EXPECT_TRUE(bench.sends().empty());
+  EXPECT_EQ(ends(bench), 0u);
+}
+
+// ---- no effect happens twice ----
+
+Settings with_effect(Effect effect) {
+  Settings settings = plain_settings();
+  settings.classes[1].effect = effect;
+  return settings;
+}
+
+TEST(NoEffectTwice, AnUnsafePartThatMayHaveRunIsNotSentAgainNorItsQueryRefused) {
+  for (Outcome outcome : {Outcome::error, Outcome::timeout, Outcome::reset}) {
+    Bench bench(with_effect(Effect::unsafe));
+    bench.list_all();
+    bench.query(1, {1.0});
+    bench.step();
+    auto send = bench.sends().at(0);
+    bench.outcome(send.part, send.node, 0, outcome);
+    bench.run(4s);
+    EXPECT_TRUE(bench.sends().empty());
+    EXPECT_TRUE(bench.refusals().empty());
+    EXPECT_EQ(bench.failures().size(), 1u);
+  }
+}
+
+TEST(NoEffectTwice, AnUnsafePartThatIsProvedNotToHaveRunIsSentAgain) {
+  for (Outcome outcome : {Outcome::refused, Outcome::connect_failed}) {
+    Bench bench(with_effect(Effect::unsafe));
+    bench.list_all();
+    bench.query(1, {1.0});
+    bench.step();
+    auto send = bench.sends().at(0);
+    bench.outcome(send.part, send.node, 0, outcome);
+    bench.step();
+    EXPECT_EQ(bench.sends().size(), 1u);
+  }
+}
+
+TEST(NoEffectTwice, AnUnsafePartGetsNoSecondCopy) {
+  Bench bench(with_effect(Effect::unsafe));
+  bench.list_all();
+  bench.query(1, {1.0});
+  bench.step();
+  bench.run(3s);
+  EXPECT_TRUE(bench.sends().empty());
+}
+
+TEST(NoEffectTwice, AKeyedPartIsSentAgainOnlyWithinItsWindow) {
+  for (bool late : {false, true}) {
+    Settings settings = with_effect(Effect::keyed);
+    settings.may_copy = false;
+    Bench bench(settings);
+    bench.list_all();
+    bench.query(1, {1.0});
+    bench.step();
+    auto send = bench.sends().at(0);
+    bench.outcome(send.part, send.node, 0, Outcome::error);
+    bench.step(late ? 1000ms : 900ms);
+    EXPECT_EQ(bench.sends().size(), late ? 0u : 1u);
+  }
+}
+
+TEST(NoEffectTwice, NeverTwoAttemptsAtOnceWhereCopiesAreNotAllowed) {
+  Settings settings = plain_settings();
+  settings.may_copy = false;
+  Bench bench(settings);
+  bench.list_all();
+  bench.query(1, {1.0});
+  bench.step();
+  auto send = bench.sends().at(0);
+  EXPECT_LT(send.max_wait, Duration(1500ms));  // it ends by itself, in time for another
+  bench.run(1800ms);
+  EXPECT_TRUE(bench.sends().empty());
+  bench.outcome(send.part, send.node, 0, Outcome::timeout);
+  bench.step();
+  EXPECT_EQ(bench.sends().size(), 1u);
+}
+
+// ---- drains are kept ----
+
+TEST(Drains, NothingNewGoesToADrainingNodeWhileAnotherIsThere) {
+  Bench bench;
+  bench.list_all(2);
+  bench.step();
+  bench.list({Bench::member(1, 0, NodeStatus::draining)});
+  bench.query(1, std::vector<double>(8, 0.125));
+  bench.step();
+  EXPECT_EQ(bench.sends().size(), 8u);
+  for (const SendPart& send : bench.sends()) EXPECT_EQ(send.node, 2u);
+}
+
+TEST(Drains, NothingAtAllGoesThereOnceTheGraceIsOver) {
+  for (NodeStatus status : {NodeStatus::draining, NodeStatus::gone}) {
+    Bench bench;
+    bench.list({Bench::member(1, 0)}, ListForm::saved);
+    bench.step();
+    bench.list({Bench::member(1, 0, status)});
+    bench.step();
+    for (int i = 0; i < 300; ++i) {
+      bench.query(1, {1.0});
+      bench.step(20ms);
+      if (i > 50) {
+        EXPECT_TRUE(bench.sends().empty());
+      }
+    }
+  }
+}
+
+TEST(Drains, ANodeMissingFromAWholeListIsGone) {
+  Bench bench;
+  bench.list_all(2);
+  bench.step();
+  bench.list({Bench::member(2, 0), Bench::member(12, 1)}, ListForm::whole);
+  bench.step();
+  for (int i = 0; i < 40; ++i) {
+    bench.query(1, {0.5, 0.5}, {0, 1});
+    bench.step(50ms);
+    for (const SendPart& send : bench.sends()) EXPECT_TRUE(send.node == 2 || send.node == 12);
+  }
+}
+
+TEST(Drains, WhereTheListMustBeAskedForItIsAndAgainAfterAFailure) {
+  Settings settings = plain_settings();
+  settings.membership_by_asking = true;
+  Bench bench(settings);
+  bench.list_all();
+  bench.step();
+  EXPECT_EQ(bench.of<SubscribeMembers>().size(), 1u);
+  bench.pending.emplace_back(MembersChanged{ListForm::failed, 2, nullptr});
+  bench.step();
+  bench.run(settings.ask_within);
+  EXPECT_GE(bench.of<SubscribeMembers>().size(), 1u);
+}
+
+// ---- a cold node is not pushed over ----
+
+TEST(ColdNode, GetsAShareOfWhatWarmNodesGet) {
+  Bench bench;
+  bench.list_all(2);
+  bench.warm_up(60, 50ms);
+  Member fresh = Bench::member(1, 0);
+  fresh.start_known = true;
+  fresh.started = bench.now;
+  bench.list({fresh});
+  int to_cold = 0, to_warm = 0;
+  Time start = bench.now;
+  while (bench.now < start + 3s) {
+    bench.query(1, {0.5, 0.5}, {0, 0});
+    bench.step(25ms);
+    for (const SendPart& send : bench.sends()) {
+      ++(send.node == 1 ? to_cold : to_warm);
+      // the cold node answers fast: only the guard holds the sends back
+      bench.outcome(send.part, send.node, 0, Outcome::ok, send.node == 1 ? 10ms : 60ms);
+    }
+  }
+  EXPECT_GT(to_cold, 0);
+  EXPECT_GT(to_warm, 100);
+  EXPECT_LT(to_cold, to_warm / 4);
+}
+
+TEST(ColdNode, HoldsThePartsWhenEveryReplicaIsCold) {
+  Bench bench;
+  std::vector<Member> members;
+  for (NodeId node = 1; node <= 2; ++node) {
+    members.push_back(Bench::member(node, 0));
+    members.back().start_known = true;
+    members.back().started = bench.now;
+  }
+  bench.list(members, ListForm::saved);
+  bench.query(1, std::vector<double>(50, 0.02));
+  bench.step();
+  EXPECT_LE(bench.sends().size(), 6u);
+}
+
+TEST(ColdNode, OneThatBrokeAndAnswersAgainIsTakenForCold) {
+  Bench bench;
+  bench.list_all(2);
+  bench.warm_up(60, 50ms);
+  for (int i = 0; i < 6; ++i) {  // node 1 is down
+    bench.query(1, {1.0});
+    bench.step();
+    auto send = bench.sends().at(0);
+    bench.outcome(send.part, send.node, 0, send.node == 1 ? Outcome::reset : Outcome::ok, 20ms);
+    bench.step(20ms);
+    for (const SendPart& again : bench.sends()) bench.outcome(again.part, again.node, 1, Outcome::ok, 20ms);
+    bench.step(20ms);
+  }
+  bench.run(3s);
+  int to_cold = 0, to_warm = 0;
+  Time start = bench.now;
+  while (bench.now < start + 4s) {
+    bench.query(1, {0.5, 0.5}, {0, 0});
+    bench.step(25ms);
+    for (const SendPart& send : bench.sends()) {
+      ++(send.node == 1 ? to_cold : to_warm);
+      bench.outcome(send.part, send.node, 0, Outcome::ok, send.node == 1 ? 10ms : 60ms);
+    }
+  }
+  EXPECT_LT(to_cold, to_warm / 4);
+}
+
+// ---- answers are honest ----
+
+TEST(HonestAnswers, NoneUnderTheFloor) {
+  Bench bench;
+  bench.list_all();
+  bench.query(0, {0.35, 0.33, 0.32});
+  bench.step();
+  auto sends = bench.sends();
+  bench.outcome(sends[0].part, sends[0].node, 0, Outcome::ok);
+  bench.run(4s);
+  EXPECT_TRUE(bench.answers().empty());
+  EXPECT_EQ(ends(bench), 1u);
+}
+
+TEST(HonestAnswers, APartCountsOnce) {
+  Bench bench;
+  bench.list_all(2);
+  bench.query(0, {0.3, 0.7});
+  bench.step();
+  PartId light = bench.next_part - 2;
+  for (const SendPart& send : bench.sends())
+    if (send.part == light)
+      for (int i = 0; i < 3; ++i) bench.outcome(send.part, send.node, 0, Outcome::ok);
+  bench.run(4s);
+  EXPECT_TRUE(bench.answers().empty());
+}
+
+TEST(HonestAnswers, NoneIsMarkedWholeThatIsNot) {
+  Settings settings = plain_settings();
+  settings.classes[0].need = 0.9;
+  for (bool whole : {false, true}) {
+    Bench bench(settings);
+    bench.list_all();
+    bench.query(0, {0.5, 0.38, 0.12});
+    bench.step();
+    for (const SendPart& send : bench.sends())
+      if (send.part != bench.next_part - (whole ? 2u : 1u))
+        bench.outcome(send.part, send.node, 0, Outcome::ok);
+    bench.run(4s);
+    ASSERT_EQ(bench.answers().size(), 1u);
+    EXPECT_FALSE(bench.answers()[0].whole);
+  }
+}
+
+TEST(HonestAnswers, ASecondStepAfterAPartialFirstIsNotWhole) {
+  Settings settings = plain_settings();
+  settings.classes[0].fetch_parts = 1;
+  Bench bench(settings);
+  bench.list_all();
+  QueryId id = bench.query(0, {0.5, 0.5});
+  bench.step();
+  auto sends = bench.sends();
+  bench.outcome(sends[0].part, sends[0].node, 0, Outcome::ok);
+  while (bench.answers().empty() && bench.now < Time{110s}) bench.step();
+  ASSERT_EQ(bench.answers().size(), 1u);
+  EXPECT_FALSE(bench.answers()[0].whole);
+  bench.parts(id, {1.0});
+  bench.step();
+  ASSERT_EQ(bench.sends().size(), 1u);
+  bench.answer_sends();
+  ASSERT_EQ(bench.answers().size(), 1u);
+  EXPECT_FALSE(bench.answers()[0].whole);
+}
+
+// ---- further attempts stay within a budget ----
+
+TEST(AttemptBudget, IsNeverPassedInAnyWindow) {
+  Settings settings = plain_settings();
+  settings.has_budget = true;
+  settings.budget_extra = 2;
+  settings.budget_ratio = 0.1;
+  settings.budget_span = 2s;
+  Bench bench(settings);
+  bench.list_all();
+  std::vector<Time> taken, further;
+  std::map<PartId, int> attempts;
+  for (int i = 0; i < 400; ++i) {
+    if (i % 10 == 0 && i < 200) {
+      bench.query(1, {0.5, 0.5}, {0, 1});
+      for (int n = 0; n < 3; ++n) taken.push_back(bench.now + 10ms);
+    }
+    bench.step(10ms);
+    for (const SendPart& send : bench.sends()) {
+      int attempt = attempts[send.part]++;
+      if (attempt > 0) further.push_back(bench.now);
+      bench.outcome(send.part, send.node, attempt, Outcome::error, 10ms);
+    }
+  }
+  EXPECT_GT(further.size(), 3u);
+  for (Time end : further) {
+    auto within = [&](Time t) { return t > end - 2s && t <= end; };
+    auto sent = std::count_if(further.begin(), further.end(), within);
+    auto took = std::count_if(taken.begin(), taken.end(), within);
+    EXPECT_LE(static_cast<double>(sent), 2 + 0.1 * static_cast<double>(took) + 1e-9);
+  }
+}
+
+}  // namespace
+}  // namespace pearspar::testing
