--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -40,6 +40,14 @@
 // Cold nodes: the share of what the rule allows that we plan to use, since all brokers' sends add up.
 constexpr double cold_use = 0.5;
 constexpr Duration rate_memory = 5s;  // own send rate to warm nodes is smoothed over this
+// Admission: how many of our parts may be out at once, so that queues stay short of the aims.
+constexpr double load_target = 0.35;     // of the shortest aim: mean latency of a part that we steer for
+constexpr Duration load_period = 250ms;  // between steps of the limit
+constexpr double load_down = 0.8;        // the limit's factor in a step, at least
+constexpr double load_up = 1.1;          // at most, and only while the limit is in use
+constexpr double load_least = 2;         // parts: something is always under way, or nothing would be learnt
+constexpr double hopeless_latencies =
+    1.3;  // mean latencies that a query held back must still have to its aim
 // Attempts.
 constexpr double overdue_share = 0.5;    // of the aim: a part out for longer counts as timed out
 constexpr double silence_latencies = 3;  // smoothed latencies without any outcome until a node is silent
@@ -57,6 +65,7 @@
   NodeId node = 0;
   Time sent{};
   Time overdue_at{};
+  double patience = 0;  // seconds from the send until it is overdue
   std::uint64_t call = 0;
   bool out = true;
   bool overdue = false;
@@ -93,6 +102,7 @@
   int step = 1;
   int expected = 0;  // parts of this step that are still to be told
   bool first_whole = true;
+  bool admitted = false;
   bool ended = false;
   bool past_aim = false;
   std::vector<Part> parts;
@@ -133,6 +143,8 @@
     for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
     renew_list();
     adjust_coverage();
+    adjust_limit();
+    admit();
     for (auto& [id, query] : queries_) drive(query);
     forget_ended();
     arm_timer();
@@ -379,6 +391,56 @@
     if (query.expected > 0) --query.expected;
   }
 
+  // Attempts of ours that are out; those on nodes we avoid are not waited for.
+  double parts_out() const {
+    double count = 0;
+    for (const auto& [id, node] : nodes_)
+      if (now_ >= node.avoid_until) count += static_cast<double>(node.outstanding.size());
+    return count;
+  }
+
+  // Little's law: with the parts out held to a limit, their mean latency stays where the limit leads it.
+  void adjust_limit() {
+    most_out_ = std::max(most_out_, parts_out());
+    if (now_ < limit_changed_ + load_period || !heard_) return;
+    double aim = 1e9;
+    for (const ClassSettings& cls : s_.classes) aim = std::min(aim, cls.aim.count());
+    double factor = load_target * aim / mean_;
+    if (factor < 1) {
+      limit_ = std::max(load_least, std::min(limit_, most_out_) * std::max(factor, load_down));
+    } else if (most_out_ >= 0.8 * limit_) {
+      limit_ *= std::min(factor, load_up);
+    }
+    limit_changed_ = now_;
+    most_out_ = parts_out();
+  }
+
+  // Worth of a whole answer for each part that it takes.
+  double density(const Query& query) const {
+    return s_.classes[static_cast<std::size_t>(query.cls)].worth /
+           static_cast<double>(std::max<std::size_t>(1, query.parts.size()));
+  }
+
+  // Lets queries in, the most worth for its parts first, while there is room under the limit; what has no
+  // time left to wait is given up at once.
+  void admit() {
+    std::vector<Query*> held;
+    for (auto& [id, query] : queries_)
+      if (!query.admitted && !query.ended && query.expected == 0) held.push_back(&query);
+    if (held.empty()) return;
+    std::stable_sort(held.begin(), held.end(),
+                     [this](auto* a, auto* b) { return density(*a) > density(*b); });
+    double room = limit_ - parts_out();
+    for (Query* query : held) {
+      if (room > 0) {
+        query->admitted = true;
+        room -= static_cast<double>(query->parts.size());
+      } else if (now_ + Duration(mean_ * hopeless_latencies) + margin() > query->aim_at) {
+        finish(*query);
+      }
+    }
+  }
+
   // ---- attempts ----
 
   void send(Query& query, Part& part, Node& node) {
@@ -386,7 +448,9 @@
     Attempt attempt;
     attempt.node = node.member.node;
     attempt.sent = now_;
-    attempt.overdue_at = now_ + (query.aim_at - query.arrived) * overdue_share;
+    Duration patience = (query.aim_at - query.arrived) * overdue_share;
+    attempt.overdue_at = now_ + patience;
+    attempt.patience = patience.count();
     auto& [call, used] = round_calls_[attempt.node];
     if (used == 0 || used >= s_.parts_per_call) {
       call = ++last_call_;
@@ -465,6 +529,7 @@
         break;
       case Outcome::refused:
         note_outcome(true);
+        mean_ += 0.05 * (std::max(mean_, attempt.patience) - mean_);
         node.avoid_until = std::max(node.avoid_until, now_ + avoid_full);
         break;
       case Outcome::timeout:
@@ -584,7 +649,7 @@
   void drive(Query& query) {
     if (query.ended) return;
     if (now_ >= query.deadline - margin()) return finish(query);
-    if (query.expected > 0) return;
+    if (query.expected > 0 || !query.admitted) return;
     const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
     choose_parts(query);
     for (Part& part : query.parts)
@@ -638,6 +703,7 @@
     for (const auto& [id, query] : queries_) {
       if (query.ended) continue;
       next = std::min(next, query.deadline - margin());
+      if (!query.admitted) next = std::min(next, now_ + s_.quantum * 4);
       if (!query.past_aim) {
         Time aim = query.aim_at - margin();
         const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
@@ -769,6 +835,10 @@
   std::deque<Time> extras_;
   std::deque<Time> taken_;
 
+  double limit_ = 1e9;  // of parts out, not yet met
+  double most_out_ = 0;
+  Time limit_changed_{};
+
   double coverage_ = 1;
   Time coverage_changed_{};
   std::deque<std::pair<Time, bool>> outcomes_;
