Broken connections alone no longer make nodes cold; failures are judged beside the fleet

An attempt that several later ones on its node have overtaken is taken for lost and sent again. The defence should also help against errors and refusals that strike all nodes; it could harm where most nodes fail at once and few are sound, since the sound are then hard to tell by share.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -34,6 +34,7 @@
 constexpr Duration latency_memory = 4s;  // a sample after a silence of this length weighs about two thirds
 constexpr double failure_gain = 0.25;    // weight of a new outcome in a node's share of failures
 constexpr double failure_limit = 0.4;    // share: two failures in a row pass it, one does not
+constexpr int down_unreached = 2;        // failed connections without an answer: the node was down
 constexpr Duration avoid_first = 1s;     // first time of avoidance; it doubles
 constexpr Duration avoid_most = 8s;      // so that a node that is back waits no longer than this
 constexpr Duration avoid_full = 250ms;   // after "queue full": a few parts' worth of work
@@ -51,6 +52,7 @@
 // Attempts.
 constexpr double overdue_share = 0.5;    // of the aim: a part out for longer counts as timed out
 constexpr double silence_latencies = 3;  // smoothed latencies without any outcome until a node is silent
+constexpr int lost_overtaken = 3;        // later attempts that a node answered first: the earlier one is lost
 constexpr double silence_least = 0.2;    // of the aim, so that short queues do not look like silence
 constexpr double extra_ratio = 0.15;     // further attempts that one sent part earns
 constexpr double extra_most = 10;        // further attempts saved up at most
@@ -117,10 +119,11 @@
   Duration avoid_for = avoid_first;
   Time avoid_until{};
   bool on_trial = false;  // avoided lately: one call at a time until it answers
-  bool fell = false;      // a connection broke or failed since its last answer
-  Time started{};         // last known or assumed start
+  int unreached = 0;      // connections that failed since its last answer
+  Time last_failure{};
+  Time started{};  // last known or assumed start
   int calls = 0;
-  std::deque<Time> outstanding;  // send times of attempts that are out
+  std::deque<std::pair<Time, int>> outstanding;  // attempts that are out: sent when, and overtaken how often
   Time last_outcome{};
   std::deque<Time> cold_sends;
 };
@@ -183,7 +186,7 @@
     node.avoid_until = Time{};
     node.avoid_for = avoid_first;
     node.on_trial = true;
-    node.fell = false;
+    node.unreached = 0;
   }
 
   void ask_list() {
@@ -212,9 +215,18 @@
     node.last_sample = now_;
   }
 
+  // Failures of one batch count once: a connection that breaks takes all its attempts along. A node is judged
+  // beside the others: where all fail alike (a lossy network, a bad release) avoiding some only crowds the
+  // rest.
   void take_failure(Node& node, bool failed) {
+    if (failed && node.last_failure == now_) return;
+    if (failed) node.last_failure = now_;
     node.failures += failure_gain * ((failed ? 1 : 0) - node.failures);
-    if (failed && (node.failures > failure_limit || node.on_trial)) avoid(node);
+    if (!failed) return;
+    double sum = 0, count = 0;
+    for (const auto& [id, other] : nodes_)
+      if (other.member.status == NodeStatus::ready && &other != &node) sum += other.failures, ++count;
+    if (node.on_trial || node.failures > failure_limit + sum / std::max(1.0, count)) avoid(node);
   }
 
   void avoid(Node& node) {
@@ -226,11 +238,14 @@
   }
 
   void take_success(Node& node, double took) {
-    if (node.fell) {
-      node.fell = false;
-      node.started = std::max(node.started, now_);  // it was down and is back: take it for cold
+    // It could not be reached time and again and now answers: take it for restarted, so cold, before the list
+    // says so. A broken connection alone proves nothing: a network that drops connections would make all
+    // nodes cold.
+    if (node.unreached >= down_unreached) {
+      node.started = std::max(node.started, now_);
       node.latency = 0;
     }
+    node.unreached = 0;
     take_latency(node, took);
     take_failure(node, false);
     if (node.on_trial && now_ >= node.avoid_until) {
@@ -341,7 +356,7 @@
     double latency = node.latency > 0 ? node.latency : average;
     // A silent node looks idle: what it has not answered for longer than that is its latency so far.
     if (!node.outstanding.empty())
-      latency = std::max(latency, Duration(now_ - node.outstanding.front()).count());
+      latency = std::max(latency, Duration(now_ - node.outstanding.front().first).count());
     auto filling = round_calls_.find(node.member.node);
     bool joins = filling != round_calls_.end() && filling->second.second < call_size_;
     return latency * (1 + node.calls - (joins ? 1 : 0));  // the call that the part would join is the "one"
@@ -424,10 +439,11 @@
     most_out_ = parts_out();
   }
 
-  // Worth of a whole answer for each part that it takes.
+  // Worth of a whole answer for the work that it takes.
   double density(const Query& query) const {
-    return s_.classes[static_cast<std::size_t>(query.cls)].worth /
-           static_cast<double>(std::max<std::size_t>(1, query.parts.size()));
+    double worth = s_.classes[static_cast<std::size_t>(query.cls)].worth;
+    return s_.worth_by_work ? worth
+                            : worth / static_cast<double>(std::max<std::size_t>(1, query.parts.size()));
   }
 
   // Lets queries in, the most worth for its parts first, while there is room under the limit; what has no
@@ -471,7 +487,7 @@
     part.called_off = false;
     ++call_parts_[call];
     part.attempts.push_back(attempt);
-    node.outstanding.push_back(now_);
+    node.outstanding.emplace_back(now_, 0);
     if (cold(node))
       node.cold_sends.push_back(now_);
     else
@@ -483,12 +499,24 @@
     actions_->push_back(SendPart{part.id, attempt.node, std::max(wait, s_.quantum)});
   }
 
+  Duration long_wait(const Node& node, const Query& query) const {
+    double usual = silence_latencies * std::max(node.latency, mean_);
+    return std::max(Duration(usual), (query.aim_at - query.arrived) * silence_least);
+  }
+
   // A node that holds attempts of ours and has brought no outcome for far longer than it or the others need.
   bool silent(const Node& node, const Query& query) const {
     if (node.outstanding.empty()) return false;
-    Duration quiet = now_ - std::max(node.last_outcome, node.outstanding.front());
-    double usual = silence_latencies * std::max(node.latency, mean_);
-    return quiet > std::max(Duration(usual), (query.aim_at - query.arrived) * silence_least);
+    return now_ - std::max(node.last_outcome, node.outstanding.front().first) > long_wait(node, query);
+  }
+
+  // An attempt that has waited long on a node which answers those sent after it: the request or its answer
+  // went astray. (A part of many times the usual work looks the same; then a copy is sent in vain.)
+  bool astray(const Node& node, const Attempt& attempt, const Query& query) const {
+    if (now_ - attempt.sent <= long_wait(node, query)) return false;
+    auto entry = std::find_if(node.outstanding.begin(), node.outstanding.end(),
+                              [&](auto& sent) { return sent.first == attempt.sent; });
+    return entry != node.outstanding.end() && entry->second >= lost_overtaken;
   }
 
   // Whether the class and the counts would let the part have one more attempt after the present ones.
@@ -510,6 +538,9 @@
     Node& node = found->second;
     if (ended.outcome != Outcome::cancelled) node.last_outcome = now_;
     close_attempt(node, attempt);
+    if (ended.outcome == Outcome::ok)
+      for (auto& [sent, overtaken] : node.outstanding)
+        if (sent < attempt.sent) ++overtaken;
     judge(node, attempt, ended);
     if (ended.outcome == Outcome::refused || ended.outcome == Outcome::connect_failed ||
         ended.outcome == Outcome::moot)
@@ -521,7 +552,8 @@
 
   void close_attempt(Node& node, Attempt& attempt) {
     attempt.out = false;
-    auto sent = std::find(node.outstanding.begin(), node.outstanding.end(), attempt.sent);
+    auto sent = std::find_if(node.outstanding.begin(), node.outstanding.end(),
+                             [&](auto& entry) { return entry.first == attempt.sent; });
     if (sent != node.outstanding.end()) node.outstanding.erase(sent);
     auto call = call_parts_.find(attempt.call);
     if (--call->second > 0) return;
@@ -547,10 +579,9 @@
         break;
       case Outcome::connect_failed:
       case Outcome::reset:
-        node.fell = true;
+        if (ended.outcome == Outcome::connect_failed) ++node.unreached;
         note_outcome(false);
         take_failure(node, true);
-        avoid(node);
         break;
       case Outcome::error:
         note_outcome(false);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -279,6 +279,30 @@
   EXPECT_EQ(further, 0u);
 }
 
+// A node that answers later attempts but not an earlier one has lost it: that one part is sent elsewhere.
+TEST(Attempts, AnAttemptThatWasOvertakenForLongIsSentElsewhere) {
+  Bench bench;
+  bench.list_all(2);
+  bench.warm_up(16, 50ms);
+  bench.query(1, {1.0});
+  bench.step();
+  auto lost = bench.sends().at(0);
+  std::size_t copies = 0;
+  for (int i = 0; i < 40; ++i) {
+    bench.query(1, {0.5, 0.5});
+    bench.step(20ms);
+    for (const SendPart& send : bench.sends()) {
+      if (send.part == lost.part) {
+        ++copies;
+        EXPECT_NE(send.node, lost.node);
+      } else {
+        bench.outcome(send.part, send.node, 0, Outcome::ok, 20ms);
+      }
+    }
+  }
+  EXPECT_EQ(copies, 1u);
+}
+
 TEST(Attempts, SecondCopiesAreEarnedByTraffic) {
   Bench bench;
   bench.list_all(3);
