--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -43,8 +43,9 @@
 constexpr double cold_use = 0.5;
 constexpr Duration rate_memory = 5s;  // own send rate to warm nodes is smoothed over this
 // Admission: how many of our parts may be out at once, so that queues stay short of the aims.
-constexpr double load_target = 0.35;     // of the shortest aim: mean latency of a part that we steer for
+constexpr double load_target = 0.28;     // of the shortest aim: mean latency of a part that we steer for
 constexpr Duration load_period = 250ms;  // between steps of the limit
+constexpr Duration answer_memory = 1s;   // rate of answers is smoothed over this
 constexpr double load_down = 0.8;        // the limit's factor in a step, at least
 constexpr double load_up = 1.1;          // at most, and only while the limit is in use
 constexpr double load_least = 2;         // parts: something is always under way, or nothing would be learnt
@@ -255,6 +256,8 @@
       node.failures = std::min(node.failures, failure_limit / 2);
       node.avoid_for = avoid_first;
     }
+    answer_rate_ = answer_rate() + 1 / answer_memory.count();
+    answered_at_ = now_;
     mean_ += 0.05 * (took - mean_);
     deviation_ += 0.05 * (std::abs(took - mean_) - deviation_);
     if (!heard_) mean_ = took, deviation_ = took / 2, heard_ = true;
@@ -425,22 +428,28 @@
     return count;
   }
 
-  // Little's law: with the parts out held to a limit, their mean latency stays where the limit leads it.
+  // Little's law: parts out = rate of answers x mean latency. Where the mean is over its target, the limit
+  // goes to what the present rate would hold at the target, so it does not fall through on a burst; under it,
+  // it grows.
   void adjust_limit() {
     most_out_ = std::max(most_out_, parts_out());
     if (now_ < limit_changed_ + load_period || !heard_) return;
     double aim = 1e9;
     for (const ClassSettings& cls : s_.classes) aim = std::min(aim, cls.aim.count());
-    double factor = load_target * aim / mean_;
-    if (factor < 1) {
-      limit_ = std::max(load_least, std::min(limit_, most_out_) * std::max(factor, load_down));
+    double target = load_target * aim;
+    if (mean_ > target) {
+      limit_ = std::max({load_least, answer_rate() * target, std::min(limit_, most_out_) * load_down});
     } else if (most_out_ >= 0.8 * limit_) {
-      limit_ *= std::min(factor, load_up);
+      limit_ = limit_ * load_up + 1;
     }
     limit_changed_ = now_;
     most_out_ = parts_out();
   }
 
+  double answer_rate() const {
+    return answer_rate_ * std::exp(-Duration(now_ - answered_at_).count() / answer_memory.count());
+  }
+
   // Worth of a whole answer for the work that it takes.
   double density(const Query& query) const {
     double worth = s_.classes[static_cast<std::size_t>(query.cls)].worth;
@@ -883,6 +892,8 @@
 
   double limit_ = 1e9;  // of parts out, not yet met
   double most_out_ = 0;
+  double answer_rate_ = 0;  // answers a second, smoothed
+  Time answered_at_{};
   Time limit_changed_{};
 
   double coverage_ = 1;
