Avoided nodes are probed before a part is risked on them

Guards against any node that takes work and answers none, or cannot be reached; could harm where probes fail though parts would not.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t strain_least = 20;  // outcomes: with fewer, coverage holds
 // Node health.
 constexpr double latency_gain = 0.2;     // weight of a new sample in the smoothed latency
+constexpr double mean_gain = 0.05;       // the same, in the mean over all nodes
 constexpr Duration latency_memory = 4s;  // a sample after a silence of this length weighs about two thirds
 constexpr double failure_gain = 0.25;    // weight of a new outcome in a node's share of failures
 constexpr double failure_limit = 0.4;    // share: two failures in a row pass it, one does not
@@ -122,7 +123,9 @@
   Duration avoid_for = avoid_first;
   Time avoid_until{};
   bool on_trial = false;  // avoided lately: one call at a time until it answers
-  int unreached = 0;      // connections that failed since its last answer
+  bool probing = false;
+  Time probe_at = Time::max();
+  int unreached = 0;  // connections that failed since its last answer
   Time last_failure{};
   Time started{};  // last known or assumed start
   int calls = 0;
@@ -147,6 +150,7 @@
     round_calls_.clear();
     for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
     renew_list();
+    probe_avoided();
     adjust_coverage();
     adjust_limit();
     admit();
@@ -237,9 +241,30 @@
     node.avoid_until = now_ + node.avoid_for * (0.9 + 0.2 * uniform());
     node.avoid_for = std::min(node.avoid_for * 2, Duration(avoid_most));
     node.on_trial = true;
+    node.probe_at = node.avoid_until;
     log("node " + std::to_string(node.member.node) + " avoided: its attempts fail or stay out");
   }
 
+  // A node that was avoided is probed before a part is risked on it: a failed probe costs no query its time.
+  void probe_avoided() {
+    if (!s_.may_probe) return;
+    for (auto& [id, node] : nodes_) {
+      if (!node.on_trial || node.probing || now_ < node.probe_at || node.member.status != NodeStatus::ready)
+        continue;
+      node.probing = true;
+      actions_->push_back(ProbeNode{id});
+    }
+  }
+
+  void on(const ProbeEnded& ended) {
+    auto found = nodes_.find(ended.node);
+    if (found == nodes_.end() || !found->second.probing) return;
+    Node& node = found->second;
+    node.probing = false;
+    node.probe_at = Time::max();
+    if (ended.outcome != Outcome::ok && node.on_trial) avoid(node);
+  }
+
   void take_success(Node& node, double took) {
     // It could not be reached time and again and now answers: take it for restarted, so cold, before the list
     // says so. A broken connection alone proves nothing: a network that drops connections would make all
@@ -258,9 +283,8 @@
     }
     answer_rate_ = answer_rate() + 1 / answer_memory.count();
     answered_at_ = now_;
-    mean_ += 0.05 * (took - mean_);
-    deviation_ += 0.05 * (std::abs(took - mean_) - deviation_);
-    if (!heard_) mean_ = took, deviation_ = took / 2, heard_ = true;
+    if (!heard_) mean_ = took, heard_ = true;
+    mean_ += mean_gain * (took - mean_);
   }
 
   bool cold(const Node& node) const { return node.started != Time{} && now_ < node.started + s_.warm_within; }
@@ -581,7 +605,7 @@
         break;
       case Outcome::refused:
         note_outcome(true);
-        mean_ += 0.05 * (std::max(mean_, attempt.patience) - mean_);
+        mean_ += mean_gain * (std::max(mean_, attempt.patience) - mean_);
         node.avoid_until = std::max(node.avoid_until, now_ + avoid_full);
         break;
       case Outcome::timeout:
@@ -770,6 +794,10 @@
       }
     }
     if (s_.membership_by_asking && !subscribed_) next = std::min(next, ask_again_);
+    if (s_.may_probe)
+      for (const auto& [id, node] : nodes_)
+        if (node.on_trial && !node.probing && node.member.status == NodeStatus::ready)
+          next = std::min(next, node.probe_at);
     if (next == Time::max()) return;
     if (armed_ != Time{} && armed_ <= next) return;
     armed_ = std::max(next, now_ + s_.quantum);
@@ -781,7 +809,6 @@
     if (fired.token == timer_token_) armed_ = Time{};
   }
   void on(const StreamStarted&) {}
-  void on(const ProbeEnded&) {}
   void on(const PeerMessage&) {}
 
   // ---- rule guards ----
@@ -883,7 +910,6 @@
 
   bool heard_ = false;
   double mean_ = 0;       // of part latencies, seconds, smoothed
-  double deviation_ = 0;  // mean absolute, seconds, smoothed
   double warm_rate_ = 0;  // own sends a second to warm nodes, smoothed
   Time warm_rate_at_{};
   double extra_credit_ = extra_most;
