--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -57,6 +57,7 @@
     0.7;  // of the aim: a part out for longer counts as timed out; half is common
 constexpr double silence_latencies = 3;  // smoothed latencies without any outcome until a node is silent
 constexpr int lost_overtaken = 3;        // later attempts that a node answered first: the earlier one is lost
+constexpr double silence_most = 0.4;     // of the aim: after that another node would come too late
 constexpr double silence_least = 0.2;    // of the aim, so that short queues do not look like silence
 constexpr double extra_ratio = 0.15;     // further attempts that one sent part earns
 constexpr double extra_most = 10;        // further attempts saved up at most
@@ -535,8 +536,8 @@
   }
 
   Duration long_wait(const Node& node, const Query& query) const {
-    double usual = silence_latencies * std::max(node.latency, mean_);
-    return std::max(Duration(usual), (query.aim_at - query.arrived) * silence_least);
+    Duration usual(silence_latencies * std::max(node.latency, mean_)), aim = query.aim_at - query.arrived;
+    return std::clamp(usual, aim * silence_least, aim * silence_most);
   }
 
   // A node that holds attempts of ours and has brought no outcome for far longer than it or the others need.
