Partial answers come before clients leave, where they leave early

It should help with any caller that is less patient than it says; it could harm where a few clients leave for reasons of their own: then others of the class get a partial answer early.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -57,12 +57,16 @@
     0.7;  // of the aim: a part out for longer counts as timed out; half is common
 constexpr double silence_latencies = 3;  // smoothed latencies without any outcome until a node is silent
 constexpr int lost_overtaken = 3;        // later attempts that a node answered first: the earlier one is lost
-constexpr double silence_most = 0.4;     // of the aim: after that another node would come too late
 constexpr double silence_least = 0.2;    // of the aim, so that short queues do not look like silence
 constexpr double extra_ratio = 0.15;     // further attempts that one sent part earns
 constexpr double extra_most = 10;        // further attempts saved up at most
 // Answering.
 constexpr double first_step_share = 0.6;  // of the aim, where a second step has to follow
+constexpr double leave_share = 0.85;      // of the age at which clients leave: answered by then
+constexpr double leave_gain_down = 0.3;   // weight of a younger leave in that age
+constexpr double leave_gain_up = 0.05;    // of an older one, so that it stays near the youngest
+constexpr int leave_least = 3;            // leaves seen before it counts
+constexpr Duration leave_memory = 5s;     // without a further leave it no longer does
 constexpr Duration answer_margin = 8ms;   // way to the client, kept free besides two batch spans
 constexpr Duration return_advice = 1s;    // named with a refusal
 
@@ -115,6 +119,13 @@
   std::vector<Part> parts;
 };
 
+// Clients of one class that left before their time was up.
+struct Leaving {
+  double age = 0;  // of their queries then, seconds, smoothed, leaning to the low side
+  Time last{};
+  int seen = 0;
+};
+
 struct Node {
   Member member;
   bool listed = false;
@@ -496,7 +507,8 @@
       if (room > 0) {
         query->admitted = true;
         room -= static_cast<double>(query->parts.size());
-      } else if (now_ + Duration(mean_ * hopeless_latencies) + margin() > query->aim_at) {
+      } else if (now_ + Duration(mean_ * hopeless_latencies) + margin() >
+                 std::min(query->aim_at, leave_at(*query))) {
         finish(*query);
       }
     }
@@ -536,8 +548,8 @@
   }
 
   Duration long_wait(const Node& node, const Query& query) const {
-    Duration usual(silence_latencies * std::max(node.latency, mean_)), aim = query.aim_at - query.arrived;
-    return std::clamp(usual, aim * silence_least, aim * silence_most);
+    double usual = silence_latencies * std::max(node.latency, mean_);
+    return std::max(Duration(usual), (query.aim_at - query.arrived) * silence_least);
   }
 
   // A node that holds attempts of ours and has brought no outcome for far longer than it or the others need.
@@ -715,6 +727,13 @@
     return all && any ? std::max(sum, 1.0) : sum;
   }
 
+  // When the step has to be answered for the whole query to be in time.
+  Time answer_by(const Query& query) const {
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+    Duration aim = query.aim_at - margin() - query.arrived;
+    return query.arrived + (cls.fetch_parts > 0 && query.step == 1 ? aim * first_step_share : aim);
+  }
+
   // What a query's parts in hand would earn now, as a share of a whole answer's worth.
   double earned(const Query& query, double weight) const {
     const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
@@ -749,12 +768,29 @@
     if (earned(query, weight) >= cls.late_worth) return finish(query);
   }
 
+  // When clients of a class have lately left before their time, the moment by which this one may: an answer
+  // in part that is given before it counts, and one given at the aim is given to nobody.
+  Time leave_at(const Query& query) const {
+    auto found = leaving_.find(query.cls);
+    if (found == leaving_.end() || found->second.seen < leave_least ||
+        now_ > found->second.last + leave_memory)
+      return Time::max();
+    return query.arrived + Duration(found->second.age * leave_share);
+  }
+
   void on(const ClientLeft& left) {
     auto found = queries_.find(left.query);
     if (found == queries_.end() || found->second.ended) return;
-    found->second.ended = true;
-    for (Part& part : found->second.parts)
+    Query& query = found->second;
+    query.ended = true;
+    for (Part& part : query.parts)
       if (!part.in) cancel_out(part);
+    Leaving& leaving = leaving_[query.cls];
+    double age = Duration(now_ - query.arrived).count();
+    if (now_ > leaving.last + leave_memory) leaving = Leaving{age, now_, 0};
+    leaving.age += (age < leaving.age ? leave_gain_down : leave_gain_up) * (age - leaving.age);
+    leaving.last = now_;
+    ++leaving.seen;
   }
 
   void forget_ended() {
@@ -781,11 +817,8 @@
       next = std::min(next, query.deadline - margin());
       if (!query.admitted) next = std::min(next, now_ + s_.quantum * 4);
       if (!query.past_aim) {
-        Time aim = query.aim_at - margin();
-        const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
-        if (cls.fetch_parts > 0 && query.step == 1)
-          aim = query.arrived + (aim - query.arrived) * first_step_share;
-        next = std::min(next, aim);
+        next = std::min(next, answer_by(query));
+        if (now_ < leave_at(query)) next = std::min(next, leave_at(query));
       }
       for (const Part& part : query.parts) {
         if (part.in || part.lost || !part.chosen || part.step != query.step) continue;
@@ -923,6 +956,8 @@
   Time answered_at_{};
   Time limit_changed_{};
 
+  std::map<int, Leaving> leaving_;  // by class
+
   double coverage_ = 1;
   Time coverage_changed_{};
   std::deque<std::pair<Time, bool>> outcomes_;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -349,6 +349,28 @@
   EXPECT_LT(bench.now, start + 2s + 5ms);
 }
 
+// Clients that leave long before the aim are learnt from: later partial answers are given before they leave.
+TEST(Answering, WhereClientsLeaveEarlyAPartialAnswerIsGivenBefore) {
+  Bench bench;
+  bench.list_all();
+  for (int i = 0; i < 4; ++i) {
+    QueryId id = bench.query(0, {0.5, 0.5});
+    bench.step();
+    bench.run(800ms);
+    bench.pending.emplace_back(ClientLeft{id});
+    bench.step();
+  }
+  bench.query(0, {0.6, 0.4}, {1, 1});
+  Time start = bench.now;
+  bench.step();
+  auto sends = bench.sends();
+  for (const SendPart& send : sends)
+    if (send.part == bench.next_part - 2) bench.outcome(send.part, send.node, 0, Outcome::ok);
+  while (bench.answers().empty() && bench.now < start + 3s) bench.step();
+  EXPECT_LT(bench.now, start + 780ms);
+  EXPECT_GT(bench.now, start + 500ms);
+}
+
 TEST(Answering, WhatCannotBeServedIsRefusedAtOnceWithATimeToComeBack) {
   Bench bench;
   bench.list({Bench::member(1, 0)}, ListForm::saved);
