--- a/src/benchlink/settings.cpp
+++ b/src/benchlink/settings.cpp
@@ -144,6 +144,7 @@
   s.shards = static_cast<int>(lines.whole("specifics.slabs"));
   s.parts_per_call = static_cast<int>(lines.whole("specifics.parts_a_call"));
   if (s.cells < 1 || s.cells_per_shard < 1) throw WireError("settings: a layout without cells");
+  if (s.parts_per_call < 1) throw WireError("settings: calls without parts");
   s.call_cost = lines.span_or_none("specifics.call_s");
   s.warm_keys = lines.flag_or_not("specifics.warm_keys");
 
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -672,7 +672,7 @@
         stuck = false;
     }
     if (out > 0 && (!stuck || out > 1 || !more_allowed(query, part) || now_ >= query.aim_at)) return;
-    if (out > 0 && !s_.may_copy) {
+    if (out > 0 && !s_.may_copy && s_.may_cancel) {
       if (extra_credit_ >= 1 && !part.called_off) {
         part.called_off = true;
         extra_credit_ -= 1;
@@ -737,8 +737,19 @@
   // What a query's parts in hand would earn now, as a share of a whole answer's worth.
   double earned(const Query& query, double weight) const {
     const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
-    if (weight >= cls.need - weight_slack) return 1;
-    return weight >= cls.floor - weight_slack && cls.floor < cls.need ? cls.partial * weight / cls.need : 0;
+    double need = need_of(query), floor = floor_of(query);
+    if (weight >= need - weight_slack) return 1;
+    return weight >= floor - weight_slack && floor < need ? cls.partial * weight / need : 0;
+  }
+
+  // A second step needs all its parts for a whole answer; its floor is the class's only where that allows
+  // less.
+  double need_of(const Query& query) const {
+    return query.step == 1 ? s_.classes[static_cast<std::size_t>(query.cls)].need : 1;
+  }
+  double floor_of(const Query& query) const {
+    const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
+    return query.step == 1 || cls.floor < cls.need ? cls.floor : 1;
   }
 
   void drive(Query& query) {
@@ -758,8 +769,8 @@
       waiting = waiting || (part.chosen && !part.in && !part.lost);
     }
     double weight = weight_in(query);
-    if (weight >= cls.need - weight_slack || !waiting) return finish(query);
-    if (reachable < cls.floor - 2 * weight_slack) return finish(query);
+    if (weight >= need_of(query) - weight_slack || !waiting) return finish(query);
+    if (reachable < floor_of(query) - 2 * weight_slack) return finish(query);
     if (now_ >= leave_at(query) && earned(query, weight) > 0) return finish(query);
     if (now_ < answer_by(query) || query.past_aim) return;
     query.past_aim = true;
@@ -896,7 +907,7 @@
       if (!part.in) cancel_out(part);
     double weight = weight_in(query);
     if (earned(query, weight) > 0) {
-      bool whole = query.step == 1 ? weight >= cls.need - weight_slack : weight >= 1 - weight_slack;
+      bool whole = weight >= need_of(query) - weight_slack;
       actions_->push_back(AnswerQuery{query.id, whole && query.first_whole});
       if (query.step == 1 && cls.fetch_parts > 0) {
         query.first_whole = whole;
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <random>
 
 namespace pearspar::benchlink {
 namespace {
@@ -151,5 +152,56 @@
   EXPECT_THROW(Host().answer(Frame(1).instance(0).open(1).submit(1, 9, 1, -1, 1).bytes()), WireError);
 }
 
+// Truncated, bit-flipped and overlong frames give a plain one-line message or a valid reply, never anything
+// else; the sanitizer preset watches for what a passing run would hide.
+TEST(Host, DamagedFramesNeverCrashIt) {
+  std::mt19937_64 engine(11);
+  auto below = [&](std::size_t limit) { return static_cast<std::size_t>(engine() % limit); };
+  std::size_t refused = 0, answered = 0;
+  for (int round = 0; round < 4000; ++round) {
+    Host host;
+    Frame opening(10), later(10.02);
+    opening.instance(0).open(9).list(0, {7, 8}).news(2, 0);
+    one_query(opening);
+    later.instance(0).record(5, std::uint32_t{2}, std::uint32_t{7}, 0.1, std::uint16_t{1}, std::uint8_t{1},
+                             std::uint8_t{0}, std::uint8_t{0});
+    later.record(8, 0.01, std::uint16_t{1}, std::uint32_t{7}, std::uint8_t{1}, 3.0f)
+        .record(7, std::uint64_t{1});
+    later.record(9, std::uint32_t{1}, std::uint16_t{2}, std::uint16_t{0x4141}).record(6, std::uint32_t{1});
+    for (Bytes frame : {opening.bytes(), later.bytes()}) {
+      switch (below(4)) {
+        case 0:
+          frame.resize(below(frame.size() + 1));
+          break;
+        case 1:
+          frame.insert(frame.end(), below(40) + 1, static_cast<std::uint8_t>(below(256)));
+          break;
+        default:
+          for (std::size_t flips = below(6); flips > 0; --flips)
+            frame[below(frame.size())] ^= static_cast<std::uint8_t>(1u << below(8));
+      }
+      if (frame.size() >= 4 && below(3) > 0) {  // so that damage gets past the length check
+        auto size = static_cast<std::uint32_t>(frame.size());
+        std::memcpy(frame.data(), &size, 4);
+      }
+      try {
+        Bytes reply = host.answer(frame);
+        std::uint32_t stated;
+        ASSERT_GE(reply.size(), 8u);
+        std::memcpy(&stated, reply.data() + 4, 4);
+        EXPECT_EQ(stated, reply.size());
+        ++answered;
+      } catch (const WireError& error) {
+        std::string text = error.what();
+        EXPECT_FALSE(text.empty());
+        EXPECT_EQ(text.find('\n'), std::string::npos);
+        ++refused;
+      }
+    }
+  }
+  EXPECT_GT(refused, 1000u);
+  EXPECT_GT(answered, 300u);
+}
+
 }  // namespace
 }  // namespace pearspar::benchlink
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -154,19 +154,22 @@
 }
 
 TEST(NoEffectTwice, NeverTwoAttemptsAtOnceWhereCopiesAreNotAllowed) {
-  Settings settings = plain_settings();
-  settings.may_copy = false;
-  Bench bench(settings);
-  bench.list_all();
-  bench.query(1, {1.0});
-  bench.step();
-  auto send = bench.sends().at(0);
-
-  bench.run(1800ms);
-  EXPECT_TRUE(bench.sends().empty());
-  bench.outcome(send.part, send.node, 0, Outcome::timeout);
-  bench.step();
-  EXPECT_EQ(bench.sends().size(), 1u);
+  for (bool may_cancel : {false, true}) {
+    Settings settings = plain_settings();
+    settings.may_copy = false;
+    settings.may_cancel = may_cancel;
+    Bench bench(settings);
+    bench.list_all();
+    bench.query(1, {1.0});
+    bench.step();
+    auto send = bench.sends().at(0);
+    bench.run(1800ms);
+    EXPECT_TRUE(bench.sends().empty());
+    EXPECT_EQ(bench.of<CancelAttempt>().size(), may_cancel ? 1u : 0u);
+    bench.outcome(send.part, send.node, 0, may_cancel ? Outcome::cancelled : Outcome::timeout);
+    bench.step();
+    EXPECT_EQ(bench.sends().size(), 1u);
+  }
 }
 
 // ---- drains are kept ----
