--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -460,7 +460,7 @@
   double parts_out() const {
     double count = 0;
     for (const auto& [id, node] : nodes_)
-      if (now_ >= node.avoid_until) count += static_cast<double>(node.outstanding.size());
+      if (!avoided(node)) count += static_cast<double>(node.outstanding.size());
     return count;
   }
 
