--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -462,23 +462,31 @@
     if (query.expected > 0) --query.expected;
   }
 
-  // Attempts of ours that are out; those on nodes we avoid are not waited for.
+  // Attempts of ours that are out. Those on nodes we avoid are not waited for, nor those out for longer than
+  // any aim: lost requests and hung nodes would else fill the limit and keep out what sound nodes could
+  // serve.
   double parts_out() const {
     double count = 0;
-    for (const auto& [id, node] : nodes_)
-      if (!avoided(node)) count += static_cast<double>(node.outstanding.size());
+    for (const auto& [id, node] : nodes_) {
+      if (avoided(node)) continue;
+      for (const auto& [sent, overtaken] : node.outstanding) count += now_ - sent < shortest_aim() ? 1 : 0;
+    }
     return count;
   }
 
+  Duration shortest_aim() const {
+    Duration aim = Duration::max();
+    for (const ClassSettings& cls : s_.classes) aim = std::min(aim, cls.aim);
+    return aim;
+  }
+
   // Little's law: parts out = rate of answers x mean latency. Where the mean is over its target, the limit
   // goes to what the present rate would hold at the target, so it does not fall through on a burst; under it,
   // it grows.
   void adjust_limit() {
     most_out_ = std::max(most_out_, parts_out());
     if (now_ < limit_changed_ + load_period || !heard_) return;
-    double aim = 1e9;
-    for (const ClassSettings& cls : s_.classes) aim = std::min(aim, cls.aim.count());
-    double target = load_target * aim;
+    double target = load_target * shortest_aim().count();
     if (mean_ > target) {
       limit_ = std::max({load_least, answer_rate() * target, std::min(limit_, most_out_) * load_down});
     } else if (most_out_ >= 0.8 * limit_) {
