--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -469,7 +469,7 @@
     double count = 0;
     for (const auto& [id, node] : nodes_) {
       if (avoided(node)) continue;
-      for (const auto& [sent, overtaken] : node.outstanding) count += now_ - sent < shortest_aim() ? 1 : 0;
+      for (const auto& [sent, overtaken] : node.outstanding) count += overtaken < lost_overtaken ? 1 : 0;
     }
     return count;
   }
