--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -145,7 +145,6 @@
   int calls = 0;
   std::deque<std::pair<Time, int>> outstanding;  // attempts that are out: sent when, and overtaken how often
   Time last_outcome{};
-  Time last_answered_send{};      // send time of the latest attempt that it answered
   std::deque<Time> recent_sends;  // within the span of the cold-node rule
 };
 
@@ -570,20 +569,7 @@
   // A node that holds attempts of ours and has brought no outcome for far longer than it or the others need.
   bool silent(const Node& node, const Query& query) const {
     if (node.outstanding.empty()) return false;
-    Time since = std::max(node.last_outcome, node.outstanding.front().first);
-    if (now_ - since > long_wait(node, query)) return true;
-    // Sooner, when most nodes have answered what was sent to them later: then it is not the load that holds
-    // it up.
-    if (now_ - since <= long_wait(node, query) * 0.5 ||
-        now_ - since <= (query.aim_at - query.arrived) * silence_least)
-      return false;
-    double later = 0, others = 0;
-    for (const auto& [id, other] : nodes_) {
-      if (other.member.status != NodeStatus::ready || &other == &node) continue;
-      ++others;
-      if (other.last_answered_send > since) ++later;
-    }
-    return later > others * 0.5;
+    return now_ - std::max(node.last_outcome, node.outstanding.front().first) > long_wait(node, query);
   }
 
   // An attempt that has waited long on a node which answers those sent after it: the request or its answer
@@ -614,8 +600,6 @@
     Node& node = found->second;
     if (ended.outcome != Outcome::cancelled) node.last_outcome = now_;
     close_attempt(node, attempt);
-    if (ended.outcome == Outcome::ok)
-      node.last_answered_send = std::max(node.last_answered_send, attempt.sent);
     if (ended.outcome == Outcome::ok)
       for (auto& [sent, overtaken] : node.outstanding)
         if (sent < attempt.sent) ++overtaken;
