--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -50,11 +50,9 @@
 constexpr double load_down = 0.8;        // the limit's factor in a step, at least
 constexpr double load_up = 1.1;          // at most, and only while the limit is in use
 constexpr double load_least = 2;         // parts: something is always under way, or nothing would be learnt
-constexpr double hopeless_latencies =
-    1.3;  // mean latencies that a query held back must still have to its aim
+constexpr double hopeless_latencies = 1.3;  // mean latencies a query held back must have left to its aim
 // Attempts.
-constexpr double overdue_share =
-    0.7;  // of the aim: a part out for longer counts as timed out; half is common
+constexpr double overdue_share = 0.7;    // of the aim: a part out for longer counts as timed out
 constexpr double silence_latencies = 3;  // smoothed latencies without any outcome until a node is silent
 constexpr int lost_overtaken = 3;        // later attempts that a node answered first: the earlier one is lost
 constexpr double silence_least = 0.2;    // of the aim, so that short queues do not look like silence
@@ -62,14 +60,14 @@
 constexpr double extra_ratio = 0.15;     // further attempts that one sent part earns
 constexpr double extra_most = 10;        // further attempts saved up at most
 // Answering.
-constexpr double first_step_share = 0.6;  // of the aim, where a second step has to follow
-constexpr double leave_share = 0.85;      // of the age at which clients leave: answered by then
-constexpr double leave_gain_down = 0.3;   // weight of a younger leave in that age
-constexpr double leave_gain_up = 0.05;    // of an older one, so that it stays near the youngest
-constexpr int leave_least = 3;            // leaves seen before it counts
-constexpr Duration leave_memory = 5s;     // without a further leave it no longer does
-constexpr Duration answer_margin = 8ms;   // way to the client, kept free besides two batch spans
-constexpr Duration return_advice = 1s;    // named with a refusal
+constexpr double first_step_share = 0.6;   // of the aim, where a second step has to follow
+constexpr double leave_share = 0.85;       // of the age at which clients leave: answered by then
+constexpr double leave_gain_down = 0.3;    // weight of a younger leave in that age
+constexpr double leave_gain_up = 0.05;     // of an older one, so that it stays near the youngest
+constexpr int leave_least = 3;             // leaves seen before it counts
+constexpr Duration leave_memory = 5s;      // without a further leave it no longer does
+constexpr Duration answer_margin = 8ms;    // way to the client, kept free besides two batch spans
+constexpr Duration return_advice = 500ms;  // named with a refusal
 
 constexpr double weight_slack = 5e-5;  // a sum of weights may miss by this (rule: 1e-4)
 
@@ -160,7 +158,6 @@
       born_ = now;
       if (s_.membership_by_asking) ask_list();
     }
-    ++batch_;
     round_calls_.clear();
     for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
     renew_list();
@@ -212,7 +209,6 @@
 
   void ask_list() {
     actions_->push_back(SubscribeMembers{true});
-    asked_ = now_;
     ask_again_ = now_ + s_.ask_within * 0.5;
   }
 
@@ -962,11 +958,9 @@
   std::vector<Action>* actions_ = nullptr;
   bool awake_ = false;
   Time born_{};
-  std::uint64_t batch_ = 0;
 
   std::map<NodeId, Node> nodes_;
   bool subscribed_ = false;
-  Time asked_{};
   Time ask_again_{};
 
   std::map<QueryId, Query> queries_;
