A broker with few outcomes looks up to 8 s back for twenty before it holds coverage

Cause: DESIGN names a broker too small to read strain; with under 20 outcomes in 2 s coverage held, narrowed or wide, for many seconds. It could harm where strain ended seconds ago and little has come since.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -29,6 +29,7 @@
 constexpr Duration strain_window = 2s;    // outcomes looked at
 constexpr double strain_step = 0.1;       // share of the weight
 constexpr double strain_share = 0.25;     // of outcomes: above it coverage drops, under half of it it regains
+constexpr Duration strain_longest = 8s;   // looked back at most, for the least count of outcomes
 constexpr std::size_t strain_least = 20;  // outcomes: with fewer, coverage holds
 // Node health.
 constexpr double latency_gain = 0.2;     // weight of a new sample in the smoothed latency
@@ -329,7 +330,12 @@
   void note_outcome(bool strained) { outcomes_.push_back({now_, strained}); }
 
   void adjust_coverage() {
-    while (!outcomes_.empty() && outcomes_.front().first < now_ - strain_window) outcomes_.pop_front();
+    // A broker with little traffic looks further back for the least count, or it would never read strain, nor
+    // its end.
+    while (!outcomes_.empty() &&
+           (outcomes_.front().first < now_ - strain_longest ||
+            (outcomes_.size() > strain_least && outcomes_.front().first < now_ - strain_window)))
+      outcomes_.pop_front();
     if (now_ < coverage_changed_ + strain_window || outcomes_.size() < strain_least) return;
     auto strained = std::count_if(outcomes_.begin(), outcomes_.end(), [](auto& o) { return o.second; });
     double share = static_cast<double>(strained) / static_cast<double>(outcomes_.size());
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -88,6 +88,17 @@
   EXPECT_EQ(parts_sent(bench), 8u);
 }
 
+// A broker with little traffic never sees twenty outcomes in one window; it looks further back for them.
+TEST(Coverage, ASmallBrokerReadsStrainOverALongerTime) {
+  Bench bench;
+  bench.list_all();
+  for (int i = 0; i < 8; ++i) {  // four outcomes a second, half of them refusals
+    outcomes(bench, 1, 2);
+    bench.run(800ms);
+  }
+  EXPECT_LT(parts_sent(bench), 8u);
+}
+
 TEST(Coverage, ANarrowedQueryIsAnsweredOnceItsChosenPartsAreInAndNotAsWhole) {
   Bench bench;
   bench.list_all();
