--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -50,9 +50,7 @@
 constexpr Duration answer_memory = 1s;   // rate of answers is smoothed over this
 constexpr double load_down = 0.8;        // the limit's factor in a step, at least
 constexpr double load_up = 1.1;          // at most, and only while the limit is in use
-constexpr double opening_parts =
-    2;  // out for each node, at most, when a broker starts: it may be into an overload
-constexpr double load_least = 2;  // parts: something is always under way, or nothing would be learnt
+constexpr double load_least = 2;         // parts: something is always under way, or nothing would be learnt
 constexpr double hopeless_latencies = 1.3;  // mean latencies a query held back must have left to its aim
 // Attempts.
 constexpr double overdue_share = 0.7;    // of the aim: a part out for longer counts as timed out
@@ -489,7 +487,6 @@
   // it grows.
   void adjust_limit() {
     most_out_ = std::max(most_out_, parts_out());
-    if (limit_ <= 0) limit_ = opening_parts * static_cast<double>(std::max<std::size_t>(1, nodes_.size()));
     if (now_ < limit_changed_ + load_period || !heard_) return;
     double target = load_target * shortest_aim().count();
     if (mean_ > target) {
@@ -988,7 +985,7 @@
   std::deque<Time> extras_;
   std::deque<Time> taken_;
 
-  double limit_ = 0;  // of parts out; 0 = not yet set
+  double limit_ = 1e9;  // of parts out, not yet met
   double most_out_ = 0;
   double answer_rate_ = 0;  // answers a second, smoothed
   Time answered_at_{};
