--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -318,7 +318,7 @@
   void note_warm_send() {
     double warm = 0;
     for (const auto& [id, node] : nodes_)
-      if (node.member.status == NodeStatus::ready && !cold(node) && !avoided(node)) ++warm;
+      if (node.member.status == NodeStatus::ready && !cold(node)) ++warm;  // avoided or not: they may all be
     double gap = Duration(now_ - warm_rate_at_).count();
     warm_rate_ =
         warm_rate_ * std::exp(-gap / rate_memory.count()) + 1 / (rate_memory.count() * std::max(1.0, warm));
