Attempts far over the usual latency are taken for lost; latencies read over a window

Cause: the guard for overtaken attempts was never called, so a lost answer was never sent again before the aim; and the mean, smoothed sample by sample, ended on the slowest parts of each wide query, which come back last (found from a debug line at each final answer: after one wide query a quiet broker held a mean of 0.8 to 1.5 s where 75% of parts took under 0.4 s).

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -33,7 +33,6 @@
 constexpr std::size_t strain_least = 20;  // outcomes: with fewer, coverage holds
 // Node health.
 constexpr double latency_gain = 0.2;     // weight of a new sample in the smoothed latency
-constexpr double mean_gain = 0.05;       // the same, in the mean over all nodes
 constexpr Duration latency_memory = 4s;  // a sample after a silence of this length weighs about two thirds
 constexpr double failure_gain = 0.25;    // weight of a new outcome in a node's share of failures
 constexpr double failure_limit = 0.4;    // share: two failures in a row pass it, one does not
@@ -53,13 +52,13 @@
 constexpr double load_least = 2;         // parts: something is always under way, or nothing would be learnt
 constexpr double hopeless_latencies = 1.3;  // mean latencies a query held back must have left to its aim
 // Attempts.
-constexpr double overdue_share = 0.7;    // of the aim: a part out for longer counts as timed out
-constexpr double silence_latencies = 3;  // smoothed latencies without any outcome until a node is silent
-constexpr int lost_overtaken = 3;        // later attempts that a node answered first: the earlier one is lost
-constexpr double silence_least = 0.2;    // of the aim, so that short queues do not look like silence
-constexpr double retry_pause = 0.08;     // of the aim: before a node that looks bad gets the part again
-constexpr double extra_ratio = 0.15;     // further attempts that one sent part earns
-constexpr double extra_most = 10;        // further attempts saved up at most
+constexpr double overdue_share = 0.7;  // of the aim: a part out for longer counts as timed out
+constexpr double usual_share = 0.75;   // of attempts end within the "usual" time
+constexpr double silence_usuals = 2;   // usual times without an outcome until an attempt is taken for lost
+constexpr double silence_least = 0.2;  // of the aim, so that short queues do not look like silence
+constexpr double retry_pause = 0.08;   // of the aim: before a node that looks bad gets the part again
+constexpr double extra_ratio = 0.15;   // further attempts that one sent part earns
+constexpr double extra_most = 60;      // further attempts saved up at most
 // Answering.
 constexpr double first_step_share = 0.6;   // of the aim, where a second step has to follow
 constexpr double leave_share = 0.85;       // of the age at which clients leave: answered by then
@@ -80,6 +79,7 @@
   std::uint64_t call = 0;
   bool out = true;
   bool overdue = false;
+  bool given_up = false;  // taken for lost
   bool may_have_run = true;
 };
 
@@ -142,8 +142,7 @@
   Time last_failure{};
   Time started{};  // last known or assumed start
   int calls = 0;
-  std::deque<std::pair<Time, int>> outstanding;  // attempts that are out: sent when, and overtaken how often
-  Time last_outcome{};
+  std::deque<Time> outstanding;   // attempts that are out: sent when
   std::deque<Time> recent_sends;  // within the span of the cold-node rule
 };
 
@@ -163,6 +162,7 @@
     for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
     renew_list();
     probe_avoided();
+    read_latencies();
     adjust_coverage();
     adjust_limit();
     admit();
@@ -294,8 +294,6 @@
     }
     answer_rate_ = answer_rate() + 1 / answer_memory.count();
     answered_at_ = now_;
-    if (!heard_) mean_ = took, heard_ = true;
-    mean_ += mean_gain * (took - mean_);
   }
 
   bool cold(const Node& node) const { return node.started != Time{} && now_ < node.started + s_.warm_within; }
@@ -329,13 +327,34 @@
 
   void note_outcome(bool strained) { outcomes_.push_back({now_, strained}); }
 
+  // A broker with little traffic looks further back for the least count, or it would never read strain, nor
+  // its end.
+  template <typename Seen>
+  void keep_window(std::deque<std::pair<Time, Seen>>& seen) const {
+    while (!seen.empty() && (seen.front().first < now_ - strain_longest ||
+                             (seen.size() > strain_least && seen.front().first < now_ - strain_window)))
+      seen.pop_front();
+  }
+
+  // The mean and the usual latency, over the window. Not smoothed sample by sample: the parts of a wide query
+  // come back quickest first, so that such a mean would end on the slowest. For the same reason what is out
+  // counts at its age in the usual one.
+  void read_latencies() {
+    keep_window(latencies_);
+    if (latencies_.empty()) return;
+    std::vector<double> seen;
+    double sum = 0;
+    for (const auto& [at, took] : latencies_) seen.push_back(took), sum += took;
+    mean_ = sum / static_cast<double>(seen.size());
+    for (const auto& [id, node] : nodes_)
+      for (Time sent : node.outstanding) seen.push_back(Duration(now_ - sent).count());
+    auto usual = seen.begin() + static_cast<std::ptrdiff_t>(usual_share * static_cast<double>(seen.size()));
+    std::nth_element(seen.begin(), usual, seen.end());
+    usual_ = *usual;
+  }
+
   void adjust_coverage() {
-    // A broker with little traffic looks further back for the least count, or it would never read strain, nor
-    // its end.
-    while (!outcomes_.empty() &&
-           (outcomes_.front().first < now_ - strain_longest ||
-            (outcomes_.size() > strain_least && outcomes_.front().first < now_ - strain_window)))
-      outcomes_.pop_front();
+    keep_window(outcomes_);
     if (now_ < coverage_changed_ + strain_window || outcomes_.size() < strain_least) return;
     auto strained = std::count_if(outcomes_.begin(), outcomes_.end(), [](auto& o) { return o.second; });
     double share = static_cast<double>(strained) / static_cast<double>(outcomes_.size());
@@ -405,7 +424,7 @@
     double latency = node.latency > 0 ? node.latency : average;
     // A silent node looks idle: what it has not answered for longer than that is its latency so far.
     if (!node.outstanding.empty())
-      latency = std::max(latency, Duration(now_ - node.outstanding.front().first).count());
+      latency = std::max(latency, Duration(now_ - node.outstanding.front()).count());
     auto filling = round_calls_.find(node.member.node);
     bool joins = filling != round_calls_.end() && filling->second.second < call_size_;
     return latency * (1 + node.calls - (joins ? 1 : 0));  // the call that the part would join is the "one"
@@ -464,18 +483,6 @@
     if (query.expected > 0) --query.expected;
   }
 
-  // Attempts of ours that are out. Those on nodes we avoid are not waited for, nor those out for longer than
-  // any aim: lost requests and hung nodes would else fill the limit and keep out what sound nodes could
-  // serve.
-  double parts_out() const {
-    double count = 0;
-    for (const auto& [id, node] : nodes_) {
-      if (avoided(node)) continue;
-      for (const auto& [sent, overtaken] : node.outstanding) count += overtaken < lost_overtaken ? 1 : 0;
-    }
-    return count;
-  }
-
   Duration shortest_aim() const {
     Duration aim = Duration::max();
     for (const ClassSettings& cls : s_.classes) aim = std::min(aim, cls.aim);
@@ -486,8 +493,8 @@
   // goes to what the present rate would hold at the target, so it does not fall through on a burst; under it,
   // it grows.
   void adjust_limit() {
-    most_out_ = std::max(most_out_, parts_out());
-    if (now_ < limit_changed_ + load_period || !heard_) return;
+    most_out_ = std::max(most_out_, out_);
+    if (now_ < limit_changed_ + load_period || mean_ <= 0) return;
     double target = load_target * shortest_aim().count();
     if (mean_ > target) {
       limit_ = std::max({load_least, answer_rate() * target, std::min(limit_, most_out_) * load_down});
@@ -495,7 +502,7 @@
       limit_ = limit_ * load_up + 1;
     }
     limit_changed_ = now_;
-    most_out_ = parts_out();
+    most_out_ = out_;
   }
 
   double answer_rate() const {
@@ -518,7 +525,7 @@
     if (held.empty()) return;
     std::stable_sort(held.begin(), held.end(),
                      [this](auto* a, auto* b) { return density(*a) > density(*b); });
-    double room = limit_ - parts_out();
+    double room = limit_ - out_;
     for (Query* query : held) {
       if (room > 0) {
         query->admitted = true;
@@ -551,7 +558,8 @@
     part.called_off = false;
     ++call_parts_[call];
     part.attempts.push_back(attempt);
-    node.outstanding.emplace_back(now_, 0);
+    node.outstanding.push_back(now_);
+    ++out_;
     while (!node.recent_sends.empty() && node.recent_sends.front() <= now_ - s_.fall_span)
       node.recent_sends.pop_front();
     node.recent_sends.push_back(now_);
@@ -563,24 +571,15 @@
     actions_->push_back(SendPart{part.id, attempt.node, std::max(wait, s_.quantum)});
   }
 
-  Duration long_wait(const Node& node, const Query& query) const {
-    double usual = silence_latencies * std::max(node.latency, mean_);
-    return std::max(Duration(usual), (query.aim_at - query.arrived) * silence_least);
-  }
-
-  // A node that holds attempts of ours and has brought no outcome for far longer than it or the others need.
-  bool silent(const Node& node, const Query& query) const {
-    if (node.outstanding.empty()) return false;
-    return now_ - std::max(node.last_outcome, node.outstanding.front().first) > long_wait(node, query);
-  }
-
-  // An attempt that has waited long on a node which answers those sent after it: the request or its answer
-  // went astray. (A part of many times the usual work looks the same; then a copy is sent in vain.)
-  bool astray(const Node& node, const Attempt& attempt, const Query& query) const {
-    if (now_ - attempt.sent <= long_wait(node, query)) return false;
-    auto entry = std::find_if(node.outstanding.begin(), node.outstanding.end(),
-                              [&](auto& sent) { return sent.first == attempt.sent; });
-    return entry != node.outstanding.end() && entry->second >= lost_overtaken;
+  // An attempt that is out for far longer than attempts usually are is taken for lost: it, its answer or its
+  // node. It counts as its node's failure, no longer as out, and another may go.
+  void give_up_lost(const Query& query, Attempt& attempt) {
+    Duration wait =
+        std::max(Duration(usual_ * silence_usuals), (query.aim_at - query.arrived) * silence_least);
+    if (attempt.given_up || now_ - attempt.sent <= wait) return;
+    attempt.given_up = true;
+    --out_;
+    take_failure(nodes_.at(attempt.node), true);
   }
 
   // Whether the class and the counts would let the part have one more attempt after the present ones.
@@ -600,11 +599,7 @@
     Attempt& attempt = part.attempts[static_cast<std::size_t>(ended.attempt)];
     if (!attempt.out || attempt.node != ended.node) return;
     Node& node = found->second;
-    if (ended.outcome != Outcome::cancelled) node.last_outcome = now_;
     close_attempt(node, attempt);
-    if (ended.outcome == Outcome::ok)
-      for (auto& [sent, overtaken] : node.outstanding)
-        if (sent < attempt.sent) ++overtaken;
     judge(node, attempt, ended);
     if (ended.outcome == Outcome::refused || ended.outcome == Outcome::connect_failed ||
         ended.outcome == Outcome::moot)
@@ -617,9 +612,8 @@
 
   void close_attempt(Node& node, Attempt& attempt) {
     attempt.out = false;
-    auto sent = std::find_if(node.outstanding.begin(), node.outstanding.end(),
-                             [&](auto& entry) { return entry.first == attempt.sent; });
-    if (sent != node.outstanding.end()) node.outstanding.erase(sent);
+    if (!attempt.given_up) --out_;
+    node.outstanding.erase(std::find(node.outstanding.begin(), node.outstanding.end(), attempt.sent));
     auto call = call_parts_.find(attempt.call);
     if (--call->second > 0) return;
     call_parts_.erase(call);
@@ -630,15 +624,17 @@
     double took = ended.took.count();
     switch (ended.outcome) {
       case Outcome::ok:
+        latencies_.emplace_back(now_, took);
         take_success(node, took);
         if (!attempt.overdue) note_outcome(false);
         break;
       case Outcome::refused:
         note_outcome(true);
-        mean_ += mean_gain * (std::max(mean_, attempt.patience) - mean_);
+        latencies_.emplace_back(now_, attempt.patience);
         node.avoid_until = std::max(node.avoid_until, now_ + avoid_full);
         break;
       case Outcome::timeout:
+        latencies_.emplace_back(now_, took);
         take_latency(node, std::max(node.latency, took));
         if (!attempt.overdue) note_outcome(true);
         break;
@@ -653,6 +649,7 @@
         take_failure(node, true);
         break;
       case Outcome::cancelled:
+        latencies_.emplace_back(now_, took);
         if (took > node.latency) take_latency(node, took);
         break;
       case Outcome::moot:
@@ -682,13 +679,12 @@
         attempt.overdue = true;
         note_outcome(true);
       }
-      Node& node = nodes_.at(attempt.node);
-      if (silent(node, query))
-        avoid(node);
-      else
-        stuck = false;
+      give_up_lost(query, attempt);
+      stuck = stuck && attempt.given_up;
     }
-    if (out > 0 && (!stuck || out > 1 || !more_allowed(query, part) || now_ >= query.aim_at)) return;
+    if (out > 0 && (!stuck || out > 1 || !more_allowed(query, part))) return;
+    // Nothing more goes out that could hardly be back in time.
+    if (!part.attempts.empty() && now_ + Duration(mean_) > std::min(query.aim_at, end_of(query))) return;
     if (out > 0 && !s_.may_copy && s_.may_cancel) {
       if (extra_credit_ >= 1 && !part.called_off) {
         part.called_off = true;
@@ -859,7 +855,8 @@
         if (part.in || part.lost || !part.chosen || part.step != query.step) continue;
         if (part.out() == 0) next = std::min(next, now_ + s_.quantum * 4);
         for (const Attempt& attempt : part.attempts)
-          if (attempt.out && !attempt.overdue) next = std::min(next, attempt.overdue_at);
+          if (attempt.out && !attempt.overdue)
+            next = std::min({next, attempt.overdue_at, now_ + s_.quantum * 8});
       }
     }
     if (s_.membership_by_asking && !subscribed_) next = std::min(next, ask_again_);
@@ -977,9 +974,11 @@
   std::uint64_t last_call_ = 0;
   int call_size_ = 1;
 
-  bool heard_ = false;
-  double mean_ = 0;       // of part latencies, seconds, smoothed
-  double warm_rate_ = 0;  // own sends a second to each warm node, smoothed
+  std::deque<std::pair<Time, double>> latencies_;  // of ended attempts
+  double mean_ = 0;                                // of part latencies, seconds; 0 = none seen yet
+  double usual_ = 0;                               // most attempts end within this, seconds
+  double out_ = 0;                                 // attempts out that are not given up
+  double warm_rate_ = 0;                           // own sends a second to each warm node, smoothed
   Time warm_rate_at_{};
   double extra_credit_ = extra_most;
   std::deque<Time> extras_;
