--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -55,6 +55,7 @@
 constexpr double overdue_share = 0.7;  // of the aim: a part out for longer counts as timed out
 constexpr double usual_share = 0.75;   // of attempts end within the "usual" time
 constexpr double silence_usuals = 2;   // usual times without an outcome until an attempt is taken for lost
+constexpr double call_off_waits = 2;   // times as long, where the attempt has to be called off for another
 constexpr double silence_least = 0.2;  // of the aim, so that short queues do not look like silence
 constexpr double retry_pause = 0.08;   // of the aim: before a node that looks bad gets the part again
 constexpr double extra_ratio = 0.15;   // further attempts that one sent part earns
@@ -576,6 +577,8 @@
   void give_up_lost(const Query& query, Attempt& attempt) {
     Duration wait =
         std::max(Duration(usual_ * silence_usuals), (query.aim_at - query.arrived) * silence_least);
+    // Where no copy may run beside it, a mistake costs the work done so far.
+    if (!s_.may_copy) wait *= call_off_waits;
     if (attempt.given_up || now_ - attempt.sent <= wait) return;
     attempt.given_up = true;
     --out_;
