--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -139,9 +139,7 @@
   bool on_trial = false;  // avoided lately: one call at a time until it answers
   bool probing = false;
   Time probe_at = Time::max();
-  Time probed{};        // last asked
-  Time probe_failed{};  // last in vain
-  int unreached = 0;    // connections that failed since its last answer
+  int unreached = 0;  // connections that failed since its last answer
   Time last_failure{};
   Time started{};  // last known or assumed start
   int calls = 0;
@@ -265,26 +263,18 @@
     for (auto& [id, node] : nodes_) {
       if (!node.on_trial || node.probing || now_ < node.probe_at || node.member.status != NodeStatus::ready)
         continue;
-      probe(node);
+      node.probing = true;
+      actions_->push_back(ProbeNode{id});
     }
   }
 
-  void probe(Node& node) {
-    node.probing = true;
-    node.probed = now_;
-    actions_->push_back(ProbeNode{node.member.node});
-  }
-
   void on(const ProbeEnded& ended) {
     auto found = nodes_.find(ended.node);
     if (found == nodes_.end() || !found->second.probing) return;
     Node& node = found->second;
     node.probing = false;
     node.probe_at = Time::max();
-    // "Refused" is a limit on probes and proves that the node lives.
-    if (ended.outcome == Outcome::ok || ended.outcome == Outcome::refused) return;
-    node.probe_failed = now_;
-    avoid(node);
+    if (ended.outcome != Outcome::ok && node.on_trial) avoid(node);
   }
 
   void take_success(Node& node, double took) {
@@ -589,15 +579,10 @@
         std::max(Duration(usual_ * silence_usuals), (query.aim_at - query.arrived) * silence_least);
     // Where no copy may run beside it, a mistake costs the work done so far.
     if (!s_.may_copy) wait *= call_off_waits;
-    Node& node = nodes_.at(attempt.node);
-    if (attempt.given_up) return;
-    // One that takes longer than most has its node probed: that tells a dead node or path from a busy one.
-    if (s_.may_probe && !node.probing && node.probed < attempt.sent && now_ > attempt.sent + Duration(usual_))
-      probe(node);
-    if (now_ - attempt.sent <= wait && node.probe_failed <= attempt.sent) return;
+    if (attempt.given_up || now_ - attempt.sent <= wait) return;
     attempt.given_up = true;
     --out_;
-    take_failure(node, true);
+    take_failure(nodes_.at(attempt.node), true);
   }
 
   // Whether the class and the counts would let the part have one more attempt after the present ones.
