--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -34,6 +34,7 @@
 // Node health.
 constexpr double latency_gain = 0.2;     // weight of a new sample in the smoothed latency
 constexpr Duration latency_memory = 4s;  // a sample after a silence of this length weighs about two thirds
+constexpr Duration latency_trust = 10s;  // after so long a silence, a node counts two thirds as its zone does
 constexpr double failure_gain = 0.25;    // weight of a new outcome in a node's share of failures
 constexpr double failure_limit = 0.4;    // share: two failures in a row pass it, one does not
 constexpr int down_unreached = 2;        // failed connections without an answer: the node was down
@@ -147,6 +148,13 @@
   std::deque<Time> recent_sends;  // within the span of the cold-node rule
 };
 
+struct Sample {
+  Time at{};
+  bool strained = false;
+  double took = 0;
+  int zone = 0;
+};
+
 class Broker final : public Policy {
  public:
   Broker(const Settings& settings, std::uint64_t seed) : s_(settings), random_(seed) {}
@@ -326,14 +334,16 @@
 
   // ---- narrowing ----
 
-  void note_outcome(bool strained) { outcomes_.push_back({now_, strained}); }
+  void note_outcome(bool strained) { outcomes_.push_back({now_, strained, 0, 0}); }
+  void note_latency(const Node& node, double took) {
+    latencies_.push_back({now_, false, took, node.member.zone});
+  }
 
   // A broker with little traffic looks further back for the least count, or it would never read strain, nor
   // its end.
-  template <typename Seen>
-  void keep_window(std::deque<std::pair<Time, Seen>>& seen) const {
-    while (!seen.empty() && (seen.front().first < now_ - strain_longest ||
-                             (seen.size() > strain_least && seen.front().first < now_ - strain_window)))
+  void keep_window(std::deque<Sample>& seen) const {
+    while (!seen.empty() && (seen.front().at < now_ - strain_longest ||
+                             (seen.size() > strain_least && seen.front().at < now_ - strain_window)))
       seen.pop_front();
   }
 
@@ -344,9 +354,16 @@
     keep_window(latencies_);
     if (latencies_.empty()) return;
     std::vector<double> seen;
-    double sum = 0;
-    for (const auto& [at, took] : latencies_) seen.push_back(took), sum += took;
-    mean_ = sum / static_cast<double>(seen.size());
+    zone_latency_.clear();
+    for (const Sample& sample : latencies_) {
+      seen.push_back(sample.took);
+      auto& [sum, count] = zone_latency_[sample.zone];
+      sum += sample.took;
+      ++count;
+    }
+    auto middle = seen.begin() + static_cast<std::ptrdiff_t>(seen.size() / 2);
+    std::nth_element(seen.begin(), middle, seen.end());
+    median_ = *middle;
     for (const auto& [id, node] : nodes_)
       for (Time sent : node.outstanding) seen.push_back(Duration(now_ - sent).count());
     auto usual = seen.begin() + static_cast<std::ptrdiff_t>(usual_share * static_cast<double>(seen.size()));
@@ -357,7 +374,7 @@
   void adjust_coverage() {
     keep_window(outcomes_);
     if (now_ < coverage_changed_ + strain_window || outcomes_.size() < strain_least) return;
-    auto strained = std::count_if(outcomes_.begin(), outcomes_.end(), [](auto& o) { return o.second; });
+    auto strained = std::count_if(outcomes_.begin(), outcomes_.end(), [](auto& o) { return o.strained; });
     double share = static_cast<double>(strained) / static_cast<double>(outcomes_.size());
     double before = coverage_;
     if (share > strain_share) coverage_ = std::max(0.0, coverage_ - strain_step);
@@ -398,12 +415,12 @@
     return ahead < std::min(s_.cells_per_shard, s_.cells);
   }
 
-  double average_latency() const {
-    double sum = 0;
-    int count = 0;
-    for (const auto& [id, node] : nodes_)
-      if (node.latency > 0 && node.member.status == NodeStatus::ready) sum += node.latency, ++count;
-    return count > 0 ? sum / count : 0.1;
+  // DESIGN's average, of the nodes on the same way: what all nodes of a zone share from here (a slow or lossy
+  // link, an outage) a broker with little traffic learns from any of them.
+  double average_latency(const Node& node) const {
+    auto zone = zone_latency_.find(node.member.zone);
+    if (zone != zone_latency_.end()) return zone->second.first / zone->second.second;
+    return median_ > 0 ? median_ : 0.1;
   }
 
   // What counts as one call: no more parts than an even spread over the nodes would put into it. Counting
@@ -421,8 +438,10 @@
     call_size_ = std::clamp(static_cast<int>(std::ceil(parts / std::max(1.0, nodes))), 1, s_.parts_per_call);
   }
 
-  double cost_of(const Node& node, double average) const {
-    double latency = node.latency > 0 ? node.latency : average;
+  double cost_of(const Node& node) const {
+    double latency = average_latency(node);
+    if (node.latency > 0)
+      latency += (node.latency - latency) * std::exp(-(now_ - node.last_sample) / latency_trust);
     // A silent node looks idle: what it has not answered for longer than that is its latency so far.
     if (!node.outstanding.empty())
       latency = std::max(latency, Duration(now_ - node.outstanding.front()).count());
@@ -434,7 +453,6 @@
   // The node for the part's next attempt, or none. Healthy nodes that this part has not tried come first;
   // when all look bad, the least bad still gets it.
   Node* choose_node(const Query& query, const Part& part) {
-    double average = average_latency();
     Node* best = nullptr;
     std::pair<int, double> best_rank;
     for (auto& [id, node] : nodes_) {
@@ -443,7 +461,7 @@
       if (avoided(node)) tier += 1;
       for (const Attempt& attempt : part.attempts)
         if (attempt.node == id) tier += attempt.out ? 8 : 2;
-      std::pair<int, double> rank{tier, cost_of(node, average)};
+      std::pair<int, double> rank{tier, cost_of(node)};
       if (!best || rank < best_rank) best = &node, best_rank = rank;
     }
     return best;
@@ -495,9 +513,9 @@
   // it grows.
   void adjust_limit() {
     most_out_ = std::max(most_out_, out_);
-    if (now_ < limit_changed_ + load_period || mean_ <= 0) return;
+    if (now_ < limit_changed_ + load_period || median_ <= 0) return;
     double target = load_target * shortest_aim().count();
-    if (mean_ > target) {
+    if (median_ > target) {
       limit_ = std::max({load_least, answer_rate() * target, std::min(limit_, most_out_) * load_down});
     } else if (most_out_ >= 0.8 * limit_) {
       limit_ = limit_ * load_up + 1;
@@ -531,7 +549,7 @@
       if (room > 0) {
         query->admitted = true;
         room -= static_cast<double>(query->parts.size());
-      } else if (now_ + Duration(mean_ * hopeless_latencies) + margin() >
+      } else if (now_ + Duration(median_ * hopeless_latencies) + margin() >
                  std::min(query->aim_at, leave_at(*query))) {
         finish(*query);
       }
@@ -627,17 +645,17 @@
     double took = ended.took.count();
     switch (ended.outcome) {
       case Outcome::ok:
-        latencies_.emplace_back(now_, took);
+        note_latency(node, took);
         take_success(node, took);
         if (!attempt.overdue) note_outcome(false);
         break;
       case Outcome::refused:
         note_outcome(true);
-        latencies_.emplace_back(now_, attempt.patience);
+        note_latency(node, attempt.patience);
         node.avoid_until = std::max(node.avoid_until, now_ + avoid_full);
         break;
       case Outcome::timeout:
-        latencies_.emplace_back(now_, took);
+        note_latency(node, took);
         take_latency(node, std::max(node.latency, took));
         if (!attempt.overdue) note_outcome(true);
         break;
@@ -652,7 +670,7 @@
         take_failure(node, true);
         break;
       case Outcome::cancelled:
-        latencies_.emplace_back(now_, took);
+        note_latency(node, took);
         if (took > node.latency) take_latency(node, took);
         break;
       case Outcome::moot:
@@ -687,7 +705,7 @@
     }
     if (out > 0 && (!stuck || out > 1 || !more_allowed(query, part))) return;
     // Nothing more goes out that could hardly be back in time.
-    if (!part.attempts.empty() && now_ + Duration(mean_) > std::min(query.aim_at, end_of(query))) return;
+    if (!part.attempts.empty() && now_ + Duration(median_) > std::min(query.aim_at, end_of(query))) return;
     if (out > 0 && !s_.may_copy && s_.may_cancel) {
       if (extra_credit_ >= 1 && !part.called_off) {
         part.called_off = true;
@@ -977,11 +995,12 @@
   std::uint64_t last_call_ = 0;
   int call_size_ = 1;
 
-  std::deque<std::pair<Time, double>> latencies_;  // of ended attempts
-  double mean_ = 0;                                // of part latencies, seconds; 0 = none seen yet
-  double usual_ = 0;                               // most attempts end within this, seconds
-  double out_ = 0;                                 // attempts out that are not given up
-  double warm_rate_ = 0;                           // own sends a second to each warm node, smoothed
+  std::deque<Sample> latencies_;                           // of ended attempts
+  std::map<int, std::pair<double, double>> zone_latency_;  // their sum and count, by zone
+  double median_ = 0;                                      // of theirs, seconds; 0 = none seen yet
+  double usual_ = 0;                                       // most attempts end within this, seconds
+  double out_ = 0;                                         // attempts out that are not given up
+  double warm_rate_ = 0;                                   // own sends a second to each warm node, smoothed
   Time warm_rate_at_{};
   double extra_credit_ = extra_most;
   std::deque<Time> extras_;
@@ -997,7 +1016,7 @@
 
   double coverage_ = 1;
   Time coverage_changed_{};
-  std::deque<std::pair<Time, bool>> outcomes_;
+  std::deque<Sample> outcomes_;
 
   Time armed_{};
   std::uint64_t timer_token_ = 0;
