--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -54,7 +54,6 @@
 constexpr double hopeless_latencies = 1.3;  // mean latencies a query held back must have left to its aim
 // Attempts.
 constexpr double overdue_share = 0.7;  // of the aim: a part out for longer counts as timed out
-constexpr double silence_most = 0.45;  // of the aim, so that another attempt can still be in time
 constexpr double usual_share = 0.75;   // of attempts end within the "usual" time
 constexpr double silence_usuals = 2;   // usual times without an outcome until an attempt is taken for lost
 constexpr double call_off_waits = 2;   // times as long, where the attempt has to be called off for another
@@ -594,8 +593,8 @@
   // An attempt that is out for far longer than attempts usually are is taken for lost: it, its answer or its
   // node. It counts as its node's failure, no longer as out, and another may go.
   void give_up_lost(const Query& query, Attempt& attempt) {
-    Duration aim = query.aim_at - query.arrived;
-    Duration wait = std::clamp(Duration(usual_ * silence_usuals), aim * silence_least, aim * silence_most);
+    Duration wait =
+        std::max(Duration(usual_ * silence_usuals), (query.aim_at - query.arrived) * silence_least);
     // Where no copy may run beside it, a mistake costs the work done so far.
     if (!s_.may_copy) wait *= call_off_waits;
     if (attempt.given_up || now_ - attempt.sent <= wait) return;
