--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -544,16 +544,11 @@
     if (held.empty()) return;
     std::stable_sort(held.begin(), held.end(),
                      [this](auto* a, auto* b) { return density(*a) > density(*b); });
-    // A query wider than the limit goes out whole; the limit is then kept over time, by what it owes.
-    owed_ -= limit_ / (load_target * shortest_aim().count()) * Duration(now_ - owed_at_).count();
-    owed_ = std::max(owed_, 0.0);
-    owed_at_ = now_;
-    double room = limit_ - std::max(out_, owed_);
+    double room = limit_ - out_;
     for (Query* query : held) {
       if (room > 0) {
         query->admitted = true;
         room -= static_cast<double>(query->parts.size());
-        owed_ += static_cast<double>(query->parts.size());
       } else if (now_ + Duration(median_ * hopeless_latencies) + margin() >
                  std::min(query->aim_at, leave_at(*query))) {
         finish(*query);
@@ -1013,8 +1008,6 @@
 
   double limit_ = 1e9;  // of parts out, not yet met
   double most_out_ = 0;
-  double owed_ = 0;  // parts let in that the limit's rate has not made up for yet
-  Time owed_at_{};
   double answer_rate_ = 0;  // answers a second, smoothed
   Time answered_at_{};
   Time limit_changed_{};
