The last tenth of a query's parts is taken for lost at 1.5 times what the others took

Cause: queries of 110 parts that need all ended with 100 to 109 in and no further attempt made, since the usual time of a crowded fleet leaves none before the aim (debug line at each final answer).

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -54,6 +54,9 @@
 constexpr double hopeless_latencies = 1.3;  // mean latencies a query held back must have left to its aim
 // Attempts.
 constexpr double overdue_share = 0.7;  // of the aim: a part out for longer counts as timed out
+constexpr double mostly_share = 0.9;   // of a query's parts in: the rest are its last parts
+constexpr double last_parts_wait =
+    1.5;                               // times what the others took, until the last parts are taken for lost
 constexpr double usual_share = 0.75;   // of attempts end within the "usual" time
 constexpr double silence_usuals = 2;   // usual times without an outcome until an attempt is taken for lost
 constexpr double call_off_waits = 2;   // times as long, where the attempt has to be called off for another
@@ -119,6 +122,8 @@
   bool admitted = false;
   bool ended = false;
   bool past_aim = false;
+  Duration mostly_in{};  // how long after its admission nearly all its parts were in; 0 = not yet
+  Time admitted_at{};
   std::vector<Part> parts;
 };
 
@@ -548,6 +553,7 @@
     for (Query* query : held) {
       if (room > 0) {
         query->admitted = true;
+        query->admitted_at = now_;
         room -= static_cast<double>(query->parts.size());
       } else if (now_ + Duration(median_ * hopeless_latencies) + margin() >
                  std::min(query->aim_at, leave_at(*query))) {
@@ -595,6 +601,10 @@
   void give_up_lost(const Query& query, Attempt& attempt) {
     Duration wait =
         std::max(Duration(usual_ * silence_usuals), (query.aim_at - query.arrived) * silence_least);
+    // The last few parts of a query hold up all the others' work.
+    if (query.mostly_in > Duration{})
+      wait = std::min(
+          wait, std::max(query.mostly_in * last_parts_wait, (query.aim_at - query.arrived) * silence_least));
     // Where no copy may run beside it, a mistake costs the work done so far.
     if (!s_.may_copy) wait *= call_off_waits;
     if (attempt.given_up || now_ - attempt.sent <= wait) return;
@@ -798,6 +808,11 @@
     if (query.expected > 0 || !query.admitted) return;
     const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
     choose_parts(query);
+    double chosen = 0, in = 0;
+    for (const Part& part : query.parts)
+      if (part.step == query.step && part.chosen) ++chosen, in += part.in ? 1 : 0;
+    if (query.mostly_in == Duration{} && in > 0 && in >= std::min(chosen - 1, chosen * mostly_share))
+      query.mostly_in = now_ - query.admitted_at;
     for (Part& part : query.parts)
       if (part.step == query.step) pursue(query, part);
     choose_parts(query);
