--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -28,7 +28,7 @@
 // quiet day were enough to narrow.
 constexpr Duration strain_window = 2s;    // outcomes looked at
 constexpr double strain_step = 0.1;       // share of the weight
-constexpr double strain_share = 0.1;     // of outcomes: above it coverage drops, under half of it it regains
+constexpr double strain_share = 0.25;     // of outcomes: above it coverage drops, under half of it it regains
 constexpr Duration strain_longest = 8s;   // looked back at most, for the least count of outcomes
 constexpr std::size_t strain_least = 20;  // outcomes: with fewer, coverage holds
 // Node health.
