Further attempts are earned by how often given-up attempts never answered

An attempt that answers after it was given up was only waiting; the more such, the fewer further attempts are earned.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -63,7 +63,8 @@
 constexpr double silence_least = 0.2;  // of the aim, so that short queues do not look like silence
 constexpr double retry_pause = 0.08;   // of the aim: before a node that looks bad gets the part again
 constexpr double extra_ratio = 0.15;   // further attempts that one sent part earns
-constexpr double extra_most = 60;      // further attempts saved up at most
+constexpr double false_alarm_gain = 0.05;  // weight of one more in the share of those that answered after all
+constexpr double extra_most = 30;          // further attempts saved up at most
 // Answering.
 constexpr double first_step_share = 0.6;   // of the aim, where a second step has to follow
 constexpr double leave_share = 0.85;       // of the age at which clients leave: answered by then
@@ -653,6 +654,10 @@
 
   void judge(Node& node, const Attempt& attempt, const AttemptEnded& ended) {
     double took = ended.took.count();
+    // An attempt that was given up and answers after all was only waiting: where most do, the fleet is
+    // crowded, and further attempts would crowd it more.
+    if (attempt.given_up && ended.outcome != Outcome::cancelled)
+      false_alarms_ += false_alarm_gain * ((ended.outcome == Outcome::ok ? 1 : 0) - false_alarms_);
     switch (ended.outcome) {
       case Outcome::ok:
         note_latency(node, took);
@@ -688,10 +693,12 @@
     }
   }
 
-  void cancel_out(Part& part) {
+  // What was given up stays out unless another has to take its place: its end tells whether that was wise.
+  void cancel_out(Part& part, bool given_up_too = false) {
     if (!s_.may_cancel) return;
     for (std::size_t i = 0; i < part.attempts.size(); ++i)
-      if (part.attempts[i].out) actions_->push_back(CancelAttempt{part.id, static_cast<int>(i)});
+      if (part.attempts[i].out && (given_up_too || !part.attempts[i].given_up))
+        actions_->push_back(CancelAttempt{part.id, static_cast<int>(i)});
   }
 
   // Sends what is chosen and not out. A part whose node has fallen silent goes to another as well, where
@@ -720,7 +727,7 @@
       if (extra_credit_ >= 1 && !part.called_off) {
         part.called_off = true;
         extra_credit_ -= 1;
-        cancel_out(part);
+        cancel_out(part, true);
       }
       return;
     }
@@ -738,7 +745,8 @@
     if (out == 0 && (tried || (!part.attempts.empty() && avoided(*node))) && now_ < part.retry_at) return;
     if (out > 0 && (avoided(*node) || node->member.node == part.attempts.back().node)) return;
     if (out > 0) extra_credit_ -= 1;
-    if (part.attempts.empty()) extra_credit_ = std::min(extra_most, extra_credit_ + extra_ratio);
+    if (part.attempts.empty())
+      extra_credit_ = std::min(extra_most, extra_credit_ + extra_ratio * std::pow(1 - false_alarms_, 2));
     send(query, part, *node);
   }
 
@@ -1017,7 +1025,8 @@
   double out_ = 0;                                         // attempts out that are not given up
   double warm_rate_ = 0;                                   // own sends a second to each warm node, smoothed
   Time warm_rate_at_{};
-  double extra_credit_ = extra_most;
+  double extra_credit_ = extra_most / 3;
+  double false_alarms_ = 0.5;  // share of the attempts given up that answered after all
   std::deque<Time> extras_;
   std::deque<Time> taken_;
 
