--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1025,7 +1025,7 @@
   double out_ = 0;                                         // attempts out that are not given up
   double warm_rate_ = 0;                                   // own sends a second to each warm node, smoothed
   Time warm_rate_at_{};
-  double extra_credit_ = extra_most / 3;
+  double extra_credit_ = 0;
   double false_alarms_ = 0.5;  // share of the attempts given up that answered after all
   std::deque<Time> extras_;
   std::deque<Time> taken_;
