A class is let in by lot, only so far beyond what earned something

What is asked and what it earns is smoothed per class; the excess is refused on arrival, by lot, so that sparse brokers do their share on average.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -40,7 +40,6 @@
 constexpr int down_unreached = 2;        // failed connections without an answer: the node was down
 constexpr Duration avoid_first = 1s;     // first time of avoidance; it doubles
 constexpr Duration avoid_most = 8s;      // so that a node that is back waits no longer than this
-constexpr Duration avoid_full = 250ms;   // after "queue full": a few parts' worth of work
 // Cold nodes: the share of what the rule allows that we plan to use, since all brokers' sends add up.
 constexpr double cold_use = 0.5;
 constexpr Duration rate_memory = 5s;  // own send rate to warm nodes is smoothed over this
@@ -51,6 +50,8 @@
 constexpr double load_down = 0.8;        // the limit's factor in a step, at least
 constexpr double load_up = 1.1;          // at most, and only while the limit is in use
 constexpr double load_least = 2;         // parts: something is always under way, or nothing would be learnt
+constexpr Duration worth_memory = 8s;    // what was asked and what it earned is smoothed over this
+constexpr double worth_slack = 1.5;      // times what earned something may be let in
 constexpr double hopeless_latencies = 1.3;  // mean latencies a query held back must have left to its aim
 // Attempts.
 constexpr double overdue_share = 0.7;  // of the aim: a part out for longer counts as timed out
@@ -154,6 +155,13 @@
   std::deque<Time> recent_sends;  // within the span of the cold-node rule
 };
 
+// What a class asked for and what that earned, in parts.
+struct Worth {
+  double asked = 0;
+  double earned = 0;
+  Time at{};
+};
+
 struct Sample {
   Time at{};
   bool strained = false;
@@ -505,7 +513,7 @@
     part.weight = arrival.weight;
     query.parts.push_back(part);
     part_owner_[arrival.part] = query.id;
-    if (query.expected > 0) --query.expected;
+    if (query.expected > 0 && --query.expected == 0 && !query.admitted && drawn_out(query)) finish(query);
   }
 
   Duration shortest_aim() const {
@@ -541,6 +549,22 @@
                             : worth / static_cast<double>(std::max<std::size_t>(1, query.parts.size()));
   }
 
+  // Work that earned nothing was in vain, and its clients ask again: a class is let in only so far beyond
+  // what earns, drawn by lot, since a broker that sees a query in ten seconds does its share only on average.
+  void note_worth(const Query& query, double earned) {
+    Worth& worth = worth_[query.cls];
+    double fade = std::exp(-(now_ - worth.at) / worth_memory);
+    double parts = static_cast<double>(query.parts.size());
+    worth = {worth.asked * fade + parts, worth.earned * fade + parts * earned, now_};
+  }
+
+  bool drawn_out(const Query& query) {
+    const Worth& worth = worth_[query.cls];
+    double fade = std::exp(-(now_ - worth.at) / worth_memory);
+    double parts = static_cast<double>(query.parts.size());
+    return uniform() < (worth.asked - worth_slack * worth.earned) * fade / (worth.asked * fade + parts);
+  }
+
   // Lets queries in, the most worth for its parts first, while there is room under the limit; what has no
   // time left to wait is given up at once.
   void admit() {
@@ -667,7 +691,6 @@
       case Outcome::refused:
         note_outcome(true);
         note_latency(node, attempt.patience);
-        node.avoid_until = std::max(node.avoid_until, now_ + avoid_full);
         break;
       case Outcome::timeout:
         note_latency(node, took);
@@ -855,6 +878,7 @@
     if (found == queries_.end() || found->second.ended) return;
     Query& query = found->second;
     query.ended = true;
+    if (query.step == 1) note_worth(query, 0);
     for (Part& part : query.parts) {
       if (!part.in) cancel_out(part);
       for (Attempt& attempt : part.attempts)
@@ -972,6 +996,7 @@
     for (Part& part : query.parts)
       if (!part.in) cancel_out(part);
     double weight = weight_in(query);
+    if (query.step == 1) note_worth(query, now_ <= query.aim_at ? earned(query, weight) : 0);
     if (earned(query, weight) > 0) {
       bool whole = weight >= need_of(query) - weight_slack;
       actions_->push_back(AnswerQuery{query.id, whole && query.first_whole});
@@ -1037,6 +1062,7 @@
   Time limit_changed_{};
 
   std::map<int, Leaving> leaving_;  // by class
+  std::map<int, Worth> worth_;      // by class
 
   double coverage_ = 1;
   Time coverage_changed_{};
