The lot is drawn by class and tenant

Cause: one customer's clients that retry without heed fill the brokers; drawn by class alone the lot falls on all customers.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -552,14 +552,14 @@
   // Work that earned nothing was in vain, and its clients ask again: a class is let in only so far beyond
   // what earns, drawn by lot, since a broker that sees a query in ten seconds does its share only on average.
   void note_worth(const Query& query, double earned) {
-    Worth& worth = worth_[query.cls];
+    Worth& worth = worth_[{query.cls, query.tenant}];
     double fade = std::exp(-(now_ - worth.at) / worth_memory);
     double parts = static_cast<double>(query.parts.size());
     worth = {worth.asked * fade + parts, worth.earned * fade + parts * earned, now_};
   }
 
   bool drawn_out(const Query& query) {
-    const Worth& worth = worth_[query.cls];
+    const Worth& worth = worth_[{query.cls, query.tenant}];
     double fade = std::exp(-(now_ - worth.at) / worth_memory);
     double parts = static_cast<double>(query.parts.size());
     return uniform() < (worth.asked - worth_slack * worth.earned) * fade / (worth.asked * fade + parts);
@@ -1061,8 +1061,8 @@
   Time answered_at_{};
   Time limit_changed_{};
 
-  std::map<int, Leaving> leaving_;  // by class
-  std::map<int, Worth> worth_;      // by class
+  std::map<int, Leaving> leaving_;              // by class
+  std::map<std::pair<int, int>, Worth> worth_;  // by class and tenant
 
   double coverage_ = 1;
   Time coverage_changed_{};
