Lost attempts leave the latencies; a wide query's first answers stay among them

Cause: after a wide query a sparse broker's window held only the attempts that had timed out (a median of 3 to 4 s read from the debug line), and it refused the next query as hopeless on arrival.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -32,8 +32,9 @@
 constexpr Duration strain_longest = 8s;   // looked back at most, for the least count of outcomes
 constexpr std::size_t strain_least = 20;  // outcomes: with fewer, coverage holds
 // Node health.
-constexpr double latency_gain = 0.2;     // weight of a new sample in the smoothed latency
-constexpr Duration latency_memory = 4s;  // a sample after a silence of this length weighs about two thirds
+constexpr std::size_t latency_least = 200;  // latencies kept: a wide query's first answers, not only its last
+constexpr double latency_gain = 0.2;        // weight of a new sample in the smoothed latency
+constexpr Duration latency_memory = 4s;     // a sample after a silence of this length weighs about two thirds
 constexpr Duration latency_trust = 10s;  // after so long a silence, a node counts two thirds as its zone does
 constexpr double failure_gain = 0.25;    // weight of a new outcome in a node's share of failures
 constexpr double failure_limit = 0.4;    // share: two failures in a row pass it, one does not
@@ -349,15 +350,16 @@
   // ---- narrowing ----
 
   void note_outcome(bool strained) { outcomes_.push_back({now_, strained, 0, 0}); }
-  void note_latency(const Node& node, double took) {
+  void note_latency(const Node& node, const Attempt& attempt, double took) {
+    if (attempt.given_up) return;  // lost, not slow
     latencies_.push_back({now_, false, took, node.member.zone});
   }
 
   // A broker with little traffic looks further back for the least count, or it would never read strain, nor
   // its end.
-  void keep_window(std::deque<Sample>& seen) const {
+  void keep_window(std::deque<Sample>& seen, std::size_t least) const {
     while (!seen.empty() && (seen.front().at < now_ - strain_longest ||
-                             (seen.size() > strain_least && seen.front().at < now_ - strain_window)))
+                             (seen.size() > least && seen.front().at < now_ - strain_window)))
       seen.pop_front();
   }
 
@@ -365,7 +367,7 @@
   // come back quickest first, so that such a mean would end on the slowest. For the same reason what is out
   // counts at its age in the usual one.
   void read_latencies() {
-    keep_window(latencies_);
+    keep_window(latencies_, latency_least);
     if (latencies_.empty()) return;
     std::vector<double> seen;
     zone_latency_.clear();
@@ -386,7 +388,7 @@
   }
 
   void adjust_coverage() {
-    keep_window(outcomes_);
+    keep_window(outcomes_, strain_least);
     if (now_ < coverage_changed_ + strain_window || outcomes_.size() < strain_least) return;
     auto strained = std::count_if(outcomes_.begin(), outcomes_.end(), [](auto& o) { return o.strained; });
     double share = static_cast<double>(strained) / static_cast<double>(outcomes_.size());
@@ -633,9 +635,16 @@
     // Where no copy may run beside it, a mistake costs the work done so far.
     if (!s_.may_copy) wait *= call_off_waits;
     if (attempt.given_up || now_ - attempt.sent <= wait) return;
+    Node& node = nodes_.at(attempt.node);
     attempt.given_up = true;
     --out_;
-    take_failure(nodes_.at(attempt.node), true);
+    node_forgets(node, attempt);
+    take_latency(node, std::max(node.latency, Duration(now_ - attempt.sent).count()));
+    take_failure(node, true);
+  }
+
+  void node_forgets(Node& node, const Attempt& attempt) {
+    node.outstanding.erase(std::find(node.outstanding.begin(), node.outstanding.end(), attempt.sent));
   }
 
   // Whether the class and the counts would let the part have one more attempt after the present ones.
@@ -668,8 +677,7 @@
 
   void close_attempt(Node& node, Attempt& attempt) {
     attempt.out = false;
-    if (!attempt.given_up) --out_;
-    node.outstanding.erase(std::find(node.outstanding.begin(), node.outstanding.end(), attempt.sent));
+    if (!attempt.given_up) --out_, node_forgets(node, attempt);
     auto call = call_parts_.find(attempt.call);
     if (--call->second > 0) return;
     call_parts_.erase(call);
@@ -684,16 +692,16 @@
       false_alarms_ += false_alarm_gain * ((ended.outcome == Outcome::ok ? 1 : 0) - false_alarms_);
     switch (ended.outcome) {
       case Outcome::ok:
-        note_latency(node, took);
+        latencies_.push_back({now_, false, took, node.member.zone});
         take_success(node, took);
         if (!attempt.overdue) note_outcome(false);
         break;
       case Outcome::refused:
         note_outcome(true);
-        note_latency(node, attempt.patience);
+        note_latency(node, attempt, attempt.patience);
         break;
       case Outcome::timeout:
-        note_latency(node, took);
+        note_latency(node, attempt, took);
         take_latency(node, std::max(node.latency, took));
         if (!attempt.overdue) note_outcome(true);
         break;
@@ -708,7 +716,7 @@
         take_failure(node, true);
         break;
       case Outcome::cancelled:
-        note_latency(node, took);
+        note_latency(node, attempt, took);
         if (took > node.latency) take_latency(node, took);
         break;
       case Outcome::moot:
