--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -45,15 +45,16 @@
 constexpr double cold_use = 0.5;
 constexpr Duration rate_memory = 5s;  // own send rate to warm nodes is smoothed over this
 // Admission: how many of our parts may be out at once, so that queues stay short of the aims.
-constexpr double load_target = 0.18;     // of the shortest aim: mean latency of a part that we steer for
-constexpr Duration load_period = 250ms;  // between steps of the limit
-constexpr Duration answer_memory = 1s;   // rate of answers is smoothed over this
-constexpr double load_down = 0.8;        // the limit's factor in a step, at least
-constexpr double load_up = 1.1;          // at most, and only while the limit is in use
-constexpr double load_least = 2;         // parts: something is always under way, or nothing would be learnt
-constexpr Duration worth_memory = 8s;    // what was asked and what it earned is smoothed over this
-constexpr double worth_slack = 1.5;      // times what earned something may be let in
-constexpr double hopeless_latencies = 1.3;  // mean latencies a query held back must have left to its aim
+constexpr double load_target = 0.18;      // of the shortest aim: mean latency of a part that we steer for
+constexpr Duration load_period = 250ms;   // between steps of the limit
+constexpr Duration answer_memory = 1s;    // rate of answers is smoothed over this
+constexpr double load_down = 0.8;         // the limit's factor in a step, at least
+constexpr double load_up = 1.1;           // at most, and only while the limit is in use
+constexpr double load_least = 2;          // parts: something is always under way, or nothing would be learnt
+constexpr Duration worth_memory = 8s;     // what was asked and what it earned is smoothed over this
+constexpr double worth_slack = 1.5;       // times what earned something may be let in
+constexpr double hopeless_whole = 2.5;    // the same, where every part is needed
+constexpr double hopeless_latencies = 1;  // mean latencies a query held back must have left to its aim
 // Attempts.
 constexpr double overdue_share = 0.7;  // of the aim: a part out for longer counts as timed out
 constexpr double mostly_share = 0.9;   // of a query's parts in: the rest are its last parts
@@ -578,13 +579,15 @@
                      [this](auto* a, auto* b) { return density(*a) > density(*b); });
     double room = limit_ - out_;
     for (Query* query : held) {
-      if (room > 0) {
+      // Without the time that its parts take it is given up at once, room or not.
+      const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query->cls)];
+      double latencies = cls.floor < cls.need ? hopeless_latencies : hopeless_whole;
+      if (now_ + Duration(median_ * latencies) + margin() > std::min(query->aim_at, leave_at(*query))) {
+        finish(*query);
+      } else if (room > 0) {
         query->admitted = true;
         query->admitted_at = now_;
         room -= static_cast<double>(query->parts.size());
-      } else if (now_ + Duration(median_ * hopeless_latencies) + margin() >
-                 std::min(query->aim_at, leave_at(*query))) {
-        finish(*query);
       }
     }
   }
