--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -52,8 +52,8 @@
 constexpr double load_up = 1.1;           // at most, and only while the limit is in use
 constexpr double load_least = 2;          // parts: something is always under way, or nothing would be learnt
 constexpr Duration worth_memory = 8s;     // what was asked and what it earned is smoothed over this
-constexpr double worth_slack = 1.5;       // times what earned something may be let in
-constexpr double hopeless_whole = 2.5;    // the same, where every part is needed
+constexpr double worth_slack = 1.3;       // times what earned something may be let in
+constexpr double hopeless_width = 0.3;    // more of it for each factor e of parts, where all are needed
 constexpr double hopeless_latencies = 1;  // mean latencies a query held back must have left to its aim
 // Attempts.
 constexpr double overdue_share = 0.7;  // of the aim: a part out for longer counts as timed out
@@ -581,7 +581,8 @@
     for (Query* query : held) {
       // Without the time that its parts take it is given up at once, room or not.
       const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query->cls)];
-      double latencies = cls.floor < cls.need ? hopeless_latencies : hopeless_whole;
+      double width = cls.floor < cls.need ? 0 : std::log(static_cast<double>(query->parts.size()));
+      double latencies = hopeless_latencies * (1 + hopeless_width * width);
       if (now_ + Duration(median_ * latencies) + margin() > std::min(query->aim_at, leave_at(*query))) {
         finish(*query);
       } else if (room > 0) {
@@ -889,7 +890,7 @@
     if (found == queries_.end() || found->second.ended) return;
     Query& query = found->second;
     query.ended = true;
-    if (query.step == 1) note_worth(query, 0);
+    if (query.step == 1 && query.admitted) note_worth(query, 0);
     for (Part& part : query.parts) {
       if (!part.in) cancel_out(part);
       for (Attempt& attempt : part.attempts)
@@ -1007,7 +1008,8 @@
     for (Part& part : query.parts)
       if (!part.in) cancel_out(part);
     double weight = weight_in(query);
-    if (query.step == 1) note_worth(query, now_ <= query.aim_at ? earned(query, weight) : 0);
+    if (query.step == 1 && query.admitted)
+      note_worth(query, now_ <= query.aim_at ? earned(query, weight) : 0);
     if (earned(query, weight) > 0) {
       bool whole = weight >= need_of(query) - weight_slack;
       actions_->push_back(AnswerQuery{query.id, whole && query.first_whole});
