--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -52,7 +52,7 @@
 constexpr double load_up = 1.1;           // at most, and only while the limit is in use
 constexpr double load_least = 2;          // parts: something is always under way, or nothing would be learnt
 constexpr Duration worth_memory = 8s;     // what was asked and what it earned is smoothed over this
-constexpr double worth_slack = 1.3;       // times what earned something may be let in
+constexpr double worth_slack = 1.5;       // times what earned something may be let in
 constexpr double hopeless_width = 0.3;    // more of it for each factor e of parts, where all are needed
 constexpr double hopeless_latencies = 1;  // mean latencies a query held back must have left to its aim
 // Attempts.
@@ -890,7 +890,7 @@
     if (found == queries_.end() || found->second.ended) return;
     Query& query = found->second;
     query.ended = true;
-    if (query.step == 1 && query.admitted) note_worth(query, 0);
+    if (query.step == 1) note_worth(query, 0);
     for (Part& part : query.parts) {
       if (!part.in) cancel_out(part);
       for (Attempt& attempt : part.attempts)
