--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -45,16 +45,16 @@
 constexpr double cold_use = 0.5;
 constexpr Duration rate_memory = 5s;  // own send rate to warm nodes is smoothed over this
 // Admission: how many of our parts may be out at once, so that queues stay short of the aims.
-constexpr double load_target = 0.18;      // of the shortest aim: mean latency of a part that we steer for
-constexpr Duration load_period = 250ms;   // between steps of the limit
-constexpr Duration answer_memory = 1s;    // rate of answers is smoothed over this
-constexpr double load_down = 0.8;         // the limit's factor in a step, at least
-constexpr double load_up = 1.1;           // at most, and only while the limit is in use
-constexpr double load_least = 2;          // parts: something is always under way, or nothing would be learnt
-constexpr Duration worth_memory = 8s;     // what was asked and what it earned is smoothed over this
-constexpr double worth_slack = 1.5;       // times what earned something may be let in
-constexpr double hopeless_width = 0.3;    // more of it for each factor e of parts, where all are needed
-constexpr double hopeless_latencies = 1;  // mean latencies a query held back must have left to its aim
+constexpr double load_target = 0.18;     // of the shortest aim: mean latency of a part that we steer for
+constexpr Duration load_period = 250ms;  // between steps of the limit
+constexpr Duration answer_memory = 1s;   // rate of answers is smoothed over this
+constexpr double load_down = 0.8;        // the limit's factor in a step, at least
+constexpr double load_up = 1.1;          // at most, and only while the limit is in use
+constexpr double load_least = 2;         // parts: something is always under way, or nothing would be learnt
+constexpr Duration worth_memory = 8s;    // what was asked and what it earned is smoothed over this
+constexpr double worth_slack = 1.5;      // times what earned something may be let in
+constexpr double hopeless_most =
+    0.95;  // a query needs the time within which so many of its attempts end, at most
 // Attempts.
 constexpr double overdue_share = 0.7;  // of the aim: a part out for longer counts as timed out
 constexpr double mostly_share = 0.9;   // of a query's parts in: the rest are its last parts
@@ -378,9 +378,9 @@
       sum += sample.took;
       ++count;
     }
-    auto middle = seen.begin() + static_cast<std::ptrdiff_t>(seen.size() / 2);
-    std::nth_element(seen.begin(), middle, seen.end());
-    median_ = *middle;
+    std::sort(seen.begin(), seen.end());
+    sorted_ = seen;
+    median_ = latency_at(0.5);
     for (const auto& [id, node] : nodes_)
       for (Time sent : node.outstanding) seen.push_back(Duration(now_ - sent).count());
     auto usual = seen.begin() + static_cast<std::ptrdiff_t>(usual_share * static_cast<double>(seen.size()));
@@ -388,6 +388,12 @@
     usual_ = *usual;
   }
 
+  // Within what time such a share of the attempts that answered did so.
+  double latency_at(double share) const {
+    if (sorted_.empty()) return 0;
+    return sorted_[static_cast<std::size_t>(share * static_cast<double>(sorted_.size() - 1))];
+  }
+
   void adjust_coverage() {
     keep_window(outcomes_, strain_least);
     if (now_ < coverage_changed_ + strain_window || outcomes_.size() < strain_least) return;
@@ -581,9 +587,9 @@
     for (Query* query : held) {
       // Without the time that its parts take it is given up at once, room or not.
       const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query->cls)];
-      double width = cls.floor < cls.need ? 0 : std::log(static_cast<double>(query->parts.size()));
-      double latencies = hopeless_latencies * (1 + hopeless_width * width);
-      if (now_ + Duration(median_ * latencies) + margin() > std::min(query->aim_at, leave_at(*query))) {
+      double parts = static_cast<double>(query->parts.size());
+      double share = cls.floor < cls.need ? 0.5 : std::min(hopeless_most, parts / (parts + 1));
+      if (now_ + Duration(latency_at(share)) + margin() > std::min(query->aim_at, leave_at(*query))) {
         finish(*query);
       } else if (room > 0) {
         query->admitted = true;
@@ -1059,6 +1065,7 @@
   std::deque<Sample> latencies_;                           // of ended attempts
   std::map<int, std::pair<double, double>> zone_latency_;  // their sum and count, by zone
   double median_ = 0;                                      // of theirs, seconds; 0 = none seen yet
+  std::vector<double> sorted_;                             // theirs
   double usual_ = 0;                                       // most attempts end within this, seconds
   double out_ = 0;                                         // attempts out that are not given up
   double warm_rate_ = 0;                                   // own sends a second to each warm node, smoothed
