--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -36,11 +36,7 @@
 constexpr double latency_gain = 0.2;        // weight of a new sample in the smoothed latency
 constexpr Duration latency_memory = 4s;     // a sample after a silence of this length weighs about two thirds
 constexpr Duration latency_trust = 10s;  // after so long a silence, a node counts two thirds as its zone does
-constexpr double failure_gain = 0.25;    // weight of a new outcome in a node's share of failures
-constexpr double failure_limit = 0.4;    // share: two failures in a row pass it, one does not
 constexpr int down_unreached = 2;        // failed connections without an answer: the node was down
-constexpr Duration avoid_first = 1s;     // first time of avoidance; it doubles
-constexpr Duration avoid_most = 8s;      // so that a node that is back waits no longer than this
 // Cold nodes: the share of what the rule allows that we plan to use, since all brokers' sends add up.
 constexpr double cold_use = 0.5;
 constexpr Duration rate_memory = 5s;  // own send rate to warm nodes is smoothed over this
@@ -70,11 +66,6 @@
 constexpr double extra_most = 30;          // further attempts saved up at most
 // Answering.
 constexpr double first_step_share = 0.6;   // of the aim, where a second step has to follow
-constexpr double leave_share = 0.85;       // of the age at which clients leave: answered by then
-constexpr double leave_gain_down = 0.3;    // weight of a younger leave in that age
-constexpr double leave_gain_up = 0.05;     // of an older one, so that it stays near the youngest
-constexpr int leave_least = 3;             // leaves seen before it counts
-constexpr Duration leave_memory = 5s;      // without a further leave it no longer does
 constexpr Duration answer_margin = 8ms;    // way to the client, kept free besides two batch spans
 constexpr Duration return_advice = 500ms;  // named with a refusal
 
@@ -131,27 +122,13 @@
   std::vector<Part> parts;
 };
 
-// Clients of one class that left before their time was up.
-struct Leaving {
-  double age = 0;  // of their queries then, seconds, smoothed, leaning to the low side
-  Time last{};
-  int seen = 0;
-};
-
 struct Node {
   Member member;
   bool listed = false;
   double latency = 0;  // smoothed, seconds; 0 = not heard of yet
   Time last_sample{};
-  double failures = 0;  // smoothed share
-  Duration avoid_for = avoid_first;
-  Time avoid_until{};
-  bool on_trial = false;  // avoided lately: one call at a time until it answers
-  bool probing = false;
-  Time probe_at = Time::max();
   int unreached = 0;  // connections that failed since its last answer
-  Time last_failure{};
-  Time started{};  // last known or assumed start
+  Time started{};     // last known or assumed start
   int calls = 0;
   std::deque<Time> outstanding;   // attempts that are out: sent when
   std::deque<Time> recent_sends;  // within the span of the cold-node rule
@@ -186,7 +163,6 @@
     round_calls_.clear();
     for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
     renew_list();
-    probe_avoided();
     read_latencies();
     adjust_coverage();
     adjust_limit();
@@ -226,10 +202,6 @@
   // A process that started anew owes nothing to its predecessor's record.
   void forget_past(Node& node) {
     node.latency = 0;
-    node.failures = 0;
-    node.avoid_until = Time{};
-    node.avoid_for = avoid_first;
-    node.on_trial = true;
     node.unreached = 0;
   }
 
@@ -244,10 +216,6 @@
 
   // ---- node health ----
 
-  bool avoided(const Node& node) const {
-    return now_ < node.avoid_until || (node.on_trial && node.calls > 0);
-  }
-
   void take_latency(Node& node, double sample) {
     if (node.latency <= 0) {
       node.latency = sample;
@@ -258,47 +226,14 @@
     node.last_sample = now_;
   }
 
-  // Failures of one batch count once: a connection that breaks takes all its attempts along. A node is judged
-  // beside the others: where all fail alike (a lossy network, a bad release) avoiding some only crowds the
-  // rest.
-  void take_failure(Node& node, bool failed) {
-    if (failed && node.last_failure == now_) return;
-    if (failed) node.last_failure = now_;
-    node.failures += failure_gain * ((failed ? 1 : 0) - node.failures);
-    if (!failed) return;
-    double sum = 0, count = 0;
-    for (const auto& [id, other] : nodes_)
-      if (other.member.status == NodeStatus::ready && &other != &node) sum += other.failures, ++count;
-    if (node.on_trial || node.failures > failure_limit + sum / std::max(1.0, count)) avoid(node);
-  }
-
-  void avoid(Node& node) {
-    if (now_ < node.avoid_until) return;
-    node.avoid_until = now_ + node.avoid_for * (0.9 + 0.2 * uniform());
-    node.avoid_for = std::min(node.avoid_for * 2, Duration(avoid_most));
-    node.on_trial = true;
-    node.probe_at = node.avoid_until;
-    log("node " + std::to_string(node.member.node) + " avoided: its attempts fail or stay out");
-  }
-
-  // A node that was avoided is probed before a part is risked on it: a failed probe costs no query its time.
-  void probe_avoided() {
-    if (!s_.may_probe) return;
-    for (auto& [id, node] : nodes_) {
-      if (!node.on_trial || node.probing || now_ < node.probe_at || node.member.status != NodeStatus::ready)
-        continue;
-      node.probing = true;
-      actions_->push_back(ProbeNode{id});
-    }
-  }
-
-  void on(const ProbeEnded& ended) {
-    auto found = nodes_.find(ended.node);
-    if (found == nodes_.end() || !found->second.probing) return;
-    Node& node = found->second;
-    node.probing = false;
-    node.probe_at = Time::max();
-    if (ended.outcome != Outcome::ok && node.on_trial) avoid(node);
+  // A failure counts as an answer that took the whole patience of its attempt: a node that fails fast would
+  // else look quick, and one that often fails ranks behind one that is merely slow. Where all fail alike, the
+  // ranks stay as they are, and the least bad still gets its parts.
+  void take_failure(Node& node, const Attempt& attempt) {
+    bool bad = node.latency >= attempt.patience / 2;
+    take_latency(node, std::max(node.latency, attempt.patience));
+    if (!bad && node.latency >= attempt.patience / 2)
+      log("node " + std::to_string(node.member.node) + " counts as slow: its attempts fail or stay out");
   }
 
   void take_success(Node& node, double took) {
@@ -311,12 +246,6 @@
     }
     node.unreached = 0;
     take_latency(node, took);
-    take_failure(node, false);
-    if (node.on_trial && now_ >= node.avoid_until) {
-      node.on_trial = false;
-      node.failures = std::min(node.failures, failure_limit / 2);
-      node.avoid_for = avoid_first;
-    }
     answer_rate_ = answer_rate() + 1 / answer_memory.count();
     answered_at_ = now_;
   }
@@ -369,6 +298,8 @@
   // counts at its age in the usual one.
   void read_latencies() {
     keep_window(latencies_, latency_least);
+    sorted_.clear();
+    median_ = usual_ = 0;
     if (latencies_.empty()) return;
     std::vector<double> seen;
     zone_latency_.clear();
@@ -457,7 +388,7 @@
         if (part.step == query.step && part.attempts.empty()) ++parts;
     }
     for (const auto& [id, node] : nodes_)
-      if (node.member.status == NodeStatus::ready && !avoided(node)) ++nodes;
+      if (node.member.status == NodeStatus::ready) ++nodes;
     call_size_ = std::clamp(static_cast<int>(std::ceil(parts / std::max(1.0, nodes))), 1, s_.parts_per_call);
   }
 
@@ -481,7 +412,6 @@
     for (auto& [id, node] : nodes_) {
       if (!holds(node, part.shard) || !may_send(query, part, node)) continue;
       int tier = 0;
-      if (avoided(node)) tier += 1;
       for (const Attempt& attempt : part.attempts)
         if (attempt.node == id) tier += attempt.out ? 8 : 2;
       std::pair<int, double> rank{tier, cost_of(node)};
@@ -585,11 +515,13 @@
                      [this](auto* a, auto* b) { return density(*a) > density(*b); });
     double room = limit_ - out_;
     for (Query* query : held) {
-      // Without the time that its parts take it is given up at once, room or not.
+      // Without the time that its parts take it is given up at once, room or not. Old knowledge is not held
+      // against it: with nothing let in, nothing new would ever be learnt.
       const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query->cls)];
       double parts = static_cast<double>(query->parts.size());
       double share = cls.floor < cls.need ? 0.5 : std::min(hopeless_most, parts / (parts + 1));
-      if (now_ + Duration(latency_at(share)) + margin() > std::min(query->aim_at, leave_at(*query))) {
+      bool fresh = !latencies_.empty() && latencies_.back().at > now_ - strain_window;
+      if (fresh && now_ + Duration(latency_at(share)) + margin() > query->aim_at) {
         finish(*query);
       } else if (room > 0) {
         query->admitted = true;
@@ -649,8 +581,7 @@
     attempt.given_up = true;
     --out_;
     node_forgets(node, attempt);
-    take_latency(node, std::max(node.latency, Duration(now_ - attempt.sent).count()));
-    take_failure(node, true);
+    take_failure(node, attempt);
   }
 
   void node_forgets(Node& node, const Attempt& attempt) {
@@ -709,6 +640,7 @@
       case Outcome::refused:
         note_outcome(true);
         note_latency(node, attempt, attempt.patience);
+        take_latency(node, std::max(node.latency, attempt.patience));
         break;
       case Outcome::timeout:
         note_latency(node, attempt, took);
@@ -719,11 +651,11 @@
       case Outcome::reset:
         if (ended.outcome == Outcome::connect_failed) ++node.unreached;
         note_outcome(false);
-        take_failure(node, true);
+        take_failure(node, attempt);
         break;
       case Outcome::error:
         note_outcome(false);
-        take_failure(node, true);
+        take_failure(node, attempt);
         break;
       case Outcome::cancelled:
         note_latency(node, attempt, took);
@@ -783,8 +715,8 @@
     // would be spent.
     bool tried = std::any_of(part.attempts.begin(), part.attempts.end(),
                              [&](auto& attempt) { return attempt.node == node->member.node; });
-    if (out == 0 && (tried || (!part.attempts.empty() && avoided(*node))) && now_ < part.retry_at) return;
-    if (out > 0 && (avoided(*node) || node->member.node == part.attempts.back().node)) return;
+    if (out == 0 && tried && now_ < part.retry_at) return;
+    if (out > 0 && node->member.node == part.attempts.back().node) return;
     if (out > 0) extra_credit_ -= 1;
     if (part.attempts.empty())
       extra_credit_ = std::min(extra_most, extra_credit_ + extra_ratio * std::pow(1 - false_alarms_, 2));
@@ -875,22 +807,11 @@
     double weight = weight_in(query);
     if (weight >= need_of(query) - weight_slack || !waiting) return finish(query);
     if (reachable < floor_of(query) - 2 * weight_slack) return finish(query);
-    if (now_ >= leave_at(query) && earned(query, weight) > 0) return finish(query);
     if (now_ < answer_by(query) || query.past_aim) return;
     query.past_aim = true;
     if (earned(query, weight) >= cls.late_worth) return finish(query);
   }
 
-  // When clients of a class have lately left before their time, the moment by which this one may: an answer
-  // in part that is given before it counts, and one given at the aim is given to nobody.
-  Time leave_at(const Query& query) const {
-    auto found = leaving_.find(query.cls);
-    if (found == leaving_.end() || found->second.seen < leave_least ||
-        now_ > found->second.last + leave_memory)
-      return Time::max();
-    return query.arrived + Duration(found->second.age * leave_share);
-  }
-
   void on(const ClientLeft& left) {
     auto found = queries_.find(left.query);
     if (found == queries_.end() || found->second.ended) return;
@@ -902,12 +823,6 @@
       for (Attempt& attempt : part.attempts)
         if (attempt.out && !attempt.overdue) attempt.overdue = true, note_outcome(true);
     }
-    Leaving& leaving = leaving_[query.cls];
-    double age = Duration(now_ - query.arrived).count();
-    if (now_ > leaving.last + leave_memory) leaving = Leaving{age, now_, 0};
-    leaving.age += (age < leaving.age ? leave_gain_down : leave_gain_up) * (age - leaving.age);
-    leaving.last = now_;
-    ++leaving.seen;
   }
 
   void forget_ended() {
@@ -933,10 +848,7 @@
       if (query.ended) continue;
       next = std::min(next, query.deadline - margin());
       if (!query.admitted) next = std::min(next, now_ + s_.quantum * 4);
-      if (!query.past_aim) {
-        next = std::min(next, answer_by(query));
-        if (now_ < leave_at(query)) next = std::min(next, leave_at(query));
-      }
+      if (!query.past_aim) next = std::min(next, answer_by(query));
       for (const Part& part : query.parts) {
         if (part.in || part.lost || !part.chosen || part.step != query.step) continue;
         if (part.out() == 0) next = std::min(next, now_ + s_.quantum * 4);
@@ -946,10 +858,6 @@
       }
     }
     if (s_.membership_by_asking && !subscribed_) next = std::min(next, ask_again_);
-    if (s_.may_probe)
-      for (const auto& [id, node] : nodes_)
-        if (node.on_trial && !node.probing && node.member.status == NodeStatus::ready)
-          next = std::min(next, node.probe_at);
     if (next == Time::max()) return;
     if (armed_ != Time{} && armed_ <= next) return;
     armed_ = std::max(next, now_ + s_.quantum);
@@ -962,6 +870,7 @@
   }
   void on(const StreamStarted&) {}
   void on(const PeerMessage&) {}
+  void on(const ProbeEnded&) {}
 
   // ---- rule guards ----
 
@@ -1081,7 +990,6 @@
   Time answered_at_{};
   Time limit_changed_{};
 
-  std::map<int, Leaving> leaving_;              // by class
   std::map<std::pair<int, int>, Worth> worth_;  // by class and tenant
 
   double coverage_ = 1;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -160,6 +160,7 @@
     settings.may_cancel = may_cancel;
     Bench bench(settings);
     bench.list_all();
+    bench.warm_up(40);
     bench.query(1, {1.0});
     bench.step();
     auto send = bench.sends().at(0);
