--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -581,7 +581,7 @@
     attempt.given_up = true;
     --out_;
     node_forgets(node, attempt);
-    take_failure(node, attempt);
+    take_latency(node, std::max(node.latency, Duration(now_ - attempt.sent).count()));  // so long at least
   }
 
   void node_forgets(Node& node, const Attempt& attempt) {
