--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -2,10 +2,10 @@
 //
 // One Broker decides for one aggregator. In the order of this file:
 //   membership   the list of nodes, drains, and asking for the list where it does not come by itself
-//   node health  smoothed latency, failures, who is avoided for a while, who is cold
+//   node health  smoothed latency, in which failures count, and who is cold
 //   narrowing    the coverage share (DESIGN): whole at first, less under strain, never under a class's floor
 //   replica      least smoothed latency x (1 + our calls outstanding there); an unheard-of node is average
-//   admission    what is refused on arrival
+//   admission    what is refused on arrival: by lot, for want of time, or after waiting for room
 //   attempts     sends, time-outs, further attempts and second copies
 //   answering    when a query ends, and how
 //   rule guards  may_send() and finish(): every send and every final answer passes there and nowhere else
@@ -115,6 +115,7 @@
   int expected = 0;  // parts of this step that are still to be told
   bool first_whole = true;
   bool admitted = false;
+  bool dark = false;  // refused for its shards
   bool ended = false;
   bool past_aim = false;
   Duration mostly_in{};  // how long after its admission nearly all its parts were in; 0 = not yet
@@ -134,7 +135,7 @@
   std::deque<Time> recent_sends;  // within the span of the cold-node rule
 };
 
-// What a class asked for and what that earned, in parts.
+// What was asked for and what that earned, in parts, smoothed.
 struct Worth {
   double asked = 0;
   double earned = 0;
@@ -270,7 +271,7 @@
   void note_warm_send() {
     double warm = 0;
     for (const auto& [id, node] : nodes_)
-      if (node.member.status == NodeStatus::ready && !cold(node)) ++warm;  // avoided or not: they may all be
+      if (node.member.status == NodeStatus::ready && !cold(node)) ++warm;
     double gap = Duration(now_ - warm_rate_at_).count();
     warm_rate_ =
         warm_rate_ * std::exp(-gap / rate_memory.count()) + 1 / (rate_memory.count() * std::max(1.0, warm));
@@ -404,8 +405,7 @@
     return latency * (1 + node.calls - (joins ? 1 : 0));  // the call that the part would join is the "one"
   }
 
-  // The node for the part's next attempt, or none. Healthy nodes that this part has not tried come first;
-  // when all look bad, the least bad still gets it.
+  // The node for the part's next attempt, or none: those that this part has not tried come first.
   Node* choose_node(const Query& query, const Part& part) {
     Node* best = nullptr;
     std::pair<int, double> best_rank;
@@ -452,7 +452,7 @@
     part.weight = arrival.weight;
     query.parts.push_back(part);
     part_owner_[arrival.part] = query.id;
-    if (query.expected > 0 && --query.expected == 0 && !query.admitted && drawn_out(query)) finish(query);
+    if (query.expected > 0 && --query.expected == 0 && !query.admitted) draw_lots(query);
   }
 
   Duration shortest_aim() const {
@@ -490,18 +490,39 @@
 
   // Work that earned nothing was in vain, and its clients ask again: a class is let in only so far beyond
   // what earns, drawn by lot, since a broker that sees a query in ten seconds does its share only on average.
-  void note_worth(const Query& query, double earned) {
-    Worth& worth = worth_[{query.cls, query.tenant}];
+  void note(Worth& worth, double asked, double earned) const {
     double fade = std::exp(-(now_ - worth.at) / worth_memory);
-    double parts = static_cast<double>(query.parts.size());
-    worth = {worth.asked * fade + parts, worth.earned * fade + parts * earned, now_};
+    worth = {worth.asked * fade + asked, worth.earned * fade + earned, now_};
   }
 
-  bool drawn_out(const Query& query) {
-    const Worth& worth = worth_[{query.cls, query.tenant}];
+  bool drawn_out(const Worth& worth, double asked) {
     double fade = std::exp(-(now_ - worth.at) / worth_memory);
+    return uniform() < (worth.asked - worth_slack * worth.earned) * fade / (worth.asked * fade + asked);
+  }
+
+  void note_worth(const Query& query, double earned) {
+    if (query.step != 1 || query.dark) return;
     double parts = static_cast<double>(query.parts.size());
-    return uniform() < (worth.asked - worth_slack * worth.earned) * fade / (worth.asked * fade + parts);
+    note(worth_[{query.cls, query.tenant}], parts, parts * earned);
+    // A part that merely waits when its client leaves says nothing of its shard.
+    for (const Part& part : query.parts)
+      if (part.in || std::any_of(part.attempts.begin(), part.attempts.end(),
+                                 [](auto& attempt) { return attempt.given_up || !attempt.out; }))
+        note(shards_[part.shard], 1, part.in ? 1 : 0);
+  }
+
+  // On arrival. A shard whose parts do not come back, whichever replica they go to (all of them hang or are
+  // full, or it is hot), is spared by the same lot: the query does without the part, or is refused at once
+  // where it can't, before its other parts are worked on in vain.
+  void draw_lots(Query& query) {
+    double reachable = 0;
+    for (Part& part : query.parts) {
+      part.lost = drawn_out(shards_[part.shard], 1);
+      if (!part.lost) reachable += part.weight;
+    }
+    query.dark = reachable < floor_of(query) - 2 * weight_slack;
+    if (query.dark || drawn_out(worth_[{query.cls, query.tenant}], static_cast<double>(query.parts.size())))
+      finish(query);
   }
 
   // Lets queries in, the most worth for its parts first, while there is room under the limit; what has no
@@ -817,7 +838,7 @@
     if (found == queries_.end() || found->second.ended) return;
     Query& query = found->second;
     query.ended = true;
-    if (query.step == 1) note_worth(query, 0);
+    note_worth(query, 0);
     for (Part& part : query.parts) {
       if (!part.in) cancel_out(part);
       for (Attempt& attempt : part.attempts)
@@ -905,12 +926,12 @@
     // Drains: nothing new from the moment we are told. The grace is for what was decided before; a node that
     // drains turns new work away anyway.
     if (node.member.status != NodeStatus::ready) return false;
-    // Cold nodes: what went there before we were told of the start counts too, as it does in the rule.
+    // Cold nodes: all of the span counts, whenever the start is taken to be, since a start that is only
+    // inferred may be inferred again.
     if (cold(node)) {
       auto& sends = node.recent_sends;
       while (!sends.empty() && sends.front() <= now_ - s_.fall_span) sends.pop_front();
-      auto since = sends.end() - std::lower_bound(sends.begin(), sends.end(), node.started);
-      if (static_cast<double>(since) + 1 > cold_allowance(node)) return false;
+      if (static_cast<double>(sends.size()) + 1 > cold_allowance(node)) return false;
     }
     return true;
   }
@@ -991,6 +1012,7 @@
   Time limit_changed_{};
 
   std::map<std::pair<int, int>, Worth> worth_;  // by class and tenant
+  std::map<int, Worth> shards_;                 // the same by shard, in parts
 
   double coverage_ = 1;
   Time coverage_changed_{};
