--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -195,6 +195,10 @@
       node.listed = true;
       if (member.start_known && (!known || member.started > node.started)) {
         if (known && member.started > node.started + 1ms) forget_past(node);
+        // What it got while it was thought warm no longer speaks for what a warm node gets.
+        auto& sends = node.recent_sends;
+        auto recent = sends.end() - std::lower_bound(sends.begin(), sends.end(), now_ - s_.fall_span);
+        if (!cold(node)) note_warm_sends(-static_cast<double>(recent));
         node.started = std::max(node.started, member.started);
       }
     }
@@ -268,13 +272,13 @@
 
   // Shared out over the nodes that were warm at the time: when many restart at once, the few that are still
   // warm must not be credited with what all of them took.
-  void note_warm_send() {
+  void note_warm_sends(double sends) {
     double warm = 0;
     for (const auto& [id, node] : nodes_)
       if (node.member.status == NodeStatus::ready && !cold(node)) ++warm;
-    double gap = Duration(now_ - warm_rate_at_).count();
-    warm_rate_ =
-        warm_rate_ * std::exp(-gap / rate_memory.count()) + 1 / (rate_memory.count() * std::max(1.0, warm));
+    double gap = Duration(now_ - warm_rate_at_).count() / rate_memory.count();
+    warm_rate_ = warm_rate_ * std::exp(-gap) + sends / (rate_memory.count() * std::max(1.0, warm));
+    warm_rate_ = std::max(0.0, warm_rate_);
     warm_rate_at_ = now_;
   }
 
@@ -578,7 +582,7 @@
     while (!node.recent_sends.empty() && node.recent_sends.front() <= now_ - s_.fall_span)
       node.recent_sends.pop_front();
     node.recent_sends.push_back(now_);
-    if (!cold(node)) note_warm_send();
+    if (!cold(node)) note_warm_sends(1);
     if (further) extras_.push_back(now_);
     Duration wait = end_of(query) - now_;
     if (!s_.may_copy && !s_.may_cancel && more_allowed(query, part))
@@ -609,7 +613,6 @@
     node.outstanding.erase(std::find(node.outstanding.begin(), node.outstanding.end(), attempt.sent));
   }
 
-  // Whether the class and the counts would let the part have one more attempt after the present ones.
   bool more_allowed(const Query& query, const Part& part) const {
     return static_cast<int>(part.attempts.size()) < s_.max_attempts &&
            s_.classes[static_cast<std::size_t>(query.cls)].effect != Effect::unsafe;
@@ -779,7 +782,6 @@
     return all && any ? std::max(sum, 1.0) : sum;
   }
 
-  // When the step has to be answered for the whole query to be in time.
   Time answer_by(const Query& query) const {
     const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
     Duration aim = query.aim_at - margin() - query.arrived;
