A part that could not be back in time is given up at once; a line when the limit first binds

Cause: read of the module; a part whose attempts had failed late got no further one and still held its query until the client's time was nearly up.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -41,7 +41,7 @@
 constexpr double cold_use = 0.5;
 constexpr Duration rate_memory = 5s;  // own send rate to warm nodes is smoothed over this
 // Admission: how many of our parts may be out at once, so that queues stay short of the aims.
-constexpr double load_target = 0.18;     // of the shortest aim: mean latency of a part that we steer for
+constexpr double load_target = 0.18;     // of the shortest aim: median latency of a part that we steer for
 constexpr Duration load_period = 250ms;  // between steps of the limit
 constexpr Duration answer_memory = 1s;   // rate of answers is smoothed over this
 constexpr double load_down = 0.8;        // the limit's factor in a step, at least
@@ -257,9 +257,8 @@
 
   bool cold(const Node& node) const { return node.started != Time{} && now_ < node.started + s_.warm_within; }
 
-  // Sends of ours that a cold node may get within one span of the rule. The sum over all brokers counts, and
-  // none knows the others' part; but what warm nodes get from each of us adds up to what a warm node can do,
-  // so each stays within that share of its own rate.
+  // Sends a cold node may get from us in a span of the rule. The sum over all brokers counts; what warm nodes
+  // get from each adds up to what a warm node can do, so each stays within that share of its own rate.
   double cold_allowance(const Node& node) const {
     double age = std::max(0.0, Duration(now_ - node.started).count());
     double ready = s_.start_capacity + (1 - s_.start_capacity) * std::min(1.0, age / s_.warm_within.count());
@@ -465,15 +464,16 @@
     return aim;
   }
 
-  // Little's law: parts out = rate of answers x mean latency. Where the mean is over its target, the limit
-  // goes to what the present rate would hold at the target, so it does not fall through on a burst; under it,
-  // it grows.
+  // Little's law: parts out = rate of answers x latency. Over the target, the limit goes to what the present
+  // rate would hold at it, so it does not fall through on a burst; under it, it grows.
   void adjust_limit() {
     most_out_ = std::max(most_out_, out_);
     if (now_ < limit_changed_ + load_period || median_ <= 0) return;
     double target = load_target * shortest_aim().count();
     if (median_ > target) {
+      bool first = limit_ > most_out_;
       limit_ = std::max({load_least, answer_rate() * target, std::min(limit_, most_out_) * load_down});
+      if (first) log("limit of " + std::to_string(static_cast<int>(limit_)) + " parts out: answers are slow");
     } else if (most_out_ >= 0.8 * limit_) {
       limit_ = limit_ * load_up + 1;
     }
@@ -698,10 +698,8 @@
         actions_->push_back(CancelAttempt{part.id, static_cast<int>(i)});
   }
 
-  // Sends what is chosen and not out. A part whose node has fallen silent goes to another as well, where
-  // second copies are allowed and earned, or instead, once its attempt is called off. A part that merely
-  // waits gets no further attempt: the first goes on running, and a copy would only add to the load that it
-  // waits for.
+  // Sends what is chosen and not out. A part whose attempt is taken for lost goes to another node as well,
+  // where second copies are allowed and earned, or instead, once that attempt is called off.
   void pursue(Query& query, Part& part) {
     if (!part.chosen || part.in || part.lost || query.ended) return;
     int out = 0;
@@ -718,8 +716,11 @@
       stuck = stuck && attempt.given_up;
     }
     if (out > 0 && (!stuck || out > 1 || !more_allowed(query, part))) return;
-    // Nothing more goes out that could hardly be back in time.
-    if (!part.attempts.empty() && now_ + Duration(median_) > std::min(query.aim_at, end_of(query))) return;
+    // Nothing more goes out that could hardly be back in time; a part that would need it is given up at once.
+    if (!part.attempts.empty() && now_ + Duration(median_) > std::min(query.aim_at, end_of(query))) {
+      part.lost = out == 0;
+      return;
+    }
     if (out > 0 && !s_.may_copy && s_.may_cancel) {
       if (extra_credit_ >= 1 && !part.called_off) {
         part.called_off = true;
@@ -734,9 +735,8 @@
       if (out == 0 && !could_ever_send(query, part)) part.lost = true;
       return;
     }
-    // A further attempt goes at once to a healthy node that the part has not tried; to any other it waits a
-    // moment: nodes that turn work away or cannot be reached say so within a millisecond, and all attempts
-    // would be spent.
+    // Back to a node that the part has tried it goes after a moment: nodes that turn work away or can't be
+    // reached say so within a millisecond, and all attempts would be spent.
     bool tried = std::any_of(part.attempts.begin(), part.attempts.end(),
                              [&](auto& attempt) { return attempt.node == node->member.node; });
     if (out == 0 && tried && now_ < part.retry_at) return;
