--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -502,6 +502,62 @@
   EXPECT_GT(partial_without, 30u);
 }
 
+// A part that failed too late for another attempt ends its query there and then, not when the client leaves.
+TEST(Answering, AQueryWhosePartCanNoLongerBeBackIsGivenUpAtOnce) {
+  Bench bench;
+  bench.list_all(3);
+  bench.warm_up(40, 300ms);
+  bench.query(1, {0.5, 0.5});
+  bench.step();
+  auto sends = bench.sends();
+  ASSERT_EQ(sends.size(), 2u);
+  bench.outcome(sends[0].part, sends[0].node, 0, Outcome::ok);
+  bench.run(400ms);
+  std::map<PartId, std::pair<NodeId, int>> last{{sends[1].part, {sends[1].node, 0}}};
+  for (const SendPart& copy : bench.sends()) last[copy.part] = {copy.node, 1};
+  bench.run(1500ms);  // of the aim of two seconds
+  for (const SendPart& copy : bench.sends()) last[copy.part] = {copy.node, 1};
+  bench.outcome(sends[1].part, sends[1].node, 0, Outcome::error);
+  auto [node, attempt] = last[sends[1].part];
+  if (attempt == 1) bench.outcome(sends[1].part, node, 1, Outcome::error);
+  bench.step();
+  EXPECT_EQ(bench.refusals().size(), 1u);
+  EXPECT_TRUE(bench.sends().empty());
+}
+
+// Full size: 200 parts over 300 nodes, one of which never answers. Its parts go elsewhere, the answer is
+// whole.
+TEST(Attempts, OneLostNodeAmongHundredsDoesNotCostAWideQueryItsWholeAnswer) {
+  Settings settings = plain_settings();
+  settings.cells = 75;
+  settings.shards = 75;
+  Bench bench(settings);
+  std::vector<Member> members;
+  for (int cell = 0; cell < 75; ++cell)
+    for (int i = 0; i < 4; ++i) members.push_back(Bench::member(static_cast<NodeId>(cell * 10 + i), cell));
+  bench.list(members, ListForm::saved);
+  std::vector<int> shards;
+  for (int i = 0; i < 200; ++i) shards.push_back(i % 75);
+  std::size_t whole = 0;
+  NodeId lost = 0;
+  for (int i = 0; i < 5; ++i) {
+    QueryId id = bench.query(1, std::vector<double>(200, 0.005), shards);
+    bench.step();
+    std::map<PartId, int> attempts;
+    for (int turn = 0; turn < 150; ++turn) {
+      if (i == 0 && turn == 0) lost = bench.sends().at(0).node;
+      for (const SendPart& send : bench.sends()) {
+        int attempt = attempts[send.part]++;
+        if (send.node != lost) bench.outcome(send.part, send.node, attempt, Outcome::ok, 100ms);
+      }
+      bench.step(20ms);
+      for (const AnswerQuery& answer : bench.answers()) whole += answer.query == id && answer.whole ? 1 : 0;
+    }
+    bench.run(2s);
+  }
+  EXPECT_EQ(whole, 5u);
+}
+
 TEST(Answering, APartialAnswerIsGivenBeforeTheAimIsLost) {
   Bench bench;
   bench.list_all();
