--- a/tests/order_test.cpp
+++ b/tests/order_test.cpp
@@ -102,9 +102,13 @@
 // Plays the events of one run and checks each action as it comes.
 class Sequence {
  public:
-  explicit Sequence(std::uint64_t seed)
-      : draw_(seed), s_(draw_settings(draw_)), policy_(make_policy(s_, seed)) {
-    for (int i = 0; i < draw_.whole(1, 12); ++i) {
+  // With `nodes`, a fleet of that many in place of a few, and queries of up to 200 parts.
+  explicit Sequence(std::uint64_t seed, int nodes = 0)
+      : draw_(seed),
+        s_(widened(draw_settings(draw_), nodes)),
+        policy_(make_policy(s_, seed)),
+        wide_(nodes > 0) {
+    for (int i = 0; i < (wide_ ? nodes : draw_.whole(1, 12)); ++i) {
       Member member;
       member.node = static_cast<NodeId>(100 + i);
       member.cell = draw_.whole(0, s_.cells - 1);
@@ -126,6 +130,14 @@
   std::string trace;
 
  private:
+  static Settings widened(Settings s, int nodes) {
+    if (nodes == 0) return s;
+    s.cells = std::max(1, nodes / 4);
+    s.cells_per_shard = std::min(s.cells_per_shard, 3);
+    s.shards = s.cells * 2;
+    return s;
+  }
+
   std::size_t open_queries() const {
     std::size_t open = 0;
     for (const auto& [id, query] : queries_) open += !query.ended && !query.left;
@@ -204,7 +216,7 @@
     q.cls = draw_.whole(0, static_cast<int>(s_.classes.size()) - 1);
     const ClassSettings& cls = s_.classes[static_cast<std::size_t>(q.cls)];
     q.deadline = now_ + cls.give_up * draw_.in(draw_.chance(0.1) ? 0 : 0.5, 1);
-    q.parts = draw_.chance(0.05) ? 0 : draw_.whole(1, draw_.chance(0.1) ? 30 : 6);
+    q.parts = draw_.chance(0.05) ? 0 : draw_.whole(1, wide_ ? 200 : draw_.chance(0.1) ? 30 : 6);
     taken_.push_back(now_);
     SeenQuery& query = queries_[q.query];
     query.cls = q.cls;
@@ -477,6 +489,7 @@
   std::multimap<Time, std::uint64_t> timers_;
   std::vector<Time> taken_, extras_;
   std::map<NodeId, std::vector<Time>> sent_to_;
+  bool wide_ = false;
 };
 
 TEST(EventOrder, TheRulesHoldOnRandomSequences) {
@@ -499,6 +512,19 @@
   EXPECT_GT(failures, 100u);
 }
 
+TEST(EventOrder, TheRulesHoldAtSeveralHundredNodesAndTwoHundredParts) {
+  std::size_t sends = 0, answers = 0;
+  for (std::uint64_t seed = 1; seed <= 6 && !::testing::Test::HasFailure(); ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Sequence run(seed, 300);
+    run.play(120);
+    sends += run.sends;
+    answers += run.answers;
+  }
+  EXPECT_GT(sends, 1000u);
+  EXPECT_GT(answers, 5u);
+}
+
 TEST(EventOrder, TheSameSequenceGivesTheSameActions) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     Sequence first(seed), second(seed);
