SIGHUP reads the configuration again; discovery moves with a whole list

Cause: main.cpp's take_signals() left SIGHUP to its default action; discovery::Client had one address for life and would have taken a lower version of another registry for an echo five times. Change: SIGHUP reads and checks the file; discovery::Registry holds the place that stands and the one to come, whose first whole list takes over whatever its version; the former connection tells until then and is not made again. A bad file changes nothing and its key is logged; what needs a restart is named. Tests: RegistryTest (three), Config.WhatAReloadCannotChangeIsNamed, the process under SIGHUP with good, bad and absent files; without the change the process test ends on the first signal.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -73,6 +73,15 @@
     batch_timer_ = loop_.at(last_batch_ + config_.module.quantum, [] {});  // the turn's end does the rest
 }
 
+void Broker::reload(const config::Config& config) {
+  std::string fixed;
+  for (const std::string& key : config::fixed_differences(config_, config))
+    fixed += (fixed.empty() ? "" : ", ") + key;
+  if (!fixed.empty()) log_.warning("reload: changes only with a restart: {}", fixed);
+  log_.info("reload: discovery at {}", config.discovery.text());
+  discovery_.move(config.discovery);
+}
+
 void Broker::wind_down() {
   if (winding_down_) return;
   winding_down_ = true;
@@ -443,7 +452,7 @@
     out += fmt::format("{}\"{}\":{}", i == 0 ? "" : ",", outcome_names[i], counters_.attempts[i]);
   const clients::FrontCounters& front = front_.counters();
   const nodelink::LinkCounters& links = links_.counters();
-  const discovery::DiscoveryCounters& lists = discovery_.counters();
+  const discovery::DiscoveryCounters lists = discovery_.counters();
   out += fmt::format(
       "}},\"probes\":{},\"batches\":{},\"clients\":{{\"accepted\":{},\"open\":{},\"requests\":{},"
       "\"bad_requests\":{},\"closed_for_room\":{},\"timed_out\":{},\"accept_failures\":{}}},",
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -14,7 +14,7 @@
 #include "clients/front.h"
 #include "clients/query.h"
 #include "config/config.h"
-#include "discovery/client.h"
+#include "discovery/registry.h"
 #include "log/log.h"
 #include "net/loop.h"
 #include "net/slots.h"
@@ -47,6 +47,10 @@
   // To be called after each turn of the loop: hands the module what has come in.
   void end_turn();
 
+  // A new configuration, whole and checked: what can change while the broker runs takes effect, and a line
+  // names what can't.
+  void reload(const config::Config& config);
+
   // A planned end: queries are taken for a while yet, and what was taken is answered.
   void wind_down();
   bool done() const { return done_; }
@@ -127,7 +131,7 @@
   config::Config config_;
   clients::Front front_;
   nodelink::Links links_;
-  discovery::Client discovery_;
+  discovery::Registry discovery_;
   std::unique_ptr<Policy> policy_;
 
   std::vector<Event> list_news_;  // told before all else in their batch
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -145,9 +145,19 @@
     throw ConfigError(std::string("configuration: ") + error.what());
   }
   check(config);
+  config.settings = std::move(values);
   return config;
 }
 
+std::vector<std::string> fixed_differences(const Config& now, const Config& then) {
+  std::vector<std::string> keys;
+  if (now.name != then.name) keys.push_back("name");
+  if (now.listen != then.listen) keys.push_back("listen");
+  if (now.max_sockets != then.max_sockets) keys.push_back("limits.sockets");
+  if (auto path = now.settings.first_difference(then.settings)) keys.push_back("settings." + *path);
+  return keys;
+}
+
 Config read_config_file(const std::string& path) {
   std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(std::fopen(path.c_str(), "rb"), &std::fclose);
   if (!file) throw ConfigError("configuration: cannot open " + path);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -5,6 +5,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "discovery/members.h"
 #include "net/socket.h"
@@ -28,9 +29,14 @@
   discovery::MemberList known;  // as this broker last had it; may be old, or empty
   Settings module;
   settings::BrokerSettings broker;
+  settings::Values settings;  // all of them, as they were written
 };
 
 Config read_config(std::string_view text);
 Config read_config_file(const std::string& path);
 
+// The keys that differ between the two and take effect only at a start. The seed and the known list are for
+// the start alone and new each time, so they are not told.
+std::vector<std::string> fixed_differences(const Config& now, const Config& then);
+
 }  // namespace pearspar::config
--- a/src/discovery/client.cpp
+++ b/src/discovery/client.cpp
@@ -125,6 +125,7 @@
 void Client::ask_again() {
   if (up_) return ask();
   disconnect();
+  if (last_) return timer_.reset();
   connect();
 }
 
@@ -155,9 +156,10 @@
 
 void Client::fail(const std::string& why) {
   ++counters_.failures;
+  disconnect();
+  if (last_) return timer_.reset();
   // Said once for each run of failures.
   if (failures_in_a_row_ == 0) log_.warning("discovery: {}; the list stands", why);
-  disconnect();
   net::Duration pause = first_pause * static_cast<double>(1 << std::min(failures_in_a_row_, 5));
   ++failures_in_a_row_;
   timer_ = loop_.at(loop_.now() + std::min(pause, longest_pause), [this] { connect(); });
--- a/src/discovery/client.h
+++ b/src/discovery/client.h
@@ -18,6 +18,14 @@
   std::uint64_t changes = 0;  // replies to a watch that held any
   std::uint64_t stale = 0;    // older than what stands
   std::uint64_t failures = 0;
+
+  DiscoveryCounters& operator+=(const DiscoveryCounters& other) {
+    lists += other.lists;
+    changes += other.changes;
+    stale += other.stale;
+    failures += other.failures;
+    return *this;
+  }
 };
 
 class MembersUser {
@@ -36,6 +44,8 @@
   void stop();
   // Asks for the whole list again.
   void fetch();
+  // The connection that stands is the last one: once it ends, no other is made.
+  void make_last() { last_ = true; }
   // Of the list that stands; -1 where there is none yet.
   std::int64_t revision() const { return revision_; }
   const DiscoveryCounters& counters() const { return counters_; }
@@ -57,6 +67,7 @@
   net::Address address_;
   MembersUser& user_;
   bool started_ = false;
+  bool last_ = false;
   bool want_whole_ = true;
   bool up_ = false;
   bool asked_ = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,7 +27,7 @@
 pearspar::net::Fd take_signals() {
   sigset_t wanted;
   sigemptyset(&wanted);
-  for (int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&wanted, signal);
+  for (int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&wanted, signal);
   sigprocmask(SIG_BLOCK, &wanted, nullptr);
   ::signal(SIGPIPE, SIG_IGN);
   pearspar::net::Fd fd(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
@@ -35,14 +35,28 @@
   return fd;
 }
 
-int serve(const std::string& config_path, pearspar::log::Level level) {
-  pearspar::net::Fd signals = take_signals();
-  pearspar::config::Config config = pearspar::config::read_config_file(config_path);
+pearspar::config::Config read_config(const std::string& path) {
+  pearspar::config::Config config = pearspar::config::read_config_file(path);
   // Where the machine grants fewer descriptors than the configuration names, that is what there is.
   rlimit descriptors{};
   if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0 && descriptors.rlim_cur != RLIM_INFINITY)
     config.max_sockets =
         static_cast<int>(std::min<rlim_t>(static_cast<rlim_t>(config.max_sockets), descriptors.rlim_cur));
+  return config;
+}
+
+// A file that is no good changes nothing: a broker that serves must not end for it.
+void reload(pearspar::broker::Broker& broker, pearspar::log::Logger& log, const std::string& path) {
+  try {
+    broker.reload(read_config(path));
+  } catch (const std::exception& error) {
+    log.error("reload: {}; the configuration in force stays", error.what());
+  }
+}
+
+int serve(const std::string& config_path, pearspar::log::Level level) {
+  pearspar::net::Fd signals = take_signals();
+  const pearspar::config::Config config = read_config(config_path);
   pearspar::log::Logger log(STDERR_FILENO, level, config.name);
   pearspar::net::Loop loop;
   pearspar::broker::Broker broker(loop, log, config, pearspar::make_policy(config.module, config.seed));
@@ -51,6 +65,8 @@
     while (::read(signals.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
       if (info.ssi_signo == SIGUSR1)
         log.info("counters {}", broker.counters_json());
+      else if (info.ssi_signo == SIGHUP)
+        reload(broker, log, config_path);
       else
         broker.wind_down();
     }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <sstream>
@@ -117,6 +118,18 @@
 
 }  // namespace
 
+std::optional<std::string> Values::first_difference(const Values& other) const {
+  auto a = values_.begin(), b = other.values_.begin();
+  while (a != values_.end() && b != other.values_.end()) {
+    if (a->first != b->first) return std::min(a->first, b->first);
+    if (a->second.text != b->second.text) return a->first;
+    ++a, ++b;
+  }
+  if (a != values_.end()) return a->first;
+  if (b != other.values_.end()) return b->first;
+  return std::nullopt;
+}
+
 Values values_of_lines(const std::string& text) {
   Values values;
   std::istringstream in(text);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -37,6 +38,8 @@
     return found == values_.end() ? nullptr : &found->second;
   }
   bool empty() const { return values_.empty(); }
+  // The first path under which the two hold different values; nothing where they are alike.
+  std::optional<std::string> first_difference(const Values& other) const;
 
  private:
   std::map<std::string, Value> values_;
--- a/tests/broker_process.sh
+++ b/tests/broker_process.sh
@@ -90,7 +90,32 @@
   sleep 0.02
 done
 grep -q 'info: counters {' "$dir/log" || fail "no counters on SIGUSR1"
+stop TERM
 
+# A new configuration while it runs: a good one takes effect, a bad one changes nothing, neither ends it.
+say() { # words that the log must come to hold
+  for _ in $(seq 500); do
+    ! grep -q "$1" "$dir/log" || return 0
+    sleep 0.02
+  done
+  fail "the log does not say: $1"
+}
+cp "$dir/good.json" "$dir/now.json"
+start "$dir/now.json"
+sed 's/"discovery":"127.0.0.1:1"/"discovery":"127.0.0.1:2"/' "$dir/good.json" >"$dir/now.json"
+kill -HUP "$pid"
+say 'discovery moves from 127.0.0.1:1 to 127.0.0.1:2'
+cp "$dir/bad.json" "$dir/now.json"
+kill -HUP "$pid"
+say 'quantum_s.*the configuration in force stays'
+rm "$dir/now.json"
+kill -HUP "$pid"
+say 'cannot open .*the configuration in force stays'
+sed 's/"max_open":200/"max_open":300/' "$dir/good.json" >"$dir/now.json"
+kill -HUP "$pid"
+say 'only with a restart: settings.limits.max_open'
+get /health/ready | grep -q '^HTTP/1.1 200 ' || fail "not ready after reloads"
+kill -HUP "$pid"
 stop TERM
 
 # With hardly any descriptors, idle clients make way for those that have something to ask.
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -52,6 +52,20 @@
   EXPECT_EQ(config.broker.calls_per_connection, 32);
 }
 
+TEST(Config, WhatAReloadCannotChangeIsNamed) {
+  ConfigText text;
+  Config now = read_config(text.text());
+  EXPECT_TRUE(fixed_differences(now, read_config(text.text())).empty());
+  text.discovery = "127.0.0.1:2";
+  text.known = peers::list_text(41, true, "");
+  EXPECT_TRUE(fixed_differences(now, read_config(text.text())).empty());
+  text.max_open = "201";
+  text.listen = "127.0.0.1:7";
+  text.limits = R"({"sockets":256})";
+  EXPECT_EQ(fixed_differences(now, read_config(text.text())),
+            (std::vector<std::string>{"listen", "limits.sockets", "settings.limits.max_open"}));
+}
+
 // The same settings give the module the same, whichever way they are written.
 TEST(Config, SettingsMeanTheSameAsLinesAndAsJson) {
   Settings json = read_config(ConfigText().text()).module;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "config_text.h"
-#include "discovery/client.h"
+#include "discovery/registry.h"
 #include "peers.h"
 
 namespace pearspar::discovery {
@@ -217,6 +217,102 @@
   EXPECT_EQ(target, "/registry/instances");
 }
 
+// A broker's configuration may name another place while it serves.
+class RegistryTest : public ::testing::Test, protected MembersUser {
+ protected:
+  struct Agent : peers::Listener {
+    std::string target;
+    // Keeps the target of a whole call on its newest connection; false where there is none.
+    bool asked() {
+      if (peers.empty()) return false;
+      peers::Peer& peer = *peers.back();
+      std::size_t end = peer.seen().find("\r\n\r\n");
+      if (end == std::string_view::npos) return false;
+      target = std::string(peer.seen().substr(4, peer.seen().find(" HTTP") - 4));
+      peer.drop(end + 4);
+      return true;
+    }
+    void reply(const std::string& body) {
+      ASSERT_TRUE(peers.back()->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                                      "\r\n\r\n" + body));
+    }
+  };
+  void members_told(const MemberList& list) override { told.push_back(list.revision); }
+  void members_failed() override {}
+  bool until(const std::function<bool()>& enough) {
+    return peers::turn_until(
+        loop,
+        [&] {
+          for (Agent* agent : {&first, &second, &third}) agent->poll();
+        },
+        enough);
+  }
+  void start_at_first() {
+    registry.start();
+    ASSERT_TRUE(until([&] { return first.asked(); }));
+    first.reply(list_text(41, true, one));
+    ASSERT_TRUE(until([&] { return first.asked(); }));
+    ASSERT_EQ(told, std::vector<std::int64_t>{41});
+  }
+
+  const std::string one = member_text("s-1", "127.0.0.1:9", 0);
+  net::Loop loop;
+  Agent first, second, third;
+  std::vector<std::int64_t> told;
+  Registry registry{loop, peers::quiet_log(), first.address(), *this};
+};
+
+// The versions of another registry count from anywhere: its list is believed at once, however low.
+TEST_F(RegistryTest, AnotherPlaceTakesOverWithItsWholeListWhateverItsVersion) {
+  start_at_first();
+  registry.move(second.address());
+  ASSERT_TRUE(until([&] { return second.asked(); }));
+  EXPECT_EQ(second.target, "/registry/instances");
+  // Until it has told, the former place does.
+  first.reply(list_text(42, false, one));
+  ASSERT_TRUE(until([&] { return told.size() == 2; }));
+  EXPECT_TRUE(registry.moving());
+  second.reply(list_text(3, true, one));
+  ASSERT_TRUE(until([&] { return told.size() == 3; }));
+  EXPECT_EQ(told.back(), 3);
+  EXPECT_FALSE(registry.moving());
+  ASSERT_TRUE(until([&] { return second.asked() && first.peers.back()->ended(); }));
+  EXPECT_EQ(second.target.substr(0, 27), "/registry/instances?after=3");
+  EXPECT_EQ(registry.counters().lists, 2u);  // those of the place that was left stay counted
+}
+
+TEST_F(RegistryTest, TheFormerPlaceIsNotConnectedToAgain) {
+  start_at_first();
+  std::size_t connections = first.peers.size();
+  registry.move(second.address());
+  first.peers.back()->close();
+  ASSERT_TRUE(until([&] { return second.asked(); }));
+  // A while in which a client that tries again would have done so.
+  for (int i = 0; i < 100; ++i) {
+    loop.turn(net::Duration(0.002));
+    first.poll();
+  }
+  EXPECT_EQ(first.peers.size(), connections);
+  second.reply(list_text(1, true, one));
+  ASSERT_TRUE(until([&] { return told.size() == 2; }));
+}
+
+TEST_F(RegistryTest, MovedTwiceInARowTheLastPlaceCounts) {
+  start_at_first();
+  registry.move(second.address());
+  ASSERT_TRUE(until([&] { return second.asked(); }));
+  registry.move(third.address());
+  registry.move(third.address());
+  ASSERT_TRUE(until([&] { return third.asked() && second.peers.back()->ended(); }));
+  EXPECT_EQ(third.peers.size(), 1u);
+  third.reply(list_text(2, true, one));
+  ASSERT_TRUE(until([&] { return told.size() == 2; }));
+  registry.move(first.address());
+  ASSERT_TRUE(until([&] { return first.peers.size() == 2 && first.asked(); }));
+  first.reply(list_text(50, true, one));
+  ASSERT_TRUE(until([&] { return told.size() == 3; }));
+}
+
 TEST(Members, TheFaultyMemberIsNamed) {
   auto fault = [](const std::string& text) {
     try {
