A node connection that fell silent gets nothing new until something is read on it

At fault: Links::connection_for took the first connection that was up; on a silent one all places (32) had to be used up by attempts given up before another was opened, and they came free again as those were forgotten. Change: when an attempt is called off, times out, or its part is sent again, and nothing was read on its connection since it was written, the connection gets nothing new until something is read, and ends once no answer can come. No time of its own: it goes by the module's decisions. Could do harm when a whole node hangs: one connection more for each attempt taken for lost, until its query's deadline. Tests: LinksTest.AConnectionThatFellSilentGetsNothingNew, ...SpeaksAgainIsUsedAgain, ...AnswersOthersIsNotSilent.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -460,10 +460,12 @@
       front.bad_requests, front.closed_for_room, front.timed_out, front.accept_failures);
   out += fmt::format(
       "\"nodes\":{{\"connects\":{},\"connects_failed\":{},\"open\":{},\"frames\":{},\"give_ups\":{},"
-      "\"closed_idle\":{},\"late_answers\":{},\"unknown_answers\":{},\"broken_frames\":{},\"complaints\":{}}}"
+      "\"closed_idle\":{},\"fell_silent\":{},\"closed_silent\":{},\"late_answers\":{},\"unknown_answers\":{},"
+      "\"broken_frames\":{},\"complaints\":{}}}"
       ",",
       links.connects, links.connects_failed, links_.connections(), links.frames_sent, links.give_ups_sent,
-      links.closed_idle, links.late_answers, links.unknown_answers, links.broken_frames, links.complaints);
+      links.closed_idle, links.fell_silent, links.closed_silent, links.late_answers, links.unknown_answers,
+      links.broken_frames, links.complaints);
   out += fmt::format(
       "\"discovery\":{{\"lists\":{},\"changes\":{},\"stale\":{},\"failures\":{},\"revision\":{}}},",
       lists.lists, lists.changes, lists.stale, lists.failures, discovery_.revision());
--- a/src/nodelink/links.cpp
+++ b/src/nodelink/links.cpp
@@ -64,6 +64,7 @@
 // ---- sending ----
 
 void Links::send(NodeId node, std::span<const Call> call) {
+  for (const Call& part : call) doubt_earlier(part.part, part.attempt);
   net::SlotId id = connection_for(node, call);
   std::uint64_t number = ++last_call_;
   Frame frame;
@@ -103,14 +104,45 @@
   frame.bytes = call_frame(parts);
 }
 
+// A connection can fall silent while its node serves on others: the path behind it is gone, and nobody says
+// so. Found on such a day: all that went to the node kept going to that connection until all its places were
+// taken by attempts given up. Once an attempt on it is taken for lost (called off, timed out, or sent again)
+// and nothing has been read since it went out, the connection gets nothing new until something is read, and
+// ends once no answer can come any more. When a whole node hangs, each attempt taken for lost may so cost one
+// connection more, until its query's deadline.
+void Links::doubt(const Attempt& attempt) {
+  Connection* connection = connections_.find(attempt.connection);
+  if (!connection || connection->silent || !attempt.written || connection->last_read > attempt.written_at)
+    return;
+  connection->silent = true;
+  ++counters_.fell_silent;
+}
+
+// Closes it where nothing can come of it any more; true where it did.
+bool Links::end_silent(net::SlotId id) {
+  Connection& connection = *connections_.find(id);
+  if (!connection.silent || !connection.attempts.empty() || !connection.abandoned.empty() ||
+      !connection.probes.empty())
+    return false;
+  ++counters_.closed_silent;
+  close(id, "it fell silent");
+  return true;
+}
+
+void Links::doubt_earlier(PartId part, int number) {
+  auto end = by_part_.lower_bound({part, number});
+  for (auto it = by_part_.lower_bound({part, 0}); it != end; ++it) doubt(*attempts_.find(it->second));
+}
+
 // One with a free place on which none of these ids is still awaited: two answers under one id could not be
 // told apart. One that is up comes first, then one that is coming up, then a new one.
 net::SlotId Links::connection_for(NodeId node, std::span<const Call> call) {
   net::SlotId coming;
-  for (net::SlotId id : nodes_[node].connections) {
+  for (net::SlotId id : std::vector(nodes_[node].connections)) {
     Connection& connection = *connections_.find(id);
     forget_old(connection);
-    if (connection.retired ||
+    if (end_silent(id)) continue;
+    if (connection.retired || connection.silent ||
         connection.calls.size() >= static_cast<std::size_t>(limits_.calls_per_connection))
       continue;
     bool taken = std::any_of(call.begin(), call.end(), [&](const Call& part) {
@@ -172,7 +204,10 @@
     if (written < left.size()) continue;
     // From here on the node may have run it.
     for (const QueuedPart& part : frame.parts)
-      if (Attempt* attempt = attempts_.find(part.attempt)) attempt->written = true;
+      if (Attempt* attempt = attempts_.find(part.attempt)) {
+        attempt->written = true;
+        attempt->written_at = loop_.now();
+      }
     if (!frame.parts.empty()) ++counters_.frames_sent;
     connection->out.pop_front();
     connection->front_written = 0;
@@ -194,6 +229,7 @@
 void Links::abandon(net::SlotId slot, Outcome outcome) {
   Attempt* attempt = attempts_.find(slot);
   if (!attempt) return;
+  doubt(*attempt);
   net::SlotId id = attempt->connection;
   Connection* connection = connections_.find(id);
   bool tell = false;
@@ -206,7 +242,8 @@
     }
   }
   end(slot, outcome);
-  // The end of an attempt may have closed a retired connection.
+  // The end of a connection gives up whatever its node may still have of it.
+  if (connection && connection->retired) retire_connection(id);
   if (tell && connections_.find(id)) {
     ++counters_.give_ups_sent;
     enqueue(id, {give_up_frame(wire_id), {}});
@@ -279,7 +316,7 @@
   Connection& connection = *connections_.find(id);
   if (int error = net::connect_error(connection.fd)) return close(id, std::strerror(error));
   connection.up = true;
-  connection.last_used = loop_.now();
+  connection.last_used = connection.last_read = loop_.now();
   want(connection);
   arm_idle(id);
   write(id);
@@ -296,7 +333,8 @@
       close(id, result == net::IoResult::ended ? "the node ended it" : "it broke");
       return false;
     }
-    connection->last_used = loop_.now();
+    connection->last_used = connection->last_read = loop_.now();
+    connection->silent = false;
     FrameView frame;
     FrameResult found = FrameResult::more;
     while ((found = next_frame(connection->in.view(), frame)) == FrameResult::whole) {
@@ -371,6 +409,7 @@
 void Links::idle_due(net::SlotId id) {
   Connection& connection = *connections_.find(id);
   forget_old(connection);
+  if (end_silent(id)) return;
   net::Duration keep = std::max(limits_.idle_close - 2 * limits_.connect_timeout, limits_.idle_close / 2);
   if (!connection.attempts.empty() || !connection.probes.empty() || loop_.now() < connection.last_used + keep)
     return arm_idle(id);
--- a/src/nodelink/links.h
+++ b/src/nodelink/links.h
@@ -38,6 +38,8 @@
   std::uint64_t unknown_answers = 0;
   std::uint64_t broken_frames = 0;
   std::uint64_t complaints = 0;
+  std::uint64_t closed_silent = 0;
+  std::uint64_t fell_silent = 0;  // connections avoided, since an attempt on them was taken for lost
 };
 
 // One part of a call, with the name under which its end is reported.
@@ -88,6 +90,7 @@
   // The node is gone: its connections end with what is out on them.
   void retire(NodeId node);
 
+  // A part that is sent again while an attempt is out says that this one is taken for lost.
   void send(NodeId node, std::span<const Call> call);
   // The part's query is over: what has not begun to go out to a node must not go out any more.
   void withdraw(PartId part);
@@ -111,6 +114,7 @@
     net::Time sent{};
     net::Time forget_at{};
     bool written = false;  // the last byte of its frame has gone out
+    net::Time written_at{};
     net::Timer timer;
   };
   struct QueuedPart {
@@ -140,6 +144,8 @@
     net::Timer timer;  // while it comes up, the connect time-out; afterwards the idle time
     bool up = false;
     bool retired = false;
+    bool silent = false;  // an attempt on it was taken for lost, and nothing has been read since it went out
+    net::Time last_read{};
     net::Time last_used{};
     net::Buffer in;
     std::deque<Frame> out;
@@ -177,6 +183,9 @@
   void probe_due(net::SlotId id);
   void arm_probe(net::SlotId id);
   void forget_old(Connection& connection);
+  void doubt(const Attempt& attempt);
+  bool end_silent(net::SlotId id);
+  void doubt_earlier(PartId part, int attempt);
   void release_place(Connection& connection, std::uint64_t call);
   void retire_connection(net::SlotId id);
   // The one place where a connection ends: what is out on it gets its outcome.
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -50,7 +50,7 @@
   Call call(PartId part, const std::string& id, double wait = 10, int attempt = 0) {
     net::Time end = loop.now() + net::Duration(wait);
     ids.push_back(id);
-    return {part, attempt, ids.back(), 3, "text", end, loop.now() + net::Duration(30)};
+    return {part, attempt, ids.back(), 3, "text", end, loop.now() + net::Duration(forget)};
   }
   void send(PartId part, const std::string& id, double wait = 10, int attempt = 0) {
     Call one = call(part, id, wait, attempt);
@@ -76,6 +76,7 @@
   net::Loop loop;
   peers::Listener node;
   bool room = true;
+  double forget = 30;
   std::vector<Ended> ended, probes;
   std::deque<std::string> ids;  // what the calls' views point to
   std::string got;
@@ -115,6 +116,64 @@
   EXPECT_EQ(links.connections(), 3u);
 }
 
+// Found on a day on which connections fell silent while their nodes served on: the next parts kept going
+// there until all its places were taken.
+TEST_F(LinksTest, AConnectionThatFellSilentGetsNothingNew) {
+  forget = 0.1;
+  send(1, "q.1", 10);
+  ASSERT_TRUE(gets(0, "mq.1"));
+  // The part is sent again while its attempt is out: that one is taken for lost.
+  send(1, "q.1", 10, 1);
+  ASSERT_TRUE(gets(1, "mq.1"));
+  ASSERT_TRUE(at(1).write(node_frame('q', "q.1 good 0 -\nvalue")));
+  ASSERT_TRUE(ends_after(1));
+  EXPECT_EQ(ended[0].attempt, 1);
+  EXPECT_EQ(links.counters().fell_silent, 1u);
+  send(2, "q.2");
+  ASSERT_TRUE(gets(1, "mq.2"));
+  // It is given back when no answer to its last attempt can come any more.
+  links.give_up(1, 0);
+  ASSERT_TRUE(at(1).write(node_frame('q', "q.2 good 0 -\n")));
+  std::size_t next = 3;
+  ASSERT_TRUE(until([&] {
+    if (ended.size() == next) send(static_cast<PartId>(next), "q." + std::to_string(next)), ++next;
+    if (FrameView frame; next_frame(at(1).seen(), frame) == FrameResult::whole)
+      at(1).drop(frame.size), at(1).write(node_frame('q', "q." + std::to_string(next - 1) + " good 0 -\n"));
+    return at(0).ended();
+  }));
+  EXPECT_EQ(links.connections(), 1u);
+  EXPECT_EQ(links.counters().closed_silent, 1u);
+}
+
+TEST_F(LinksTest, AConnectionThatSpeaksAgainIsUsedAgain) {
+  send(1, "q.1");
+  send(2, "q.2", 10);
+  ASSERT_TRUE(gets(0, "mq.1"));
+  ASSERT_TRUE(gets(0, "mq.2"));
+  links.give_up(1, 0);
+  EXPECT_EQ(links.counters().fell_silent, 1u);
+  ASSERT_TRUE(at(0).write(node_frame('q', "q.2 good 0 -\n")));
+  ASSERT_TRUE(ends_after(2));
+  send(3, "q.3");
+  // The give-up of the first, then the new one, on the same connection.
+  ASSERT_TRUE(gets(0, "nq.1"));
+  ASSERT_TRUE(gets(0, "mq.3"));
+  EXPECT_EQ(links.connections(), 1u);
+}
+
+// Slow is not silent: what is read since an attempt went out speaks for the connection.
+TEST_F(LinksTest, AConnectionThatAnswersOthersIsNotSilent) {
+  send(1, "q.1");
+  ASSERT_TRUE(gets(0, "mq.1"));
+  send(2, "q.2");
+  ASSERT_TRUE(gets(0, "mq.2"));
+  loop.turn(net::Duration(0.002));
+  ASSERT_TRUE(at(0).write(node_frame('q', "q.2 good 0 -\n")));
+  ASSERT_TRUE(ends_after(1));
+  links.give_up(1, 0);
+  EXPECT_EQ(links.counters().fell_silent, 0u);
+}
+
 TEST_F(LinksTest, LaterMeansTurnedAway) {
   send(1, "q.1");
   ASSERT_TRUE(gets(0, "mq.1"));
