What is spoilt or never asked ends soon; nodes that are gone are given back

An answer that comes twice, or long after its query, is told apart by the last ids settled there and still harms nothing. Bytes left over with nothing out end the connection; behind a frame that stands half read nothing new goes out. The largest frame is what a client's reply can hold. - Front: a first request has 2 s from connecting, the rest of a later one 2 s (10 s before), then 408; a connection that never asked is closed. When room is needed those that never asked go first. A turn reads so much from one client and accepts so many; what follows our last words is dropped in the kernel. - Broker: the id of an open query is not taken twice (409); weights have to add up to 1 within their rounding; what is known of a node that is gone is given back (Links, Broker, the module) once neither rule nor attempt needs it.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -118,6 +118,9 @@
     return front_.answer(connection,
                          {503, clients::error_body("all places are taken"), "application/json", {}, 0});
   }
+  // Two queries under one id would share the ids of their parts at the nodes.
+  if (open_ids_.count(asked.id) != 0)
+    return refuse_bad(connection, 409, "X-Correlation-Id: a request under this id is open");
   take_query(connection, asked, cls->second, tenant);
 }
 
@@ -154,6 +157,7 @@
   Query& query = *queries_.find(slot);
   query.connection = connection;
   query.id = asked.id;
+  open_ids_.insert(query.id);
   query.text = asked.text;
   query.deadline = loop_.now() + net::Duration(asked.time_left_ms / 1000);
   query.timer = loop_.at(query.deadline, [this, id] { out_of_time(id); });
@@ -226,6 +230,7 @@
     parts_.erase(part.id);
   }
   by_connection_.erase(connection);
+  open_ids_.erase(query.id);
   query_slots_.erase(found);
   queries_.release(slot);
   if (answer) front_.answer(connection, *answer);
@@ -289,6 +294,22 @@
   return member;
 }
 
+void Broker::note_gone(KnownNode& node) {
+  if (node.member.status != NodeStatus::gone) node.gone_at = loop_.now();
+  node.member.status = NodeStatus::gone;
+  links_.retire(node.number);
+}
+
+// Where nodes come under new ids all day, those that are gone must not be kept. Within the time in which a
+// node counts as cold its number stays: should it return, the module has to know it again.
+void Broker::forget_gone() {
+  net::Duration keep = config_.module.warm_within + config_.module.fall_span;
+  std::erase_if(nodes_, [&](const auto& entry) {
+    const KnownNode& node = entry.second;
+    return node.member.status == NodeStatus::gone && loop_.now() > node.gone_at + keep;
+  });
+}
+
 void Broker::take_list(const discovery::MemberList& list, ListForm form) {
   auto members = std::make_shared<std::vector<Member>>();
   std::set<NodeId> listed;
@@ -301,8 +322,7 @@
     }
     KnownNode& node = found->second;
     if (entry.phase == discovery::Phase::gone) {
-      node.member.status = NodeStatus::gone;
-      links_.retire(node.number);
+      note_gone(node);
     } else {
       node.member = member_of(entry);
       node.member.node = node.number;
@@ -313,11 +333,10 @@
   }
   if (form != ListForm::changes) {
     for (auto& [name, node] : nodes_) {
-      if (listed.count(node.number) != 0) continue;
-      node.member.status = NodeStatus::gone;
-      links_.retire(node.number);
+      if (listed.count(node.number) == 0) note_gone(node);
     }
   }
+  forget_gone();
   ready_ = ready_ || !members->empty();
   list_news_.emplace_back(
       MembersChanged{form, static_cast<std::uint32_t>(list.revision), std::move(members)});
@@ -455,9 +474,10 @@
   const discovery::DiscoveryCounters lists = discovery_.counters();
   out += fmt::format(
       "}},\"probes\":{},\"batches\":{},\"clients\":{{\"accepted\":{},\"open\":{},\"requests\":{},"
-      "\"bad_requests\":{},\"closed_for_room\":{},\"timed_out\":{},\"accept_failures\":{}}},",
+      "\"bad_requests\":{},\"closed_for_room\":{},\"timed_out\":{},\"closed_unused\":{},\"accept_failures\":{"
+      "}}},",
       counters_.probes, counters_.batches, front.accepted, front_.connections(), front.requests,
-      front.bad_requests, front.closed_for_room, front.timed_out, front.accept_failures);
+      front.bad_requests, front.closed_for_room, front.timed_out, front.closed_unused, front.accept_failures);
   out += fmt::format(
       "\"nodes\":{{\"connects\":{},\"connects_failed\":{},\"open\":{},\"frames\":{},\"give_ups\":{},"
       "\"closed_idle\":{},\"fell_silent\":{},\"closed_silent\":{},\"late_answers\":{},\"unknown_answers\":{},"
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -81,6 +82,7 @@
   struct KnownNode {
     NodeId number = 0;
     Member member;
+    net::Time gone_at{};
   };
   struct Send {
     Part* part = nullptr;
@@ -102,6 +104,8 @@
   void refuse_bad(net::SlotId connection, int status, std::string_view why, std::string_view allow = {});
   void take_query(net::SlotId connection, const clients::Query& asked, int cls, int tenant);
   void take_list(const discovery::MemberList& list, ListForm form);
+  void note_gone(KnownNode& node);
+  void forget_gone();
   Member member_of(const discovery::Entry& entry);
   void out_of_time(QueryId id);
 
@@ -144,6 +148,7 @@
   net::SlotTable<Query> queries_;
   std::unordered_map<QueryId, net::SlotId> query_slots_;
   std::map<net::SlotId, QueryId> by_connection_;
+  std::set<std::string_view> open_ids_;      // those of the queries that are open, as slices of theirs
   std::unordered_map<PartId, Place> parts_;  // of open queries
   std::uint32_t last_id_ = 0;                // of queries and parts
   std::uint32_t last_ordinal_ = 0;
--- a/src/clients/front.cpp
+++ b/src/clients/front.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
+#include <utility>
 
 #include "clients/query.h"
 
@@ -15,6 +17,9 @@
 constexpr std::size_t read_step = 16 * 1024;
 // Bytes held of what a client sends ahead of its turn; more stay in the kernel.
 constexpr std::size_t most_ahead = 64 * 1024;
+// What one peer, or the many that connect at once, may have of one turn of the loop.
+constexpr int reads_at_once = 8;
+constexpr int accepts_at_once = 64;
 constexpr net::Duration linger_time = 1s;     // for a client to see our last words before the end
 constexpr net::Duration accept_pause = 20ms;  // when descriptors have run out
 
@@ -22,12 +27,13 @@
 
 void Front::listen(const net::Address& address) {
   listener_ = net::listen_on(address);
-  listener_watch_ = loop_.watch(listener_.get(), POLLIN, [this](short) { accept_all(); });
+  listener_watch_ = loop_.watch(listener_.get(), POLLIN, [this](short) { accept_waiting(accepts_at_once); });
 }
 
-// What the kernel has accepted counts as taken, so nothing is left waiting there: room is made for it.
-void Front::accept_all() {
-  while (listener_) {
+// What the kernel has accepted counts as taken, so nothing is left waiting there for long: room is made for
+// it.
+void Front::accept_waiting(int most) {
+  for (int i = 0; listener_ && i < most; ++i) {
     net::Fd fd;
     bool full = connections_.size() >= most_ && !close_one_idle();
     switch (full ? net::AcceptResult::no_descriptors : net::accept_one(listener_, fd)) {
@@ -44,7 +50,7 @@
         listener_watch_.want(0);
         accept_again_ = loop_.at(loop_.now() + accept_pause, [this] {
           listener_watch_.want(POLLIN);
-          accept_all();
+          accept_waiting(accepts_at_once);
         });
         return;
       case net::AcceptResult::accepted:
@@ -57,13 +63,14 @@
     connection.last_used = loop_.now();
     connection.watch =
         loop_.watch(connection.fd.get(), POLLIN, [this, id](short events) { on_ready(id, events); });
+    guard(id, patience_.request);
     // Its first request is often there already.
     if (read(id)) advance(id);
   }
 }
 
 void Front::stop_listening() {
-  accept_all();
+  accept_waiting(std::numeric_limits<int>::max());
   listener_watch_.reset();
   accept_again_.reset();
   listener_.reset();
@@ -90,9 +97,10 @@
 
 bool Front::close_one_idle() {
   net::SlotId oldest;
-  net::Time since = net::Time::max();
+  std::pair<bool, net::Time> least{true, net::Time::max()};
   connections_.each([&](net::SlotId id, Connection& connection) {
-    if (idle(connection) && connection.last_used < since) oldest = id, since = connection.last_used;
+    std::pair<bool, net::Time> rank{connection.asked, connection.last_used};
+    if (idle(connection) && rank < least) oldest = id, least = rank;
   });
   if (!oldest) return false;
   ++counters_.closed_for_room;
@@ -117,12 +125,13 @@
 // False where the connection is gone afterwards.
 bool Front::read(net::SlotId id) {
   Connection& connection = *connections_.find(id);
-  if (connection.half_closed) connection.in = net::Buffer();  // nothing that follows the end is read
-  while (connection.in.size() < most_ahead || connection.state == State::reading) {
-    net::IoResult result = net::read_into(connection.fd, connection.in, read_step);
+  for (int i = 0; i < reads_at_once; ++i) {
+    if (connection.in.size() >= most_ahead && connection.state != State::reading) break;
+    // What follows our last words is not looked at.
+    net::IoResult result = connection.half_closed ? net::discard(connection.fd)
+                                                  : net::read_into(connection.fd, connection.in, read_step);
     if (result == net::IoResult::some) {
       connection.last_used = loop_.now();
-      if (connection.half_closed) connection.in = net::Buffer();
       if (connection.in.size() >= most_ahead) break;
       continue;
     }
@@ -143,7 +152,10 @@
         std::size_t written = 0;
         net::write_from(connection.fd, "HTTP/1.1 100 Continue\r\n\r\n", written);
       }
-      if (connection.reader.begun(connection.in) && !connection.timer.pending()) guard(id, patience_);
+      if (connection.reader.begun(connection.in)) {
+        connection.asked = true;
+        if (!connection.timer.pending()) guard(id, patience_.request);
+      }
       return want(connection);
     case http::Progress::failed: {
       ++counters_.bad_requests;
@@ -158,6 +170,7 @@
       break;
   }
   ++counters_.requests;
+  connection.asked = true;
   connection.timer.reset();
   connection.state = State::waiting;
   connection.last_used = loop_.now();
@@ -200,7 +213,7 @@
     connection.written += written;
   }
   if (connection.written == connection.out.size()) return sent(id);
-  if (!connection.timer.pending()) guard(id, patience_);
+  if (!connection.timer.pending()) guard(id, patience_.answer);
   want(connection);
 }
 
@@ -243,12 +256,22 @@
 
 void Front::guard(net::SlotId id, net::Duration span) {
   Connection& connection = *connections_.find(id);
-  connection.timer = loop_.at(loop_.now() + span, [this, id] {
-    Connection* slow = connections_.find(id);
-    if (!slow) return;
-    if (!slow->half_closed) ++counters_.timed_out;
-    close(id);
-  });
+  connection.timer = loop_.at(loop_.now() + span, [this, id] { give_up_waiting(id); });
+}
+
+void Front::give_up_waiting(net::SlotId id) {
+  Connection* slow = connections_.find(id);
+  if (!slow) return;
+  slow->timer.reset();
+  if (slow->half_closed) return close(id);
+  if (idle(*slow)) {
+    ++counters_.closed_unused;
+    return close(id);
+  }
+  ++counters_.timed_out;
+  if (slow->state != State::reading) return close(id);
+  queue(*slow, {408, error_body("the request did not come in time"), "application/json", {}, 0}, true);
+  write(id);
 }
 
 void Front::close(net::SlotId id) {
--- a/src/clients/front.h
+++ b/src/clients/front.h
@@ -21,7 +21,8 @@
   std::uint64_t bad_requests = 0;
   std::uint64_t answers = 0;
   std::uint64_t closed_for_room = 0;
-  std::uint64_t timed_out = 0;  // half a request, or an answer that was not taken
+  std::uint64_t timed_out = 0;      // half a request, or an answer that was not taken
+  std::uint64_t closed_unused = 0;  // connections that never began a request
   std::uint64_t accept_failures = 0;
 };
 
@@ -42,11 +43,17 @@
   virtual void client_left(net::SlotId connection) = 0;
 };
 
+struct Patience {
+  // For a first request from connecting, for the rest of a later one once it has begun. Whoever sends without
+  // end or says nothing is to learn in a few seconds that this leads nowhere.
+  net::Duration request = std::chrono::seconds(2);
+  net::Duration answer = std::chrono::seconds(10);  // to be taken by its client
+};
+
 class Front {
  public:
-  // `patience`: for the rest of a request once it has begun, and for an answer to be taken by its client.
   Front(net::Loop& loop, log::Logger& log, std::size_t most_connections, FrontUser& user,
-        net::Duration patience = std::chrono::seconds(10))
+        Patience patience = {})
       : loop_(loop), log_(log), most_(most_connections), user_(user), patience_(patience) {}
 
   void listen(const net::Address& address);
@@ -59,7 +66,8 @@
   // Takes what the kernel has accepted, and nothing after it.
   void stop_listening();
   void close_idle();
-  // Closes the one that has been idle longest; false where none is idle.
+  // Closes one that is idle: first of those that never asked anything, then the one whose last request is
+  // longest ago; false where none is idle.
   bool close_one_idle();
 
   // Those that wait for an answer or have not taken all of theirs.
@@ -72,7 +80,8 @@
   struct Connection {
     net::Fd fd;
     net::Watch watch;
-    net::Timer timer;  // for the rest of a request, or for an answer to be taken
+    net::Timer timer;    // for a request to be whole, or for an answer to be taken
+    bool asked = false;  // has begun a request once
     State state = State::reading;
     net::Buffer in;
     http::MessageReader reader{http::MessageKind::request};
@@ -83,7 +92,7 @@
     net::Time last_used{};
   };
 
-  void accept_all();
+  void accept_waiting(int most);
   void on_ready(net::SlotId id, short events);
   bool read(net::SlotId id);
   void advance(net::SlotId id);
@@ -92,6 +101,7 @@
   void want(Connection& connection);
   void queue(Connection& connection, const Answer& answer, bool close_after);
   void guard(net::SlotId id, net::Duration span);
+  void give_up_waiting(net::SlotId id);
   bool idle(const Connection& connection) const;
   // The one place where a connection ends.
   void close(net::SlotId id);
@@ -100,7 +110,7 @@
   log::Logger& log_;
   std::size_t most_;
   FrontUser& user_;
-  net::Duration patience_;
+  Patience patience_;
   net::Fd listener_;
   net::Watch listener_watch_;
   net::Timer accept_again_;
--- a/src/clients/query.cpp
+++ b/src/clients/query.cpp
@@ -75,7 +75,9 @@
     sum += part.weight;
     query.parts.push_back(part);
   }
-  if (sum > 1.001) return Fault{400, "portion: more than 1 in all"};
+  // Each is rounded for itself.
+  double slack = 1e-3 + 5e-4 * static_cast<double>(ranges->items.size());
+  if (std::abs(sum - 1) > slack) return Fault{400, "portion: not 1 in all"};
   const json::Value* text = root.find("predicate");
   auto words = text ? text->text() : std::nullopt;
   if (!words) return Fault{400, "predicate: missing or not a text"};
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -264,6 +264,8 @@
       return "Method Not Allowed";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 411:
       return "Length Required";
     case 413:
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -124,6 +124,15 @@
   return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoResult::none : IoResult::failed;
 }
 
+IoResult discard(const Fd& fd) {
+  constexpr std::size_t most = std::size_t{1} << 20;
+  // For TCP, MSG_TRUNC drops the bytes in the kernel instead of copying them.
+  ssize_t got = ::recv(fd.get(), nullptr, most, MSG_TRUNC);
+  if (got > 0) return IoResult::some;
+  if (got == 0) return IoResult::ended;
+  return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoResult::none : IoResult::failed;
+}
+
 IoResult write_from(const Fd& fd, std::string_view bytes, std::size_t& written) {
   written = 0;
   // MSG_NOSIGNAL: a peer that has gone away is an outcome, not a SIGPIPE.
--- a/src/nodelink/frames.h
+++ b/src/nodelink/frames.h
@@ -13,7 +13,8 @@
 namespace pearspar::nodelink {
 
 inline constexpr std::size_t frame_header = 4;
-inline constexpr std::size_t largest_frame = 256 * 1024;
+// A reply to a client holds 64 KiB at most, so no value in it can be larger.
+inline constexpr std::size_t largest_frame = 66 * 1024;
 
 struct PartToSend {
   std::string_view id;
--- a/src/nodelink/links.cpp
+++ b/src/nodelink/links.cpp
@@ -16,6 +16,7 @@
 
 void Links::place(NodeId node, const net::Address& address, double up_since_ms) {
   Node& known = nodes_[node];
+  known.gone = false;
   // A node that moved or started anew no longer stands behind the connections made before; on a machine that
   // vanished they would stay silent.
   if (known.address != address || known.up_since_ms < up_since_ms)
@@ -27,6 +28,11 @@
 void Links::retire(NodeId node) {
   auto known = nodes_.find(node);
   if (known == nodes_.end()) return;
+  known->second.gone = true;
+  if (known->second.connections.empty()) {
+    nodes_.erase(known);
+    return;
+  }
   for (net::SlotId id : std::vector(known->second.connections)) retire_connection(id);
 }
 
@@ -138,11 +144,14 @@
 // told apart. One that is up comes first, then one that is coming up, then a new one.
 net::SlotId Links::connection_for(NodeId node, std::span<const Call> call) {
   net::SlotId coming;
-  for (net::SlotId id : std::vector(nodes_[node].connections)) {
+  auto known = nodes_.find(node);
+  if (known == nodes_.end()) return {};  // gone, with all that was known of it
+  for (net::SlotId id : std::vector(known->second.connections)) {
     Connection& connection = *connections_.find(id);
     forget_old(connection);
     if (end_silent(id)) continue;
-    if (connection.retired || connection.silent ||
+    // Behind a frame that stands half read nothing else may ever come.
+    if (connection.retired || connection.silent || connection.in.size() > 0 ||
         connection.calls.size() >= static_cast<std::size_t>(limits_.calls_per_connection))
       continue;
     bool taken = std::any_of(call.begin(), call.end(), [&](const Call& part) {
@@ -279,6 +288,13 @@
   if (found != connection.calls.end() && --found->second <= 0) connection.calls.erase(found);
 }
 
+// So many that an answer that comes again, or long after its query, is told from one that is spoilt.
+void Links::settle(Connection& connection, std::string_view wire_id) {
+  connection.settled.push_back(std::hash<std::string_view>{}(wire_id));
+  if (connection.settled.size() > 4 * static_cast<std::size_t>(limits_.calls_per_connection))
+    connection.settled.pop_front();
+}
+
 void Links::forget_old(Connection& connection) {
   for (auto it = connection.abandoned.begin(); it != connection.abandoned.end();) {
     if (it->second.forget_at > loop_.now()) {
@@ -286,6 +302,7 @@
       continue;
     }
     release_place(connection, it->second.call);
+    settle(connection, it->first);
     it = connection.abandoned.erase(it);
   }
 }
@@ -343,7 +360,9 @@
       if (!connection) return false;
       connection->in.consume(frame.size);
     }
-    if (found == FrameResult::broken) {
+    // With nothing out, what is left over belongs to nothing.
+    bool idle = connection->attempts.empty() && connection->abandoned.empty() && connection->probes.empty();
+    if (found == FrameResult::broken || (idle && connection->in.size() > 0)) {
       ++counters_.broken_frames;
       close(id, "a frame that cannot be read");
       return false;
@@ -378,17 +397,26 @@
   auto found = connection.attempts.find(answer.id);
   if (found == connection.attempts.end()) {
     auto late = connection.abandoned.find(answer.id);
-    if (late == connection.abandoned.end()) {
-      ++counters_.unknown_answers;
+    if (late != connection.abandoned.end()) {
+      ++counters_.late_answers;
+      release_place(connection, late->second.call);
+      settle(connection, answer.id);
+      connection.abandoned.erase(late);
       return;
     }
-    ++counters_.late_answers;
-    release_place(connection, late->second.call);
-    connection.abandoned.erase(late);
-    return;
+    auto& settled = connection.settled;
+    if (std::find(settled.begin(), settled.end(), std::hash<std::string_view>{}(answer.id)) !=
+        settled.end()) {
+      ++counters_.late_answers;
+      return;
+    }
+    // An answer under a spoilt id: what it was meant for is lost, and which one that is cannot be told.
+    ++counters_.unknown_answers;
+    return close(id, "an answer to nothing that was sent");
   }
   net::SlotId slot = found->second;
   note_answer(connection.node);
+  settle(connection, answer.id);
   release_place(connection, attempts_.find(slot)->call);
   Outcome outcome = answer.end == End::served  ? Outcome::ok
                     : answer.end == End::error ? Outcome::error
@@ -420,10 +448,12 @@
 void Links::close(net::SlotId id, const char* why) {
   Connection* connection = connections_.find(id);
   if (!connection) return;
-  Node& node = nodes_[connection->node];
+  auto known = nodes_.find(connection->node);
+  Node& node = known->second;
   std::erase(node.connections, id);
   if (!connection->up) ++counters_.connects_failed;
   if (!connection->attempts.empty() || !connection->up) note_failure(node, why);
+  if (node.gone && node.connections.empty()) nodes_.erase(known);
   Connection ended = std::move(*connection);
   connections_.release(id);
   // Its descriptor is closed before anything is told, so that an answer to the news finds it free.
@@ -481,7 +511,7 @@
   Connection& connection = *connections_.find(id);
   if (connection.probes.empty()) {
     ++counters_.unknown_answers;
-    return;
+    return close(id, "an answer to nothing that was sent");
   }
   Probe probe = connection.probes.front();
   connection.probes.pop_front();
--- a/src/nodelink/links.h
+++ b/src/nodelink/links.h
@@ -35,7 +35,7 @@
   std::uint64_t connects_failed = 0;
   std::uint64_t closed_idle = 0;
   std::uint64_t late_answers = 0;
-  std::uint64_t unknown_answers = 0;
+  std::uint64_t unknown_answers = 0;  // to nothing that was sent there: the connection ends
   std::uint64_t broken_frames = 0;
   std::uint64_t complaints = 0;
   std::uint64_t closed_silent = 0;
@@ -88,6 +88,7 @@
   // no more.
   void place(NodeId node, const net::Address& address, double up_since_ms);
   // The node is gone: its connections end with what is out on them.
+  // What is known of it is given back with the last of them.
   void retire(NodeId node);
 
   // A part that is sent again while an attempt is out says that this one is taken for lost.
@@ -99,6 +100,7 @@
   void probe(NodeId node, bool for_load);
   void drop_idle(NodeId node);
 
+  std::size_t nodes() const { return nodes_.size(); }
   std::size_t connections() const { return connections_.size(); }
   std::size_t attempts_out() const { return attempts_.size(); }
   const LinkCounters& counters() const { return counters_; }
@@ -132,7 +134,7 @@
     net::Time sent{};
     bool ended = false;  // its time is up; its answer is still awaited, since answers come in order
   };
-  // An attempt that has ended here while its node may still answer it.
+  // An attempt that has been given up here while its node may still answer it.
   struct Abandoned {
     std::uint64_t call = 0;
     net::Time forget_at{};
@@ -152,6 +154,7 @@
     std::size_t front_written = 0;  // of the first frame in `out`
     std::map<std::string, net::SlotId, std::less<>> attempts;
     std::map<std::string, Abandoned, std::less<>> abandoned;
+    std::deque<std::size_t> settled;     // hashes of the last ids that were answered or forgotten
     std::map<std::uint64_t, int> calls;  // parts still out, by call
     std::deque<Probe> probes;
     net::Timer probe_timer;
@@ -160,6 +163,7 @@
     net::Address address;
     double up_since_ms = 0;
     std::vector<net::SlotId> connections;
+    bool gone = false;
     std::uint64_t failures = 0;  // connections that broke or did not come up since it last answered
   };
 
@@ -186,6 +190,7 @@
   void doubt(const Attempt& attempt);
   bool end_silent(net::SlotId id);
   void doubt_earlier(PartId part, int attempt);
+  void settle(Connection& connection, std::string_view wire_id);
   void release_place(Connection& connection, std::uint64_t call);
   void retire_connection(net::SlotId id);
   // The one place where a connection ends: what is out on it gets its outcome.
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -195,7 +195,8 @@
       node.member = member;
       node.listed = true;
       if (member.start_known && (!known || member.started > node.started)) {
-        if (known && member.started > node.started + 1ms) forget_past(node);
+        // A process that started anew owes nothing to its predecessor's record.
+        if (known && member.started > node.started + 1ms) node.latency = 0, node.unreached = 0;
         // What it got while it was thought warm no longer speaks for what a warm node gets.
         auto& sends = node.recent_sends;
         auto recent = sends.end() - std::lower_bound(sends.begin(), sends.end(), now_ - s_.fall_span);
@@ -203,12 +204,12 @@
         node.started = std::max(node.started, member.started);
       }
     }
-  }
-
-  // A process that started anew owes nothing to its predecessor's record.
-  void forget_past(Node& node) {
-    node.latency = 0;
-    node.unreached = 0;
+    // Of a node that is gone all is given back, but for what the rule on cold nodes needs should it return.
+    std::erase_if(nodes_, [this](const auto& entry) {
+      const Node& node = entry.second;
+      return node.member.status == NodeStatus::gone && node.calls == 0 && !cold(node) &&
+             (node.recent_sends.empty() || node.recent_sends.back() <= now_ - s_.fall_span);
+    });
   }
 
   void ask_list() {
@@ -348,8 +349,7 @@
   // Marks the heaviest parts until their weights reach the share; parts that are lost make room for the next.
   void choose_parts(Query& query) {
     const ClassSettings& cls = s_.classes[static_cast<std::size_t>(query.cls)];
-    bool may_narrow = cls.floor < cls.need;
-    double target = may_narrow ? std::max(cls.floor, coverage_) : 1;
+    double target = cls.floor < cls.need ? std::max(cls.floor, coverage_) : 1;
     std::vector<Part*> ranked;
     double sum = 0;
     for (Part& part : query.parts) {
@@ -426,7 +426,7 @@
   // ---- admission ----
 
   void on(const QueryArrived& arrival) {
-    note_taken();
+    taken_.push_back(now_);
     const ClassSettings& cls = s_.classes[static_cast<std::size_t>(arrival.cls)];
     Query& query = queries_[arrival.query];
     query = Query{};
@@ -443,7 +443,7 @@
   }
 
   void on(const PartArrived& arrival) {
-    note_taken();
+    taken_.push_back(now_);
     auto owner = by_ordinal_.find(arrival.ordinal);
     if (owner == by_ordinal_.end()) return;
     Query& query = queries_.at(owner->second);
@@ -903,8 +903,6 @@
     return true;
   }
 
-  void note_taken() { taken_.push_back(now_); }
-
   // Counts a little more of the past for sends than for arrivals, so that rounding never favours us.
   bool within_budget() {
     if (!s_.has_budget) return true;
