More turned away than a tenth of the answers lowers the limit on parts out at once

At fault: adjust_limit() goes by the median latency of a window of 2 s, in which what is turned away shows only once it is half of all. Change: attempts turned away since the limit's last step, against the answers of a step. Could do harm where one node alone turns much away; it then has to be a tenth of all answers.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -46,10 +46,11 @@
 constexpr Duration load_period = 250ms;  // between steps of the limit
 constexpr Duration answer_memory = 1s;   // rate of answers is smoothed over this
 constexpr double load_down = 0.8;        // the limit's factor in a step, at least
-constexpr double load_up = 1.1;          // at most, and only while the limit is in use
-constexpr double load_least = 2;         // parts: something is always under way, or nothing would be learnt
-constexpr Duration worth_memory = 8s;    // what was asked and what it earned is smoothed over this
-constexpr double worth_slack = 1.5;      // times what earned something may be let in
+constexpr double full_share = 0.1;     // of a step's answers: more turned away say at once, before the median
+constexpr double load_up = 1.1;        // at most, and only while the limit is in use
+constexpr double load_least = 2;       // parts: something is always under way, or nothing would be learnt
+constexpr Duration worth_memory = 8s;  // what was asked and what it earned is smoothed over this
+constexpr double worth_slack = 1.5;    // times what earned something may be let in
 constexpr double hopeless_most =
     0.95;  // a query needs the time within which so many of its attempts end, at most
 // Attempts.
@@ -470,7 +471,9 @@
     most_out_ = std::max(most_out_, out_);
     if (now_ < limit_changed_ + load_period || median_ <= 0) return;
     double target = load_target * shortest_aim().count();
-    if (median_ > target) {
+    bool full = turned_away_ > full_share * answer_rate() * load_period.count();
+    turned_away_ = 0;
+    if (median_ > target || full) {
       bool first = limit_ > most_out_;
       limit_ = std::max({load_least, answer_rate() * target, std::min(limit_, most_out_) * load_down});
       if (first) log("limit of " + std::to_string(static_cast<int>(limit_)) + " parts out: answers are slow");
@@ -663,6 +666,7 @@
         break;
       case Outcome::refused:
         note_outcome(true);
+        ++turned_away_;
         if (!attempt.given_up) note_latency(node, attempt.patience);  // lost, not slow
         take_latency(node, std::max(node.latency, attempt.patience));
         break;
@@ -849,19 +853,15 @@
   }
 
   void forget_ended() {
-    for (auto it = queries_.begin(); it != queries_.end();) {
-      Query& query = it->second;
-      bool done = query.ended && std::all_of(query.parts.begin(), query.parts.end(),
-                                             [](const Part& part) { return part.out() == 0; });
-      if (!done) {
-        ++it;
-        continue;
-      }
+    std::erase_if(queries_, [this](const auto& entry) {
+      const Query& query = entry.second;
+      auto is_out = [](const Part& part) { return part.out() > 0; };
+      if (!query.ended || std::any_of(query.parts.begin(), query.parts.end(), is_out)) return false;
       for (const Part& part : query.parts) part_owner_.erase(part.id);
       auto named = by_ordinal_.find(query.ordinal);
       if (named != by_ordinal_.end() && named->second == query.id) by_ordinal_.erase(named);
-      it = queries_.erase(it);
-    }
+      return true;
+    });
   }
 
   // One timer at a time, for the next moment at which something is due without an event.
@@ -881,8 +881,7 @@
       }
     }
     if (s_.membership_by_asking && !subscribed_) next = std::min(next, ask_again_);
-    if (next == Time::max()) return;
-    if (armed_ != Time{} && armed_ <= next) return;
+    if (next == Time::max() || (armed_ != Time{} && armed_ <= next)) return;
     armed_ = std::max(next, now_ + s_.quantum);
     actions_->push_back(SetTimer{armed_ - now_, ++timer_token_});
   }
@@ -1007,6 +1006,7 @@
 
   double limit_ = 1e9;  // of parts out, not yet met
   double most_out_ = 0;
+  double turned_away_ = 0;  // attempts, since the limit's last step
   double answer_rate_ = 0;  // answers a second, smoothed
   Time answered_at_{};
   Time limit_changed_{};
