--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -338,7 +338,7 @@
     double share = static_cast<double>(strained) / static_cast<double>(outcomes_.size());
     double before = coverage_;
     if (share > strain_share) coverage_ = std::max(0.0, coverage_ - strain_step);
-    if (share < strain_share / 2) coverage_ = std::min(1.0, coverage_ + strain_step);
+    if (share < strain_share / 2) coverage_ = std::min(1.0, coverage_ + 2 * strain_step);
     if (coverage_ == before) return;
     coverage_changed_ = now_;
     char text[80];
