Nobody makes way before somebody is there to take the place

Seen: the tests of the order in which clients make way failed where the table had just become full: Front::accept_waiting() closed an idle client in each turn in which the last place was taken, before it asked the kernel for the next connection. Change: with all places taken it looks first whether a connection waits. Test: SmallFrontTest.WhoHasJustComeMakesWayLast (failed before).

--- a/src/clients/front.cpp
+++ b/src/clients/front.cpp
@@ -35,6 +35,8 @@
 void Front::accept_waiting(int most) {
   for (int i = 0; listener_ && i < most; ++i) {
     net::Fd fd;
+    // Nobody makes way before somebody is there to take the place.
+    if (connections_.size() >= most_ && !net::connection_waits(listener_)) return;
     bool full = connections_.size() >= most_ && !close_one_idle();
     switch (full ? net::AcceptResult::no_descriptors : net::accept_one(listener_, fd)) {
       case net::AcceptResult::none:
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -76,6 +77,11 @@
   return {ntohl(system.sin_addr.s_addr), ntohs(system.sin_port)};
 }
 
+bool connection_waits(const Fd& listener) {
+  pollfd waiting{listener.get(), POLLIN, 0};
+  return ::poll(&waiting, 1, 0) == 1 && (waiting.revents & POLLIN) != 0;
+}
+
 AcceptResult accept_one(const Fd& listener, Fd& accepted) {
   int fd = ::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd >= 0) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -46,6 +46,8 @@
 Fd listen_on(const Address& address);
 Address local_address(const Fd& fd);
 
+// Whether a connection waits to be accepted.
+bool connection_waits(const Fd& listener);
 enum class AcceptResult { accepted, none, no_descriptors, failed };
 AcceptResult accept_one(const Fd& listener, Fd& accepted);
 
