Registry client: view, followers and dialects for etcd and Consul behind one seam of sources

Need: other installations keep membership in a key-value registry; the platform's agent is seconds late there and absent.

Change: src/registry holds a view and two followers free of I/O (watches with pinned pages; blocking reads), the codecs of both dialects, records with a roster that keeps the last good one, registration under a lease, and their connections. src/membership is the one seam that agent, registry and fixed list stand behind; discovery::Registry became membership::Switch. src/options reads the operator's file (protobuf text format). The logger stands on spdlog. `pearspar registry get|watch|put-node|drain|ready|remove` works by hand on the same client.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <set>
 
+#include "broker/sources.h"
+
 namespace pearspar::broker {
 namespace {
 
@@ -37,25 +39,41 @@
 }  // namespace
 
 Broker::Broker(net::Loop& loop, log::Logger& log, const config::Config& config,
-               std::unique_ptr<Policy> policy)
+               std::unique_ptr<Policy> policy, const options::Options& options)
     : loop_(loop),
       log_(log),
       config_(config),
       front_(loop, log, most_clients(config), *this),
       links_(loop, log, link_limits(config), *this),
-      discovery_(loop, log, config.discovery, *this),
+      members_(log, source_of(loop, log, config, options), *this),
       policy_(std::move(policy)) {
   for (std::size_t i = 0; i < config_.module.classes.size(); ++i)
     classes_[config_.module.classes[i].name] = static_cast<int>(i);
   for (std::size_t i = 0; i < config_.module.tenants.size(); ++i)
     tenants_[config_.module.tenants[i].name] = static_cast<int>(i);
+  make_registration(options);
+}
+
+void Broker::make_registration(const options::Options& options) {
+  if (!options.registration) return;
+  const options::RegistrationOptions& wanted = *options.registration;
+  membership::Entry self;
+  self.id = config_.name;
+  self.address = config_.listen;
+  self.zone = wanted.zone;
+  self.kind = "broker";
+  self.up_since_ms = std::chrono::duration<double, std::milli>(loop_.now().time_since_epoch()).count();
+  registration_ =
+      std::make_unique<registry::Registration>(loop_, log_, wanted.registry, wanted.prefix + config_.name,
+                                               registry::write_record(self), wanted.lease, config_.seed);
 }
 
 void Broker::start() {
   if (!config_.known.entries.empty()) take_list(config_.known, ListForm::saved);
   front_.listen(config_.listen);
   log_.info("{} listens on {}, {} nodes known", config_.name, front_.address().text(), nodes_.size());
-  if (!config_.module.membership_by_asking) discovery_.start();
+  if (!config_.module.membership_by_asking) members_.start();
+  if (registration_) registration_->start();
   // The module's first batch: where the list does not come by itself, it asks for it.
   hand_batch();
 }
@@ -63,7 +81,7 @@
 void Broker::end_turn() {
   if (listening_ended_ && !done_) {
     front_.close_idle();
-    done_ = front_.busy() == 0;
+    done_ = front_.busy() == 0 && (!registration_ || registration_->done());
   }
   net::Time due = last_batch_ + config_.module.quantum;
   if (something_to_tell() && loop_.now() >= due) hand_batch();
@@ -73,13 +91,13 @@
     batch_timer_ = loop_.at(last_batch_ + config_.module.quantum, [] {});  // the turn's end does the rest
 }
 
-void Broker::reload(const config::Config& config) {
+void Broker::reload(const config::Config& config, const options::Options& options) {
   std::string fixed;
   for (const std::string& key : config::fixed_differences(config_, config))
     fixed += (fixed.empty() ? "" : ", ") + key;
   if (!fixed.empty()) log_.warning("reload: changes only with a restart: {}", fixed);
-  log_.info("reload: discovery at {}", config.discovery.text());
-  discovery_.move(config.discovery);
+  members_.move(source_of(loop_, log_, config, options));
+  log_.info("reload: the list of nodes comes from {}", members_.where());
 }
 
 void Broker::wind_down() {
@@ -87,6 +105,7 @@
   winding_down_ = true;
   log_.info("ending: {} queries open", queries_.size());
   front_.wind_down();
+  if (registration_) registration_->withdraw();
   wind_down_timer_ = loop_.at(loop_.now() + taking_on, [this] {
     front_.stop_listening();
     listening_ended_ = true;
@@ -271,7 +290,7 @@
 
 // ---- discovery ----
 
-void Broker::members_told(const discovery::MemberList& list) {
+void Broker::members_told(const membership::MemberList& list) {
   take_list(list, list.complete ? ListForm::whole : ListForm::changes);
 }
 
@@ -280,14 +299,14 @@
     list_news_.emplace_back(MembersChanged{ListForm::failed, 0, nullptr});
 }
 
-Member Broker::member_of(const discovery::Entry& entry) {
+Member Broker::member_of(const membership::Entry& entry) {
   Member member;
   member.zone = place_in(config_.broker.zones, entry.zone);
   member.kind = place_in(config_.broker.kinds, entry.kind);
   member.cell = entry.cell;
-  member.status = entry.phase == discovery::Phase::ready      ? NodeStatus::ready
-                  : entry.phase == discovery::Phase::draining ? NodeStatus::draining
-                                                              : NodeStatus::gone;
+  member.status = entry.phase == membership::Phase::ready      ? NodeStatus::ready
+                  : entry.phase == membership::Phase::draining ? NodeStatus::draining
+                                                               : NodeStatus::gone;
   member.rating = entry.size;
   member.start_known = entry.up_since_ms > 0;
   if (member.start_known) member.started = net::Clock::from_unix_ms(entry.up_since_ms);
@@ -310,18 +329,18 @@
   });
 }
 
-void Broker::take_list(const discovery::MemberList& list, ListForm form) {
+void Broker::take_list(const membership::MemberList& list, ListForm form) {
   auto members = std::make_shared<std::vector<Member>>();
   std::set<NodeId> listed;
-  for (const discovery::Entry& entry : list.entries) {
+  for (const membership::Entry& entry : list.entries) {
     auto found = nodes_.find(entry.id);
     if (found == nodes_.end()) {
-      if (entry.phase == discovery::Phase::gone) continue;  // never heard of
+      if (entry.phase == membership::Phase::gone) continue;  // never heard of
       found = nodes_.emplace(entry.id, KnownNode{++last_node_, {}}).first;
       log_.debug("node {} is {} at {}", found->second.number, entry.id, entry.address.text());
     }
     KnownNode& node = found->second;
-    if (entry.phase == discovery::Phase::gone) {
+    if (entry.phase == membership::Phase::gone) {
       note_gone(node);
     } else {
       node.member = member_of(entry);
@@ -443,10 +462,10 @@
 }
 
 void Broker::act(const TellPeer&) { log_.debug("a message to peers: no way leads there yet"); }
-void Broker::act(const FetchMembers&) { discovery_.fetch(); }
+void Broker::act(const FetchMembers&) { members_.fetch(); }
 void Broker::act(const SubscribeMembers& subscribe) {
   if (!config_.module.membership_by_asking) return;
-  subscribe.on ? discovery_.start() : discovery_.stop();
+  subscribe.on ? members_.start() : members_.stop();
 }
 
 void Broker::act(const SetTimer& timer) {
@@ -471,7 +490,7 @@
     out += fmt::format("{}\"{}\":{}", i == 0 ? "" : ",", outcome_names[i], counters_.attempts[i]);
   const clients::FrontCounters& front = front_.counters();
   const nodelink::LinkCounters& links = links_.counters();
-  const discovery::DiscoveryCounters lists = discovery_.counters();
+  const membership::SourceCounters lists = members_.counters();
   out += fmt::format(
       "}},\"probes\":{},\"batches\":{},\"clients\":{{\"accepted\":{},\"open\":{},\"requests\":{},"
       "\"bad_requests\":{},\"closed_for_room\":{},\"timed_out\":{},\"closed_unused\":{},\"accept_failures\":{"
@@ -488,7 +507,10 @@
       links.broken_frames, links.complaints);
   out += fmt::format(
       "\"discovery\":{{\"lists\":{},\"changes\":{},\"stale\":{},\"failures\":{},\"revision\":{}}},",
-      lists.lists, lists.changes, lists.stale, lists.failures, discovery_.revision());
+      lists.lists, lists.changes, lists.stale, lists.failures, members_.revision());
+  if (std::string details = members_.details_json(); !details.empty())
+    out += "\"registry\":{" + details + "},";
+  if (registration_) out += "\"registration\":{" + registration_->counters_json() + "},";
   rusage used{};
   ::getrusage(RUSAGE_SELF, &used);
   auto ms = [](const timeval& time) { return time.tv_sec * 1000 + time.tv_usec / 1000; };
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -15,12 +15,14 @@
 #include "clients/front.h"
 #include "clients/query.h"
 #include "config/config.h"
-#include "discovery/registry.h"
 #include "log/log.h"
+#include "membership/switch.h"
 #include "net/loop.h"
 #include "net/slots.h"
 #include "nodelink/links.h"
+#include "options/options.h"
 #include "policy/policy.h"
+#include "registry/registration.h"
 
 namespace pearspar::broker {
 
@@ -40,9 +42,10 @@
   std::uint64_t batches = 0;
 };
 
-class Broker : clients::FrontUser, nodelink::LinkUser, discovery::MembersUser {
+class Broker : clients::FrontUser, nodelink::LinkUser, membership::MembersUser {
  public:
-  Broker(net::Loop& loop, log::Logger& log, const config::Config& config, std::unique_ptr<Policy> policy);
+  Broker(net::Loop& loop, log::Logger& log, const config::Config& config, std::unique_ptr<Policy> policy,
+         const options::Options& options = {});
 
   void start();
   // To be called after each turn of the loop: hands the module what has come in.
@@ -50,7 +53,7 @@
 
   // A new configuration, whole and checked: what can change while the broker runs takes effect, and a line
   // names what can't.
-  void reload(const config::Config& config);
+  void reload(const config::Config& config, const options::Options& options = {});
 
   // A planned end: queries are taken for a while yet, and what was taken is answered.
   void wind_down();
@@ -97,16 +100,17 @@
   void attempt_ended(const nodelink::AttemptEnd& end) override;
   void probe_ended(const nodelink::ProbeEnd& end) override;
   bool make_room() override;
-  void members_told(const discovery::MemberList& list) override;
+  void members_told(const membership::MemberList& list) override;
   void members_failed() override;
 
   bool answer_own_paths(net::SlotId connection, const http::Message& message);
   void refuse_bad(net::SlotId connection, int status, std::string_view why, std::string_view allow = {});
   void take_query(net::SlotId connection, const clients::Query& asked, int cls, int tenant);
-  void take_list(const discovery::MemberList& list, ListForm form);
+  void take_list(const membership::MemberList& list, ListForm form);
+  void make_registration(const options::Options& options);
   void note_gone(KnownNode& node);
   void forget_gone();
-  Member member_of(const discovery::Entry& entry);
+  Member member_of(const membership::Entry& entry);
   void out_of_time(QueryId id);
 
   // What the module asks for.
@@ -135,7 +139,7 @@
   config::Config config_;
   clients::Front front_;
   nodelink::Links links_;
-  discovery::Registry discovery_;
+  membership::Switch members_;
   std::unique_ptr<Policy> policy_;
 
   std::vector<Event> list_news_;  // told before all else in their batch
@@ -163,6 +167,7 @@
   bool winding_down_ = false;
   bool listening_ended_ = false;
   net::Timer wind_down_timer_;
+  std::unique_ptr<registry::Registration> registration_;  // where the operator asks for one
   Counters counters_;
 };
 
--- /dev/null
+++ b/src/cli/registry_commands.cpp
@@ -0,0 +1,338 @@
+#include "cli/registry_commands.h"
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <optional>
+
+#include "json/json.h"
+#include "log/log.h"
+#include "options/options.h"
+#include "registry/call.h"
+#include "registry/etcd.h"
+#include "registry/source.h"
+
+namespace pearspar::cli {
+namespace {
+
+constexpr int status_unreached = 1;
+constexpr int status_arguments = 2;
+constexpr int status_missing = 3;
+constexpr int conflicts_borne = 5;  // times that somebody else may change a record while we change it
+
+struct BadArguments : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+struct Unreached : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+registry::RegistryOptions options_of(const RegistryArguments& arguments) {
+  registry::RegistryOptions read;
+  if (!arguments.options_path.empty()) {
+    if (!arguments.endpoints.empty()) throw BadArguments("--options and --endpoint name the registry twice");
+    options::Options file = options::read_options_file(arguments.options_path);
+    if (file.registry)
+      read = *file.registry;
+    else if (file.registration)
+      read = file.registration->registry;
+    else
+      throw BadArguments(arguments.options_path + " names no registry");
+  } else {
+    if (arguments.endpoints.empty())
+      throw BadArguments("no registry is named, neither by --options nor by --endpoint");
+    read.dialect =
+        arguments.dialect == "consul" ? registry::DialectKind::consul : registry::DialectKind::etcd;
+    if (arguments.dialect == "consul") read.prefix = "pearspar/nodes/";
+    for (const std::string& endpoint : arguments.endpoints) {
+      auto address = net::Address::parse(endpoint);
+      if (!address || address->port == 0)
+        throw BadArguments("--endpoint " + endpoint + " is no address with a port, like 127.0.0.1:2379");
+      read.endpoints.push_back(*address);
+    }
+  }
+  if (!arguments.prefix.empty()) read.prefix = arguments.prefix;
+  return read;
+}
+
+const char* word_of(membership::Phase phase) {
+  constexpr const char* words[] = {"gone", "ready", "draining"};
+  return words[static_cast<int>(phase)];
+}
+
+std::string line_of(const membership::Entry& entry) {
+  return fmt::format("{:<20} {:<21} {:<6} {:<6} {:>5} {:<9} {:>5g} {:.0f}", entry.id, entry.address.text(),
+                     entry.zone, entry.kind, entry.cell, word_of(entry.phase), entry.size, entry.up_since_ms);
+}
+
+// Calls one endpoint after the other until one has answered.
+class Hand {
+ public:
+  explicit Hand(const RegistryArguments& arguments)
+      : options_(options_of(arguments)),
+        timeout_(arguments.timeout_s),
+        credentials_(registry::make_dialect(options_)->credentials()),
+        call_(loop_) {}
+
+  bool etcd() const { return options_.dialect == registry::DialectKind::etcd; }
+  std::string key(const std::string& id) const { return options_.prefix + id; }
+  const registry::RegistryOptions& options() const { return options_; }
+  net::Loop& loop() { return loop_; }
+
+  registry::Reply call(const registry::Request& request) {
+    std::string faults;
+    for (const net::Address& address : options_.endpoints) {
+      std::optional<registry::Reply> got;
+      bool ended = false;
+      call_.send(address, request, credentials_, timeout_,
+                 [&](const registry::Reply* reply, const std::string& why) {
+                   ended = true;
+                   if (reply)
+                     got = *reply;
+                   else
+                     faults += (faults.empty() ? "" : "; ") + address.text() + ": " + why;
+                 });
+      while (!ended) loop_.turn();
+      if (!got) continue;
+      if (got->status < 500) return *got;
+      faults += (faults.empty() ? "" : "; ") + address.text() + ": status " + std::to_string(got->status);
+    }
+    throw Unreached(faults);
+  }
+
+  struct Held {
+    std::string value;
+    registry::Revision modified = 0;
+  };
+  std::optional<Held> get(const std::string& id) {
+    registry::Reply reply = call(etcd() ? registry::etcd::get(key(id)) : registry::consul::get(key(id)));
+    if (reply.status == 404) return std::nullopt;
+    if (reply.status != 200)
+      throw Unreached(fmt::format("status {}: {}", reply.status, reply.body.substr(0, 200)));
+    json::Value value = json::parse(reply.body);
+    if (etcd()) {
+      registry::Page page = registry::etcd::read_page(value);
+      if (page.items.empty()) return std::nullopt;
+      return Held{page.items.front().item.value, page.items.front().item.modified};
+    }
+    if (value.items.empty()) return std::nullopt;
+    const json::Value* text = value.items.front().find("Value");
+    const json::Value* index = value.items.front().find("ModifyIndex");
+    Held held;
+    if (text) held.value = registry::decode_base64(text->raw).value_or("");
+    if (index) held.modified = index->whole().value_or(0);
+    return held;
+  }
+
+  // False where it stood no longer at that revision.
+  bool put_if(const std::string& id, const std::string& value, registry::Revision modified) {
+    registry::Reply reply = call(etcd() ? registry::etcd::put_if(key(id), value, modified)
+                                        : registry::consul::put_if(key(id), value, modified));
+    check(reply);
+    return etcd() ? registry::etcd::read_succeeded(json::parse(reply.body))
+                  : reply.body.substr(0, 4) == "true";
+  }
+  void put(const std::string& id, const std::string& value) {
+    check(call(etcd() ? registry::etcd::put(key(id), value) : registry::consul::put(key(id), value)));
+  }
+  void remove(const std::string& id) {
+    check(call(etcd() ? registry::etcd::remove(key(id)) : registry::consul::remove(key(id))));
+  }
+
+ private:
+  static void check(const registry::Reply& reply) {
+    if (reply.status != 200)
+      throw Unreached(fmt::format("status {}: {}", reply.status, reply.body.substr(0, 200)));
+  }
+
+  registry::RegistryOptions options_;
+  net::Duration timeout_;
+  std::string credentials_;
+  net::Loop loop_;
+  registry::Call call_;
+};
+
+int put_node(const RegistryArguments& arguments) {
+  auto address = net::Address::parse(arguments.address);
+  if (!address || address->port == 0)
+    throw BadArguments("--address " + arguments.address + " is none with a port, like 10.0.0.1:3000");
+  Hand hand(arguments);
+  membership::Entry entry{
+      arguments.id,   *address,
+      arguments.zone, arguments.kind,
+      arguments.cell, arguments.draining ? membership::Phase::draining : membership::Phase::ready,
+      arguments.size, arguments.start_ms};
+  std::string record = registry::write_record(entry);
+  if (arguments.if_absent) {
+    if (!hand.put_if(arguments.id, record, 0)) {
+      std::fprintf(stderr, "pearspar: %s is there already\n", hand.key(arguments.id).c_str());
+      return status_missing;
+    }
+  } else {
+    hand.put(arguments.id, record);
+  }
+  std::printf("%s\n", line_of(entry).c_str());
+  return 0;
+}
+
+// Reads, changes and writes back only what nobody else has changed meanwhile.
+int set_phase(const RegistryArguments& arguments, membership::Phase phase) {
+  Hand hand(arguments);
+  for (int i = 0; i < conflicts_borne; ++i) {
+    auto held = hand.get(arguments.id);
+    if (!held) {
+      std::fprintf(stderr, "pearspar: there is no %s\n", hand.key(arguments.id).c_str());
+      return status_missing;
+    }
+    membership::Entry entry;
+    try {
+      entry = registry::read_record(arguments.id, held->value);
+    } catch (const json::ParseError& error) {
+      std::fprintf(stderr, "pearspar: the record under %s cannot be read: %s\n",
+                   hand.key(arguments.id).c_str(), error.what());
+      return status_missing;
+    }
+    entry.phase = phase;
+    if (hand.put_if(arguments.id, registry::write_record(entry), held->modified)) {
+      std::printf("%s\n", line_of(entry).c_str());
+      return 0;
+    }
+  }
+  throw Unreached(hand.key(arguments.id) + " is being changed by others all the time");
+}
+
+int remove_node(const RegistryArguments& arguments) {
+  Hand hand(arguments);
+  if (!hand.get(arguments.id)) {
+    std::fprintf(stderr, "pearspar: there is no %s\n", hand.key(arguments.id).c_str());
+    return status_missing;
+  }
+  hand.remove(arguments.id);
+  std::printf("%s is removed\n", hand.key(arguments.id).c_str());
+  return 0;
+}
+
+// Follows the prefix as a broker does, and prints what a broker would be told.
+class Printer final : public membership::MembersUser {
+ public:
+  explicit Printer(bool json) : json_(json) {}
+  void members_told(const membership::MemberList& list) override {
+    told = true;
+    for (const membership::Entry& entry : list.entries) {
+      if (json_)
+        std::printf("%s\n", record(entry, list.revision).c_str());
+      else
+        std::printf("%8lld %s\n", static_cast<long long>(list.revision), line_of(entry).c_str());
+    }
+    if (list.complete && list.entries.empty())
+      std::printf("%8lld (no nodes)\n", static_cast<long long>(list.revision));
+    std::fflush(stdout);
+  }
+  void members_failed() override {}
+  bool told = false;
+
+ private:
+  static std::string record(const membership::Entry& entry, std::int64_t revision) {
+    std::string text = registry::write_record(entry);
+    if (entry.phase == membership::Phase::gone) {
+      std::size_t at = text.find("\"ready\"");
+      text.replace(at, 7, "\"gone\"");
+    }
+    text.pop_back();
+    return text + fmt::format(",\"revision\":{}}}", revision);
+  }
+  bool json_;
+};
+
+int follow(const RegistryArguments& arguments, bool once) {
+  net::Loop loop;
+  log::Logger log(STDERR_FILENO, log::Level::warning, "registry");
+  Printer printer(arguments.json);
+  registry::RegistrySource source(loop, log, options_of(arguments), static_cast<std::uint64_t>(::getpid()),
+                                  printer);
+  sigset_t wanted;
+  sigemptyset(&wanted);
+  for (int signal : {SIGINT, SIGTERM}) sigaddset(&wanted, signal);
+  sigprocmask(SIG_BLOCK, &wanted, nullptr);
+  net::Fd signals(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
+  bool ended = false;
+  net::Watch watch = loop.watch(signals.get(), POLLIN, [&](short) { ended = true; });
+  if (!arguments.json)
+    std::printf("%8s %-20s %-21s %-6s %-6s %5s %-9s %5s %s\n", "revision", "id", "address", "zone", "kind",
+                "cell", "phase", "size", "start_ms");
+  source.start();
+  net::Time start = loop.now();
+  double limit = once ? arguments.timeout_s : arguments.for_s;
+  net::Timer over;
+  if (limit > 0) over = loop.at(start + net::Duration(limit), [&] { ended = true; });
+  while (!ended && !(once && printer.told)) loop.turn();
+  for (const auto& [key, why] : source.roster().bad())
+    std::fprintf(stderr, "pearspar: the record under %s cannot be read: %s\n", key.c_str(), why.c_str());
+  if (!printer.told) throw Unreached("the registry did not answer in time");
+  return source.roster().bad().empty() ? 0 : status_missing;
+}
+
+}  // namespace
+
+CLI::App* add_registry(CLI::App& app, RegistryArguments& arguments) {
+  CLI::App* registry = app.add_subcommand("registry", "look at the registry and change it by hand");
+  registry->require_subcommand(1);
+  auto add = [&](const char* name, const char* what, bool with_id) {
+    CLI::App* command = registry->add_subcommand(name, what);
+    command->add_option("--options", arguments.options_path, "the operator's file that names the registry");
+    command->add_option("--endpoint", arguments.endpoints, "a registry's address, instead; again for more");
+    command->add_option("--dialect", arguments.dialect, "with --endpoint: etcd or consul")
+        ->check(CLI::IsMember({"etcd", "consul"}));
+    command->add_option("--prefix", arguments.prefix, "the keys' prefix, where it is another");
+    command->add_option("--timeout", arguments.timeout_s, "seconds to wait for an endpoint")
+        ->check(CLI::Range(0.05, 600.0));
+    if (with_id) command->add_option("id", arguments.id, "the node's id")->required();
+    command->callback([&arguments, name] { arguments.command = name; });
+    return command;
+  };
+  CLI::App* get = add("get", "print the nodes as they stand", false);
+  get->add_flag("--json", arguments.json, "a JSON object a line");
+  CLI::App* watch = add("watch", "print the nodes and then each change, as a broker is told it", false);
+  watch->add_flag("--json", arguments.json, "a JSON object a line");
+  watch->add_option("--for", arguments.for_s, "seconds to go on; 0: until SIGINT")
+      ->check(CLI::Range(0.0, 1e7));
+  CLI::App* put = add("put-node", "write a node's record", true);
+  put->add_option("--address", arguments.address, "as 10.0.0.1:3000")->required();
+  put->add_option("--cell", arguments.cell, "which shards it holds")->required()->check(CLI::Range(0, 65535));
+  put->add_option("--zone", arguments.zone, "");
+  put->add_option("--kind", arguments.kind, "");
+  put->add_option("--size", arguments.size, "its capacity beside others'")->check(CLI::Range(0.0, 1e9));
+  put->add_option("--start-ms", arguments.start_ms, "its start, in Unix milliseconds")
+      ->check(CLI::Range(0.0, 1e15));
+  put->add_flag("--draining", arguments.draining, "");
+  put->add_flag("--if-absent", arguments.if_absent, "only where there is no such node");
+  add("drain", "let a node finish what it has and give it nothing new", true);
+  add("ready", "take a node back into service", true);
+  add("remove", "take a node off the list", true);
+  return registry;
+}
+
+int run_registry(const RegistryArguments& arguments) {
+  try {
+    if (arguments.command == "get") return follow(arguments, true);
+    if (arguments.command == "watch") return follow(arguments, false);
+    if (arguments.command == "put-node") return put_node(arguments);
+    if (arguments.command == "drain") return set_phase(arguments, membership::Phase::draining);
+    if (arguments.command == "ready") return set_phase(arguments, membership::Phase::ready);
+    return remove_node(arguments);
+  } catch (const options::OptionsError& error) {
+    for (const std::string& fault : error.faults()) std::fprintf(stderr, "pearspar: %s\n", fault.c_str());
+    return status_arguments;
+  } catch (const BadArguments& error) {
+    std::fprintf(stderr, "pearspar: %s\n", error.what());
+    return status_arguments;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "pearspar: %s\n", error.what());
+    return status_unreached;
+  }
+}
+
+}  // namespace pearspar::cli
--- a/src/discovery/client.h
+++ b/src/discovery/client.h
@@ -13,42 +13,21 @@
 
 namespace pearspar::discovery {
 
-struct DiscoveryCounters {
-  std::uint64_t lists = 0;    // whole ones
-  std::uint64_t changes = 0;  // replies to a watch that held any
-  std::uint64_t stale = 0;    // older than what stands
-  std::uint64_t failures = 0;
+using membership::MembersUser;
 
-  DiscoveryCounters& operator+=(const DiscoveryCounters& other) {
-    lists += other.lists;
-    changes += other.changes;
-    stale += other.stale;
-    failures += other.failures;
-    return *this;
-  }
-};
-
-class MembersUser {
- public:
-  virtual ~MembersUser() = default;
-  virtual void members_told(const MemberList& list) = 0;
-  virtual void members_failed() = 0;
-};
-
-class Client {
+class Client final : public membership::Source {
  public:
   Client(net::Loop& loop, log::Logger& log, const net::Address& address, MembersUser& user)
-      : loop_(loop), log_(log), address_(address), user_(user) {}
+      : loop_(loop), log_(log), address_(address), where_("discovery at " + address.text()), user_(user) {}
 
-  void start();  // does nothing where it has started already
-  void stop();
-  // Asks for the whole list again.
-  void fetch();
+  const std::string& where() const override { return where_; }
+  void start() override;
+  void stop() override;
+  void fetch() override;
   // The connection that stands is the last one: once it ends, no other is made.
-  void make_last() { last_ = true; }
-  // Of the list that stands; -1 where there is none yet.
-  std::int64_t revision() const { return revision_; }
-  const DiscoveryCounters& counters() const { return counters_; }
+  void make_last() override { last_ = true; }
+  std::int64_t revision() const override { return revision_; }
+  membership::SourceCounters counters() const override { return counters_; }
 
  private:
   void connect();
@@ -65,6 +44,7 @@
   net::Loop& loop_;
   log::Logger& log_;
   net::Address address_;
+  std::string where_;
   MembersUser& user_;
   bool started_ = false;
   bool last_ = false;
@@ -82,7 +62,7 @@
   net::Buffer in_;
   std::string out_;
   http::MessageReader reader_{http::MessageKind::reply};
-  DiscoveryCounters counters_;
+  membership::SourceCounters counters_;
 };
 
 }  // namespace pearspar::discovery
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -1,22 +1,36 @@
-// Log lines on one descriptor: levels, a bound on their rate, and never a wait for whoever reads them.
+// Log lines on one descriptor, through spdlog: levels, a plain and a JSON form, a bound on their rate, and
+// never a wait for whoever reads them.
 #pragma once
 
 #include <fmt/format.h>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "net/clock.h"
+namespace spdlog {
+class logger;
+}
 
 namespace pearspar::log {
 
 enum class Level { error, warning, info, debug };
 
+struct Options {
+  bool json = false;        // {"time":..,"name":..,"level":..,"dropped":..,"text":..}, a line each
+  double lines_per_s = 50;  // in the long run
+  double burst = 200;       // at once
+};
+
+class DescriptorSink;
+
 class Logger {
  public:
-  Logger(int fd, Level level, std::string name) : fd_(fd), level_(level), name_(std::move(name)) {}
+  Logger(int fd, Level level, std::string name, const Options& options = {});
+  ~Logger();
+  Logger(const Logger&) = delete;
 
   template <typename... Args>
   void error(fmt::format_string<Args...> format, Args&&... args) {
@@ -36,17 +50,12 @@
   }
 
   void write(Level level, std::string_view text);
-  std::uint64_t dropped() const { return dropped_; }
+  std::uint64_t dropped() const;
 
  private:
-  int fd_;
   Level level_;
-  std::string name_;
-  net::Clock clock_;
-  double allowance_ = 0;
-  net::Time last_{};
-  std::uint64_t dropped_ = 0;
-  std::uint64_t dropped_told_ = 0;
+  std::shared_ptr<DescriptorSink> sink_;
+  std::unique_ptr<spdlog::logger> logger_;
 };
 
 }  // namespace pearspar::log
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,9 +13,11 @@
 #include <system_error>
 
 #include "broker/broker.h"
+#include "cli/registry_commands.h"
 #include "config/config.h"
 #include "log/log.h"
 #include "net/loop.h"
+#include "options/options.h"
 
 namespace {
 
@@ -45,28 +47,39 @@
   return config;
 }
 
+pearspar::options::Options read_options(const std::string& path) {
+  return path.empty() ? pearspar::options::Options() : pearspar::options::read_options_file(path);
+}
+
 // A file that is no good changes nothing: a broker that serves must not end for it.
-void reload(pearspar::broker::Broker& broker, pearspar::log::Logger& log, const std::string& path) {
+void reload(pearspar::broker::Broker& broker, pearspar::log::Logger& log, const std::string& path,
+            const std::string& options_path) {
   try {
-    broker.reload(read_config(path));
+    const pearspar::options::Options options = read_options(options_path);
+    broker.reload(read_config(path), options);
+  } catch (const pearspar::options::OptionsError& error) {
+    for (const std::string& fault : error.faults()) log.error("reload: {}", fault);
+    log.error("reload: the options in force stay");
   } catch (const std::exception& error) {
     log.error("reload: {}; the configuration in force stays", error.what());
   }
 }
 
-int serve(const std::string& config_path, pearspar::log::Level level) {
+int serve(const std::string& config_path, const std::string& options_path, pearspar::log::Level level) {
   pearspar::net::Fd signals = take_signals();
   const pearspar::config::Config config = read_config(config_path);
-  pearspar::log::Logger log(STDERR_FILENO, level, config.name);
+  const pearspar::options::Options options = read_options(options_path);
+  pearspar::log::Logger log(STDERR_FILENO, level, config.name, options.log);
   pearspar::net::Loop loop;
-  pearspar::broker::Broker broker(loop, log, config, pearspar::make_policy(config.module, config.seed));
+  pearspar::broker::Broker broker(loop, log, config, pearspar::make_policy(config.module, config.seed),
+                                  options);
   pearspar::net::Watch watch = loop.watch(signals.get(), POLLIN, [&](short) {
     signalfd_siginfo info{};
     while (::read(signals.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
       if (info.ssi_signo == SIGUSR1)
         log.info("counters {}", broker.counters_json());
       else if (info.ssi_signo == SIGHUP)
-        reload(broker, log, config_path);
+        reload(broker, log, config_path, options_path);
       else
         broker.wind_down();
     }
@@ -87,8 +100,10 @@
   app.require_subcommand(1);
   std::string config_path;
   if (const char* path = std::getenv("GW_CONFIG")) config_path = path;
+  std::string options_path;
   auto add_config = [&](CLI::App* command) {
     command->add_option("--config", config_path, "the configuration file (default: $GW_CONFIG)");
+    command->add_option("--options", options_path, "the operator's file (default: none)");
   };
   CLI::App* serve_command = app.add_subcommand("serve", "serve until SIGTERM or SIGINT");
   add_config(serve_command);
@@ -103,12 +118,21 @@
       app.add_subcommand("check-config", "read the configuration and say whether it is good");
   add_config(check_command);
   CLI::App* version_command = app.add_subcommand("version", "print the version");
+  pearspar::cli::RegistryArguments registry_arguments;
+  CLI::App* registry_command = pearspar::cli::add_registry(app, registry_arguments);
   CLI11_PARSE(app, argc, argv);
   try {
     if (*version_command) {
       std::printf("pearspar %s\n", version);
       return 0;
     }
+    if (*registry_command) return pearspar::cli::run_registry(registry_arguments);
+    // An operator's file can be checked without the platform's.
+    if (*check_command && !options_path.empty()) {
+      read_options(options_path);
+      std::printf("%s: good\n", options_path.c_str());
+      if (config_path.empty()) return 0;
+    }
     if (config_path.empty())
       throw pearspar::config::ConfigError(
           "configuration: no file is named, neither by --config nor by GW_CONFIG");
@@ -117,7 +141,10 @@
       std::printf("%s: good, %zu nodes known\n", config_path.c_str(), config.known.entries.size());
       return 0;
     }
-    return serve(config_path, level);
+    return serve(config_path, options_path, level);
+  } catch (const pearspar::options::OptionsError& error) {
+    for (const std::string& fault : error.faults()) std::fprintf(stderr, "pearspar: %s\n", fault.c_str());
+    return status_config;
   } catch (const pearspar::config::ConfigError& error) {
     std::fprintf(stderr, "pearspar: %s\n", error.what());
     return status_config;
--- /dev/null
+++ b/src/options/options.h
@@ -0,0 +1,47 @@
+// The operator's file, read and checked in one place. Its schema is options.proto.
+#pragma once
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "log/log.h"
+#include "membership/members.h"
+#include "registry/source.h"
+
+namespace pearspar::options {
+
+// One fault a line, each as `FILE:LINE:COLUMN: FIELD: what is wrong`.
+class OptionsError : public std::runtime_error {
+ public:
+  explicit OptionsError(std::vector<std::string> faults);
+  const std::vector<std::string>& faults() const { return faults_; }
+
+ private:
+  std::vector<std::string> faults_;
+};
+
+enum class MembershipKind { agent, registry, fixed };
+
+struct RegistrationOptions {
+  registry::RegistryOptions registry;
+  std::string prefix = "/pearspar/brokers/";
+  std::chrono::seconds lease{5};
+  std::string zone;
+};
+
+struct Options {
+  MembershipKind membership = MembershipKind::agent;
+  std::optional<registry::RegistryOptions> registry;
+  membership::MemberList fixed;
+  std::optional<RegistrationOptions> registration;
+  log::Options log;
+};
+
+// `name` stands in the faults. Throws OptionsError with every fault that was found.
+Options read_options(std::string_view text, const std::string& name);
+Options read_options_file(const std::string& path);
+
+}  // namespace pearspar::options
--- a/tests/broker_process.sh
+++ b/tests/broker_process.sh
@@ -104,7 +104,7 @@
 start "$dir/now.json"
 sed 's/"discovery":"127.0.0.1:1"/"discovery":"127.0.0.1:2"/' "$dir/good.json" >"$dir/now.json"
 kill -HUP "$pid"
-say 'discovery moves from 127.0.0.1:1 to 127.0.0.1:2'
+say 'moves from discovery at 127.0.0.1:1 to discovery at 127.0.0.1:2'
 cp "$dir/bad.json" "$dir/now.json"
 kill -HUP "$pid"
 say 'quantum_s.*the configuration in force stays'
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,7 +1,8 @@
 #include <gtest/gtest.h>
 
 #include "config_text.h"
-#include "discovery/registry.h"
+#include "discovery/client.h"
+#include "membership/switch.h"
 #include "peers.h"
 
 namespace pearspar::discovery {
@@ -218,7 +219,7 @@
 }
 
 // A broker's configuration may name another place while it serves.
-class RegistryTest : public ::testing::Test, protected MembersUser {
+class SwitchTest : public ::testing::Test, protected MembersUser {
  protected:
   struct Agent : peers::Listener {
     std::string target;
@@ -259,13 +260,18 @@
   net::Loop loop;
   Agent first, second, third;
   std::vector<std::int64_t> told;
-  Registry registry{loop, peers::quiet_log(), first.address(), *this};
+  membership::MakeSource at(const net::Address& address) {
+    return [this, address](MembersUser& user) {
+      return std::make_unique<Client>(loop, peers::quiet_log(), address, user);
+    };
+  }
+  membership::Switch registry{peers::quiet_log(), at(first.address()), *this};
 };
 
 // The versions of another registry count from anywhere: its list is believed at once, however low.
-TEST_F(RegistryTest, AnotherPlaceTakesOverWithItsWholeListWhateverItsVersion) {
+TEST_F(SwitchTest, AnotherPlaceTakesOverWithItsWholeListWhateverItsVersion) {
   start_at_first();
-  registry.move(second.address());
+  registry.move(at(second.address()));
   ASSERT_TRUE(until([&] { return second.asked(); }));
   EXPECT_EQ(second.target, "/registry/instances");
   // Until it has told, the former place does.
@@ -281,10 +287,10 @@
   EXPECT_EQ(registry.counters().lists, 2u);  // those of the place that was left stay counted
 }
 
-TEST_F(RegistryTest, TheFormerPlaceIsNotConnectedToAgain) {
+TEST_F(SwitchTest, TheFormerPlaceIsNotConnectedToAgain) {
   start_at_first();
   std::size_t connections = first.peers.size();
-  registry.move(second.address());
+  registry.move(at(second.address()));
   first.peers.back()->close();
   ASSERT_TRUE(until([&] { return second.asked(); }));
   // A while in which a client that tries again would have done so.
@@ -297,17 +303,17 @@
   ASSERT_TRUE(until([&] { return told.size() == 2; }));
 }
 
-TEST_F(RegistryTest, MovedTwiceInARowTheLastPlaceCounts) {
+TEST_F(SwitchTest, MovedTwiceInARowTheLastPlaceCounts) {
   start_at_first();
-  registry.move(second.address());
+  registry.move(at(second.address()));
   ASSERT_TRUE(until([&] { return second.asked(); }));
-  registry.move(third.address());
-  registry.move(third.address());
+  registry.move(at(third.address()));
+  registry.move(at(third.address()));
   ASSERT_TRUE(until([&] { return third.asked() && second.peers.back()->ended(); }));
   EXPECT_EQ(third.peers.size(), 1u);
   third.reply(list_text(2, true, one));
   ASSERT_TRUE(until([&] { return told.size() == 2; }));
-  registry.move(first.address());
+  registry.move(at(first.address()));
   ASSERT_TRUE(until([&] { return first.peers.size() == 2 && first.asked(); }));
   first.reply(list_text(50, true, one));
   ASSERT_TRUE(until([&] { return told.size() == 3; }));
--- /dev/null
+++ b/tests/registry_source_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
