--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -43,6 +43,7 @@
     : loop_(loop),
       log_(log),
       config_(config),
+      options_(options),
       front_(loop, log, most_clients(config), *this),
       links_(loop, log, link_limits(config), *this),
       members_(log, source_of(loop, log, config, options), *this),
@@ -51,15 +52,15 @@
     classes_[config_.module.classes[i].name] = static_cast<int>(i);
   for (std::size_t i = 0; i < config_.module.tenants.size(); ++i)
     tenants_[config_.module.tenants[i].name] = static_cast<int>(i);
-  make_registration(options);
 }
 
-void Broker::make_registration(const options::Options& options) {
-  if (!options.registration) return;
-  const options::RegistrationOptions& wanted = *options.registration;
+// The broker's own record, with the address at which it really listens.
+void Broker::make_registration() {
+  if (!options_.registration) return;
+  const options::RegistrationOptions& wanted = *options_.registration;
   membership::Entry self;
   self.id = config_.name;
-  self.address = config_.listen;
+  self.address = front_.address();
   self.zone = wanted.zone;
   self.kind = "broker";
   self.up_since_ms = std::chrono::duration<double, std::milli>(loop_.now().time_since_epoch()).count();
@@ -73,6 +74,7 @@
   front_.listen(config_.listen);
   log_.info("{} listens on {}, {} nodes known", config_.name, front_.address().text(), nodes_.size());
   if (!config_.module.membership_by_asking) members_.start();
+  make_registration();
   if (registration_) registration_->start();
   // The module's first batch: where the list does not come by itself, it asks for it.
   hand_batch();
@@ -95,6 +97,8 @@
   std::string fixed;
   for (const std::string& key : config::fixed_differences(config_, config))
     fixed += (fixed.empty() ? "" : ", ") + key;
+  for (const std::string& key : options::fixed_differences(options_, options))
+    fixed += (fixed.empty() ? "" : ", ") + key;
   if (!fixed.empty()) log_.warning("reload: changes only with a restart: {}", fixed);
   members_.move(source_of(loop_, log_, config, options));
   log_.info("reload: the list of nodes comes from {}", members_.where());
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -107,7 +107,7 @@
   void refuse_bad(net::SlotId connection, int status, std::string_view why, std::string_view allow = {});
   void take_query(net::SlotId connection, const clients::Query& asked, int cls, int tenant);
   void take_list(const membership::MemberList& list, ListForm form);
-  void make_registration(const options::Options& options);
+  void make_registration();
   void note_gone(KnownNode& node);
   void forget_gone();
   Member member_of(const membership::Entry& entry);
@@ -137,6 +137,7 @@
   net::Loop& loop_;
   log::Logger& log_;
   config::Config config_;
+  options::Options options_;  // of the start
   clients::Front front_;
   nodelink::Links links_;
   membership::Switch members_;
--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -253,6 +253,20 @@
 OptionsError::OptionsError(std::vector<std::string> faults)
     : std::runtime_error(joined(faults)), faults_(std::move(faults)) {}
 
+std::vector<std::string> fixed_differences(const Options& now, const Options& then) {
+  auto words = [](const std::optional<RegistrationOptions>& each) {
+    return each ? each->registry.text() + " " + each->prefix + " " + std::to_string(each->lease.count()) +
+                      " " + each->zone
+                : std::string();
+  };
+  std::vector<std::string> keys;
+  if (words(now.registration) != words(then.registration)) keys.push_back("registration");
+  if (now.log.json != then.log.json || now.log.lines_per_s != then.log.lines_per_s ||
+      now.log.burst != then.log.burst)
+    keys.push_back("log");
+  return keys;
+}
+
 Options read_options(std::string_view text, const std::string& name) {
   Faults faults(name, text);
   File file;
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -40,6 +40,9 @@
   log::Options log;
 };
 
+// The parts that differ between the two and take effect only at a start.
+std::vector<std::string> fixed_differences(const Options& now, const Options& then);
+
 // `name` stands in the faults. Throws OptionsError with every fault that was found.
 Options read_options(std::string_view text, const std::string& name);
 Options read_options_file(const std::string& path);
--- a/src/registry/follower.cpp
+++ b/src/registry/follower.cpp
@@ -162,9 +162,16 @@
   rest(now);
 }
 
+// The registry is there and has something else than we thought: that is read at once, unless it has happened
+// just now.
 void WatchFollower::read_anew(net::Time now) {
   need_snapshot_ = true;
-  rest(now);
+  if (now < last_anew_ + options_.settle) return rest(now);
+  last_anew_ = now;
+  drop(main_);
+  drop(look_);
+  view_.lose();
+  read(now);
 }
 
 void WatchFollower::doubt(net::Time now, const Header& header) {
@@ -405,7 +412,8 @@
     whole_ = true;
   }
   adopt(page.header);
-  if (whole_ || view_.state() != ViewState::following || index != view_.revision()) {
+  bool news = whole_ || view_.state() != ViewState::following || index != view_.revision();
+  if (news) {
     view_.begin_snapshot(index);
     Verdict verdict = view_.add_page(index, page.items);
     if (verdict != Verdict::applied) {
@@ -423,7 +431,7 @@
   bool held = index_ > 0;
   index_ = index;
   // One that answers at once with nothing new, again and again, must not keep us busy.
-  bool busy = held && index == view_.revision() && now < asked_ + options_.pacing.first;
+  bool busy = held && !news && now < asked_ + options_.pacing.first;
   if (!busy) return poll(now);
   until_ = asked_ + options_.pacing.first;
 }
--- a/src/registry/follower.h
+++ b/src/registry/follower.h
@@ -156,7 +156,8 @@
   net::Time look_until_{};
   net::Time next_look_{};
   bool need_snapshot_ = true;
-  bool whole_ = true;       // the next snapshot is told whole
+  bool whole_ = true;  // the next snapshot is told whole
+  net::Time last_anew_{};
   net::Time next_audit_{};  // of a view that stands
   Revision verify_at_ = 0;  // the pin of the look that verifies, 0 = the newest
   Revision pinned_ = 0;     // of the snapshot that is gathered, 0 before its first page
--- a/src/registry/link.cpp
+++ b/src/registry/link.cpp
@@ -11,7 +11,8 @@
 }  // namespace
 
 void Link::send(const net::Address& address, const Request& request, const std::string& headers,
-                std::unique_ptr<ReplyReader> reader) {
+                std::unique_ptr<ReplyReader> reader, bool again) {
+  again_ = again;
   bool same = fd_ && up_ && !reader_ && address == address_ && in_.size() == 0;
   if (!same) close();
   address_ = address;
@@ -105,7 +106,7 @@
     bool end = result != net::IoResult::some;
     // A kept connection may have ended while nobody looked: what was sent on it is sent once more, on a new
     // one.
-    if (end && !heard_ && used_) {
+    if (end && !heard_ && used_ && again_) {
       watch_.reset();
       fd_.reset();
       in_ = net::Buffer();
--- a/src/registry/link.h
+++ b/src/registry/link.h
@@ -22,9 +22,11 @@
   Link(net::Loop& loop, After after) : loop_(loop), after_(std::move(after)) {}
   Link(const Link&) = delete;
 
-  // Whatever was out on it is given up. There is no time-out here: whoever sends has one.
+  // Whatever was out on it is given up. There is no time-out here: whoever sends has one. `again`: where a
+  // kept connection turns out to have ended, the request goes out once more on a new one. Not for one that is
+  // held by the registry until something happens: its end may be what has happened.
   void send(const net::Address& address, const Request& request, const std::string& headers,
-            std::unique_ptr<ReplyReader> reader);
+            std::unique_ptr<ReplyReader> reader, bool again = true);
   void close();
 
   bool busy() const { return reader_ != nullptr; }
@@ -47,7 +49,8 @@
   net::Watch watch_;
   net::Timer failed_start_;
   bool up_ = false;
-  bool used_ = false;    // a reply came on it whole: it may have ended idle, unseen
+  bool used_ = false;  // a reply came on it whole: it may have ended idle, unseen
+  bool again_ = true;
   bool heard_ = false;   // of the request that is out
   std::string request_;  // kept until something of its reply is read
   std::size_t written_ = 0;
--- a/src/registry/source.cpp
+++ b/src/registry/source.cpp
@@ -124,7 +124,7 @@
     WireUser& self = *this;
     (look ? look_ : main_)
         .send(options_.endpoints[static_cast<std::size_t>(ask.endpoint)], dialect_->request(ask),
-              dialect_->credentials(), dialect_->reader(ask, self));
+              dialect_->credentials(), dialect_->reader(ask, self), ask.kind != Ask::Kind::poll);
   }
   net::Time due = follower_->due();
   timer_.reset();
@@ -206,6 +206,7 @@
   }
   if (!list) return;
   ++(list->complete ? counters_.lists : counters_.changes);
+  if (!told_) log_.info("{}: {} nodes at revision {}", where_, roster_.size(), view.revision());
   told_ = true;
   user_.members_told(*list);
 }
--- a/src/standins/server.h
+++ b/src/standins/server.h
@@ -45,7 +45,7 @@
   bool up() const { return static_cast<bool>(listener_); }
   void reset_all();
   // Takes what comes and says nothing more, on old connections and new ones.
-  void hang(bool on) { hung_ = on; }
+  void hang(bool on);
   // The next stream is cut by a reset once so many bytes of its body were written.
   void cut_after(std::size_t bytes) { cut_after_ = bytes; }
   bool cut_pending() const { return cut_after_.has_value(); }
--- a/tests/registry_source_test.cpp
+++ b/tests/registry_source_test.cpp
@@ -92,6 +92,20 @@
   EXPECT_EQ(least, 1u);
 }
 
+// The new registry may by chance stand at the very revision that the old one had.
+TEST_P(Either, ARestartWithoutDataThatComesToTheSameRevision) {
+  make(GetParam(), 3);
+  world->store().write({{key("a"), record_of("a", 1), 0}, {key("b"), record_of("b", 1), 0}});
+  follow();
+  ASSERT_TRUE(equal());
+  std::int64_t revision = world->store().revision();
+  pass(30ms);  // the next blocking read is out, on the connection that was kept
+  world->wipe();
+  put("a", 9);
+  EXPECT_EQ(world->store().revision(), revision);
+  ASSERT_TRUE(equal());
+}
+
 TEST_P(Either, AllEndpointsDownForAWhileTheListServesOn) {
   make(GetParam(), 3);
   put("a", 1);
