--- a/src/cli/registry_commands.cpp
+++ b/src/cli/registry_commands.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 #include <signal.h>
-#include <sys/signalfd.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -10,6 +9,7 @@
 
 #include "json/json.h"
 #include "log/log.h"
+#include "net/signals.h"
 #include "options/options.h"
 #include "registry/call.h"
 #include "registry/etcd.h"
@@ -253,13 +253,9 @@
   Printer printer(arguments.json);
   registry::RegistrySource source(loop, log, options_of(arguments), static_cast<std::uint64_t>(::getpid()),
                                   printer);
-  sigset_t wanted;
-  sigemptyset(&wanted);
-  for (int signal : {SIGINT, SIGTERM}) sigaddset(&wanted, signal);
-  sigprocmask(SIG_BLOCK, &wanted, nullptr);
-  net::Fd signals(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
+  net::Signals signals{SIGINT, SIGTERM};
   bool ended = false;
-  net::Watch watch = loop.watch(signals.get(), POLLIN, [&](short) { ended = true; });
+  signals.watch(loop, [&](int) { ended = true; });
   if (!arguments.json)
     std::printf("%8s %-20s %-21s %-6s %-6s %5s %-9s %5s %s\n", "revision", "id", "address", "zone", "kind",
                 "cell", "phase", "size", "start_ms");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,6 @@
 // The command line of pearspar.
 #include <signal.h>
 #include <sys/resource.h>
-#include <sys/signalfd.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -17,6 +16,7 @@
 #include "config/config.h"
 #include "log/log.h"
 #include "net/loop.h"
+#include "net/signals.h"
 #include "options/options.h"
 
 namespace {
@@ -25,18 +25,6 @@
 constexpr int status_config = 2;  // its configuration is no good
 constexpr const char* version = "0.1.0";
 
-// Takes the signals that the loop is to hear of as descriptor events.
-pearspar::net::Fd take_signals() {
-  sigset_t wanted;
-  sigemptyset(&wanted);
-  for (int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&wanted, signal);
-  sigprocmask(SIG_BLOCK, &wanted, nullptr);
-  ::signal(SIGPIPE, SIG_IGN);
-  pearspar::net::Fd fd(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
-  if (!fd) throw std::system_error(errno, std::generic_category(), "signalfd");
-  return fd;
-}
-
 pearspar::config::Config read_config(const std::string& path) {
   pearspar::config::Config config = pearspar::config::read_config_file(path);
   // Where the machine grants fewer descriptors than the configuration names, that is what there is.
@@ -66,23 +54,20 @@
 }
 
 int serve(const std::string& config_path, const std::string& options_path, pearspar::log::Level level) {
-  pearspar::net::Fd signals = take_signals();
+  pearspar::net::Signals signals{SIGTERM, SIGINT, SIGUSR1, SIGHUP};
   const pearspar::config::Config config = read_config(config_path);
   const pearspar::options::Options options = read_options(options_path);
   pearspar::log::Logger log(STDERR_FILENO, level, config.name, options.log);
   pearspar::net::Loop loop;
   pearspar::broker::Broker broker(loop, log, config, pearspar::make_policy(config.module, config.seed),
                                   options);
-  pearspar::net::Watch watch = loop.watch(signals.get(), POLLIN, [&](short) {
-    signalfd_siginfo info{};
-    while (::read(signals.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
-      if (info.ssi_signo == SIGUSR1)
-        log.info("counters {}", broker.counters_json());
-      else if (info.ssi_signo == SIGHUP)
-        reload(broker, log, config_path, options_path);
-      else
-        broker.wind_down();
-    }
+  signals.watch(loop, [&](int signal) {
+    if (signal == SIGUSR1)
+      log.info("counters {}", broker.counters_json());
+    else if (signal == SIGHUP)
+      reload(broker, log, config_path, options_path);
+    else
+      broker.wind_down();
   });
   broker.start();
   while (!broker.done()) {
--- a/src/registry/consul.cpp
+++ b/src/registry/consul.cpp
@@ -50,12 +50,7 @@
   each.item.created = number_of(entry, "CreateIndex");
   each.item.modified = number_of(entry, "ModifyIndex");
   const json::Value* value = entry.find("Value");
-  if (!value || value->is(json::Kind::null)) return each;
-  auto bytes = value->is(json::Kind::text) ? decode_base64(value->raw) : std::nullopt;
-  if (bytes)
-    each.item.value = std::move(*bytes);
-  else
-    each.item.oversized = true;
+  if (value && !value->is(json::Kind::null)) read_value(*value, each.item);
   return each;
 }
 
--- a/src/registry/etcd.cpp
+++ b/src/registry/etcd.cpp
@@ -13,6 +13,12 @@
   return bytes;
 }
 
+void read_value(const json::Value& value, Item& item) {
+  auto bytes = value.is(json::Kind::text) ? decode_base64(value.raw) : std::nullopt;
+  item.oversized = !bytes;
+  if (bytes) item.value = std::move(*bytes);
+}
+
 std::string encode_base64(std::string_view bytes) { return absl::Base64Escape({bytes.data(), bytes.size()}); }
 
 }  // namespace pearspar::registry
@@ -67,14 +73,7 @@
   each.item.created = whole_of<Revision>(kv, "create_revision");
   each.item.modified = whole_of<Revision>(kv, "mod_revision");
   each.item.version = whole_of<std::int64_t>(kv, "version");
-  if (const json::Value* value = kv.find("value")) {
-    // What the framer has left out is no base64; a value that is none is as unreadable.
-    auto bytes = value->is(json::Kind::text) ? decode_base64(value->raw) : std::nullopt;
-    if (bytes)
-      each.item.value = std::move(*bytes);
-    else
-      each.item.oversized = true;
-  }
+  if (const json::Value* value = kv.find("value")) read_value(*value, each.item);
   return each;
 }
 
--- a/src/registry/wire.h
+++ b/src/registry/wire.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "http/stream.h"
+#include "json/json.h"
 #include "registry/follower.h"
 #include "registry/framer.h"
 #include "registry/types.h"
@@ -72,5 +73,8 @@
 // Base64 as both registries write values. Nothing where it is none.
 std::optional<std::string> decode_base64(std::string_view text);
 std::string encode_base64(std::string_view bytes);
+// A value in its JSON form into the item; one that is no base64, as what the framer left out is, counts as
+// oversized.
+void read_value(const json::Value& value, Item& item);
 
 }  // namespace pearspar::registry
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -1,7 +1,6 @@
 // pearspar-standin: the outside systems that a broker lives among, each as a process on loopback.
 #include <fmt/format.h>
 #include <signal.h>
-#include <sys/signalfd.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -12,6 +11,7 @@
 #include <vector>
 
 #include "http/message.h"
+#include "net/signals.h"
 #include "standins/node.h"
 #include "standins/registry_world.h"
 
@@ -21,13 +21,9 @@
 
 // Serves until SIGINT or SIGTERM, or for so many seconds.
 void serve(net::Loop& loop, double for_s) {
-  sigset_t wanted;
-  sigemptyset(&wanted);
-  for (int signal : {SIGINT, SIGTERM}) sigaddset(&wanted, signal);
-  sigprocmask(SIG_BLOCK, &wanted, nullptr);
-  net::Fd signals(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
+  net::Signals signals{SIGINT, SIGTERM};
   bool ended = false;
-  net::Watch watch = loop.watch(signals.get(), POLLIN, [&](short) { ended = true; });
+  signals.watch(loop, [&](int) { ended = true; });
   net::Timer over;
   if (for_s > 0) over = loop.at(loop.now() + net::Duration(for_s), [&] { ended = true; });
   while (!ended) loop.turn();
--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -9,26 +9,20 @@
 
 NodeStandin::NodeStandin(net::Loop& loop, const net::Address& address, const NodeBehaviour& behaviour,
                          std::uint64_t seed, Value value)
-    : loop_(loop), address_(address), behaviour_(behaviour), random_(seed), value_(std::move(value)) {
+    : loop_(loop),
+      behaviour_(behaviour),
+      random_(seed),
+      value_(std::move(value)),
+      listener_(loop, address, [this](net::Fd fd) { accept(std::move(fd)); }) {
   if (!value_) value_ = [](const Part& part) { return "found in shard " + std::to_string(part.shard); };
-  listen();
 }
 
-void NodeStandin::listen() {
-  listener_ = net::listen_on(address_);
-  address_ = net::local_address(listener_);
-  watch_ = loop_.watch(listener_.get(), POLLIN, [this](short) { accept(); });
-}
-
-void NodeStandin::accept() {
-  net::Fd fd;
-  while (net::accept_one(listener_, fd) == net::AcceptResult::accepted) {
-    net::SlotId id = connections_.add();
-    Connection& connection = *connections_.find(id);
-    connection.fd = std::move(fd);
-    connection.watch =
-        loop_.watch(connection.fd.get(), POLLIN, [this, id](short events) { on_ready(id, events); });
-  }
+void NodeStandin::accept(net::Fd fd) {
+  net::SlotId id = connections_.add();
+  Connection& connection = *connections_.find(id);
+  connection.fd = std::move(fd);
+  connection.watch =
+      loop_.watch(connection.fd.get(), POLLIN, [this, id](short events) { on_ready(id, events); });
 }
 
 void NodeStandin::on_ready(net::SlotId id, short events) {
@@ -149,15 +143,12 @@
 }
 
 void NodeStandin::go_down() {
-  watch_.reset();
-  listener_.reset();
+  listener_.close();
   std::vector<net::SlotId> ids;
   connections_.each([&](net::SlotId id, Connection&) { ids.push_back(id); });
   for (net::SlotId id : ids) drop(id);
 }
 
-void NodeStandin::come_up() {
-  if (!listener_) listen();
-}
+void NodeStandin::come_up() { listener_.open(); }
 
 }  // namespace pearspar::standins
--- a/src/standins/node.h
+++ b/src/standins/node.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/listener.h"
 #include "net/loop.h"
 #include "net/slots.h"
 #include "net/socket.h"
@@ -38,7 +39,7 @@
   NodeStandin(net::Loop& loop, const net::Address& address, const NodeBehaviour& behaviour,
               std::uint64_t seed, Value value = {});
 
-  net::Address address() const { return address_; }
+  net::Address address() const { return listener_.address(); }
   NodeBehaviour& behaviour() { return behaviour_; }
   std::uint64_t parts() const { return parts_; }
   std::uint64_t answered() const { return answered_; }
@@ -56,8 +57,7 @@
     std::string out;
     std::map<std::string, net::Timer> open;
   };
-  void listen();
-  void accept();
+  void accept(net::Fd fd);
   void on_ready(net::SlotId id, short events);
   void take(net::SlotId id, char letter, std::string_view rest);
   void take_parts(net::SlotId id, std::string_view rest);
@@ -68,12 +68,10 @@
   bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(random_) < share; }
 
   net::Loop& loop_;
-  net::Address address_;
   NodeBehaviour behaviour_;
   std::mt19937_64 random_;
   Value value_;
-  net::Fd listener_;
-  net::Watch watch_;
+  net::Listener listener_;
   net::SlotTable<Connection> connections_;
   std::uint64_t parts_ = 0;
   std::uint64_t answered_ = 0;
--- a/src/standins/server.cpp
+++ b/src/standins/server.cpp
@@ -9,25 +9,17 @@
 namespace pearspar::standins {
 
 Server::Server(net::Loop& loop, const net::Address& address, OnAsk on_ask, OnGone on_gone)
-    : loop_(loop), address_(address), on_ask_(std::move(on_ask)), on_gone_(std::move(on_gone)) {
-  listen();
-}
+    : loop_(loop),
+      on_ask_(std::move(on_ask)),
+      on_gone_(std::move(on_gone)),
+      listener_(loop, address, [this](net::Fd fd) { accept(std::move(fd)); }) {}
 
-void Server::listen() {
-  listener_ = net::listen_on(address_);
-  address_ = net::local_address(listener_);
-  listener_watch_ = loop_.watch(listener_.get(), POLLIN, [this](short) { accept(); });
-}
-
-void Server::accept() {
-  net::Fd fd;
-  while (net::accept_one(listener_, fd) == net::AcceptResult::accepted) {
-    net::SlotId id = connections_.add();
-    Connection& connection = *connections_.find(id);
-    connection.fd = std::move(fd);
-    connection.watch =
-        loop_.watch(connection.fd.get(), POLLIN, [this, id](short events) { on_ready(id, events); });
-  }
+void Server::accept(net::Fd fd) {
+  net::SlotId id = connections_.add();
+  Connection& connection = *connections_.find(id);
+  connection.fd = std::move(fd);
+  connection.watch =
+      loop_.watch(connection.fd.get(), POLLIN, [this, id](short events) { on_ready(id, events); });
 }
 
 void Server::on_ready(net::SlotId id, short events) {
@@ -145,13 +137,10 @@
 }
 
 void Server::go_down() {
-  listener_watch_.reset();
-  listener_.reset();
+  listener_.close();
   reset_all();
 }
 
-void Server::come_up() {
-  if (!listener_) listen();
-}
+void Server::come_up() { listener_.open(); }
 
 }  // namespace pearspar::standins
--- a/src/standins/server.h
+++ b/src/standins/server.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "http/message.h"
+#include "net/listener.h"
 #include "net/loop.h"
 #include "net/slots.h"
 #include "net/socket.h"
@@ -28,7 +29,7 @@
 
   Server(net::Loop& loop, const net::Address& address, OnAsk on_ask, OnGone on_gone);
 
-  net::Address address() const { return address_; }
+  net::Address address() const { return listener_.address(); }
   std::size_t connections() const { return connections_.size(); }
 
   void reply(net::SlotId id, int status, const std::string& body, const std::string& headers = {});
@@ -42,7 +43,7 @@
   // Stops listening and resets all connections; what came is forgotten.
   void go_down();
   void come_up();
-  bool up() const { return static_cast<bool>(listener_); }
+  bool up() const { return listener_.is_open(); }
   void reset_all();
   // Takes what comes and says nothing more, on old connections and new ones.
   void hang(bool on);
@@ -63,19 +64,16 @@
     bool close = false;
     std::optional<std::size_t> cut;  // bytes of `out` after which it is reset
   };
-  void listen();
-  void accept();
+  void accept(net::Fd fd);
   void on_ready(net::SlotId id, short events);
   void write(net::SlotId id);
   void put(net::SlotId id, std::string_view bytes);
   void drop(net::SlotId id, bool reset);
 
   net::Loop& loop_;
-  net::Address address_;
   OnAsk on_ask_;
   OnGone on_gone_;
-  net::Fd listener_;
-  net::Watch listener_watch_;
+  net::Listener listener_;
   net::SlotTable<Connection> connections_;
   bool hung_ = false;
   std::optional<std::size_t> cut_after_;
--- a/tests/follower_test.cpp
+++ b/tests/follower_test.cpp
@@ -418,6 +418,30 @@
   EXPECT_EQ(follower.due(), net::Time::max());
 }
 
+// A minute without any endpoint: the list stands, the tries are paced in common, and the first answer mends
+// it.
+TEST_F(FollowerTest, AMinuteWithAllEndpointsDown) {
+  follow();
+  follower.failed(now, main.ticket, Fault::ended);
+  knows_ours = false;
+  net::Time start = now;
+  int tries = 0;
+  while (now < start + 60s) {
+    for (const Ask& ask : wait()) {
+      ++tries;
+      follower.failed(now, ask.ticket, Fault::refused);
+    }
+    ASSERT_EQ(follower.view().items().size(), 1u);
+    ASSERT_EQ(follower.view().state(), ViewState::stale);
+  }
+  EXPECT_GT(tries, 140);  // 0.2 to 0.4 s apart
+  EXPECT_LT(tries, 320);
+  knows_ours = true;
+  wait();
+  EXPECT_EQ(main.kind, Ask::Kind::watch);
+  EXPECT_EQ(main.revision, 11);
+}
+
 // ---- blocking reads ----
 
 class PollTest : public ::testing::Test {
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include "json/json.h"
+
 namespace pearspar::log {
 namespace {
 
@@ -61,5 +63,22 @@
   EXPECT_NE(pipe.read().find("(10 lines dropped) but this"), std::string::npos);
 }
 
+TEST(Log, TheJsonFormIsOneObjectALineWhateverWasSaid) {
+  Pipe pipe;
+  Options options;
+  options.json = true;
+  Logger log(pipe.ends[1], Level::info, "n3", options);
+  log.warning("peer \"{}\" said {}", "a\\b", "x\ny\x01");
+  log.info("{}", std::string(5000, '"'));
+  std::string text = pipe.read();
+  std::size_t end = text.find('\n');
+  json::Value first = json::parse(std::string_view(text).substr(0, end));
+  EXPECT_EQ(first.find("level")->raw, "warning");
+  EXPECT_EQ(first.find("name")->raw, "n3");
+  EXPECT_EQ(*first.find("text")->text(), "peer \"a\\b\" said x\ny\x01");
+  EXPECT_NO_THROW(json::parse(std::string_view(text).substr(end + 1)));
+  EXPECT_LT(text.size() - end, 4096u);  // written whole or not at all
+}
+
 }  // namespace
 }  // namespace pearspar::log
--- a/tests/options_test.cpp
+++ b/tests/options_test.cpp
@@ -39,9 +39,10 @@
 }
 
 TEST(Options, AFixedList) {
-  Options options = read_options(
-      R"(membership { fixed { nodes { id: "s-1" address: "10.0.0.1:3000" cell: 2 zone: "a" draining: true } } })",
-      "f");
+  Options options =
+      read_options(R"(membership { fixed { nodes { id: "s-1" address: "10.0.0.1:3000" cell: 2 zone: "a" )"
+                   R"(draining: true } } })",
+                   "f");
   ASSERT_EQ(options.fixed.entries.size(), 1u);
   EXPECT_EQ(options.fixed.entries[0].phase, membership::Phase::draining);
   EXPECT_EQ(options.fixed.entries[0].size, 1);
--- a/tests/registry_wire_test.cpp
+++ b/tests/registry_wire_test.cpp
@@ -135,7 +135,8 @@
   Page page = etcd::read_page(json::parse(
       R"({"header":{"cluster_id":"14841639068965178418","member_id":"1","revision":"12","raft_term":"3"},)"
       R"("kvs":[{"key":"L2EvYg==","create_revision":"2","mod_revision":"9","version":"4","value":"aGk="},)"
-      R"({"key":"L2EvYw==","create_revision":"3","mod_revision":"3","version":"1"}],"more":true,"count":"5"})"));
+      R"({"key":"L2EvYw==","create_revision":"3","mod_revision":"3","version":"1"}],"more":true,)"
+      R"("count":"5"})"));
   EXPECT_EQ(page.header.cluster, 14841639068965178418u);
   EXPECT_EQ(page.header.revision, 12);
   ASSERT_EQ(page.items.size(), 2u);
@@ -152,9 +153,11 @@
   auto read = [](const char* text) { return etcd::read_watch(json::parse(text)); };
   EXPECT_EQ(read(R"({"result":{"header":{"revision":"5"},"created":true}})").kind,
             etcd::WatchMessage::Kind::made);
-  auto events = read(
-      R"({"result":{"header":{"revision":"7"},"fragment":true,"events":[{"kv":{"key":"YQ==","create_revision":"6",)"
-      R"("mod_revision":"6","version":"1","value":"MQ=="}},{"type":"DELETE","kv":{"key":"Yg==","mod_revision":"7"}}]}})");
+  auto events =
+      read(R"({"result":{"header":{"revision":"7"},"fragment":true,"events":[{"kv":{"key":"YQ==",)"
+           R"("create_revision":"6",)"
+           R"("mod_revision":"6","version":"1","value":"MQ=="}},{"type":"DELETE","kv":{"key":"Yg==",)"
+           R"("mod_revision":"7"}}]}})");
   ASSERT_EQ(events.events.changes.size(), 2u);
   EXPECT_TRUE(events.events.fragment);
   EXPECT_EQ(events.events.changes[0].item->value, "1");
@@ -173,8 +176,9 @@
 }
 
 TEST(Etcd, ErrorsTellCompactionFromTheRest) {
-  auto compacted = etcd::read_error(json::parse(
-      R"({"error":"etcdserver: mvcc: required revision has been compacted","code":11,"message":"etcdserver: mvcc: required revision has been compacted"})"));
+  auto compacted = etcd::read_error(
+      json::parse(R"({"error":"etcdserver: mvcc: required revision has been compacted","code":11,)"
+                  R"("message":"etcdserver: mvcc: required revision has been compacted"})"));
   EXPECT_TRUE(compacted.compacted());
   EXPECT_FALSE(
       etcd::read_error(json::parse(R"({"code":11,"message":"required revision is a future revision"})"))
@@ -206,7 +210,8 @@
   ASSERT_TRUE(reader->head(reply));
   std::string big(10'000'000 / 3 * 4, 'A');
   ASSERT_TRUE(reader->piece(
-      R"({"result":{"header":{"revision":"7"},"events":[{"kv":{"key":"YQ==","mod_revision":"7","version":"1","value":")"));
+      R"({"result":{"header":{"revision":"7"},"events":[{"kv":{"key":"YQ==","mod_revision":"7",)"
+      R"("version":"1","value":")"));
   for (std::size_t at = 0; at < big.size(); at += 16384)
     ASSERT_TRUE(reader->piece(std::string_view(big).substr(at, 16384)));
   ASSERT_TRUE(
@@ -221,10 +226,12 @@
 // Whatever comes, it is read or refused with a reason; nothing else happens.
 TEST(Wire, MutatedRepliesAreReadOrRefused) {
   const std::string etcd_page =
-      R"({"header":{"cluster_id":"7","revision":"12","raft_term":"3"},"kvs":[{"key":"L2EvYg==","create_revision":"2",)"
+      R"({"header":{"cluster_id":"7","revision":"12","raft_term":"3"},"kvs":[{"key":"L2EvYg==",)"
+      R"("create_revision":"2",)"
       R"("mod_revision":"9","version":"4","value":"aGk="}],"more":false,"count":"1"})";
   const std::string etcd_watch =
-      R"({"result":{"header":{"revision":"7"},"events":[{"type":"DELETE","kv":{"key":"Yg==","mod_revision":"7"}}]}})";
+      R"({"result":{"header":{"revision":"7"},"events":[{"type":"DELETE","kv":{"key":"Yg==",)"
+      R"("mod_revision":"7"}}]}})";
   const std::string consul_list =
       R"([{"LockIndex":0,"Key":"n/a","Flags":0,"Value":"aGk=","CreateIndex":5,"ModifyIndex":6}])";
   std::mt19937_64 random(42);
@@ -283,8 +290,8 @@
   http::ReplyStream reply;
   reply.advance(head, [](std::string_view) { return true; });
   ASSERT_TRUE(reader->head(reply));
-  ASSERT_TRUE(reader->piece(
-      R"([{"Key":"n/b","Value":null,"CreateIndex":3,"ModifyIndex":3},{"Key":"n/a","Value":"aGk=","CreateIndex":5,"ModifyIndex":6}])"));
+  ASSERT_TRUE(reader->piece(R"([{"Key":"n/b","Value":null,"CreateIndex":3,"ModifyIndex":3},{"Key":"n/a",)"
+                            R"("Value":"aGk=","CreateIndex":5,"ModifyIndex":6}])"));
   ASSERT_TRUE(reader->end());
   ASSERT_EQ(user.pages.size(), 1u);
   EXPECT_EQ(user.pages[0].header.revision, 9);
