Engine taken out of the broker: queries, parts and batches free of I/O, given the time

Need: fronts to come, phases and the project's own emulator have to drive the same engine; it stood inside the broker together with fronts, connections and timers.

Change: src/engine holds open queries, parts, attempts, the list's numbers and the batches, and speaks through four small ports (clients, nodes, members, lines). The broker joins it with the sockets and keeps one timer for it. Deadlines and the module's timers stand in the engine in order. Its types for calls and ends are those of nodelink; clients' values likewise.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -2,9 +2,7 @@
 
 #include <sys/resource.h>
 
-#include <algorithm>
 #include <chrono>
-#include <set>
 
 #include "broker/sources.h"
 
@@ -28,9 +26,12 @@
   return static_cast<std::size_t>(config.max_sockets) * 3 / 4;
 }
 
-// A name that stands in no list of the settings gets a number of its own behind them.
-int place_in(const std::vector<std::string>& names, const std::string& name) {
-  return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
+// A client's request is named by its connection.
+engine::ClientId client_of(net::SlotId connection) {
+  return std::uint64_t{connection.generation} << 32 | connection.index;
+}
+net::SlotId connection_of(engine::ClientId client) {
+  return {static_cast<std::uint32_t>(client), static_cast<std::uint32_t>(client >> 32)};
 }
 
 constexpr std::string_view outcome_names[] = {"error",          "served", "turned_away", "timed_out",
@@ -47,7 +48,8 @@
       front_(loop, log, most_clients(config), *this),
       links_(loop, log, link_limits(config), *this),
       members_(log, source_of(loop, log, config, options), *this),
-      policy_(std::move(policy)) {
+      engine_(config.module, {config.broker.zones, config.broker.kinds}, std::move(policy),
+              {*this, *this, *this, *this}) {
   for (std::size_t i = 0; i < config_.module.classes.size(); ++i)
     classes_[config_.module.classes[i].name] = static_cast<int>(i);
   for (std::size_t i = 0; i < config_.module.tenants.size(); ++i)
@@ -70,14 +72,14 @@
 }
 
 void Broker::start() {
-  if (!config_.known.entries.empty()) take_list(config_.known, ListForm::saved);
+  engine_.know(loop_.now(), config_.known);
   front_.listen(config_.listen);
-  log_.info("{} listens on {}, {} nodes known", config_.name, front_.address().text(), nodes_.size());
+  log_.info("{} listens on {}, {} nodes known", config_.name, front_.address().text(), engine_.nodes());
   if (!config_.module.membership_by_asking) members_.start();
   make_registration();
   if (registration_) registration_->start();
-  // The module's first batch: where the list does not come by itself, it asks for it.
-  hand_batch();
+  engine_.start(loop_.now());
+  end_turn();
 }
 
 void Broker::end_turn() {
@@ -85,12 +87,12 @@
     front_.close_idle();
     done_ = front_.busy() == 0 && (!registration_ || registration_->done());
   }
-  net::Time due = last_batch_ + config_.module.quantum;
-  if (something_to_tell() && loop_.now() >= due) hand_batch();
-  // Also for what the batch itself brought about (an attempt called off, one not sent): without a deadline
-  // the loop could sleep on it until something else happens.
-  if (something_to_tell() && !batch_timer_.pending())
-    batch_timer_ = loop_.at(last_batch_ + config_.module.quantum, [] {});  // the turn's end does the rest
+  engine_.end_turn(loop_.now());
+  net::Time due = engine_.due();
+  if (due == net::Time::max())
+    engine_timer_.reset();
+  else
+    engine_timer_ = loop_.at(due, [this] { engine_.tick(loop_.now()); });  // the turn's end does the rest
 }
 
 void Broker::reload(const config::Config& config, const options::Options& options) {
@@ -107,7 +109,7 @@
 void Broker::wind_down() {
   if (winding_down_) return;
   winding_down_ = true;
-  log_.info("ending: {} queries open", queries_.size());
+  log_.info("ending: {} queries open", engine_.open());
   front_.wind_down();
   if (registration_) registration_->withdraw();
   wind_down_timer_ = loop_.at(loop_.now() + taking_on, [this] {
@@ -136,15 +138,26 @@
     if (found == tenants_.end()) return refuse_bad(connection, 400, "X-Account: no such tenant");
     tenant = found->second;
   }
-  if (queries_.size() + parts_.size() >= static_cast<std::size_t>(config_.module.max_open)) {
-    ++counters_.turned_away;
-    return front_.answer(connection,
-                         {503, clients::error_body("all places are taken"), "application/json", {}, 0});
+  engine::Arrival arrival;
+  arrival.client = client_of(connection);
+  arrival.id = asked.id;
+  arrival.text = std::move(asked.text);
+  arrival.cls = cls->second;
+  arrival.tenant = tenant;
+  arrival.deadline = loop_.now() + net::Duration(asked.time_left_ms / 1000);
+  arrival.repeat = asked.repeat;
+  for (const clients::QueryPart& part : asked.parts)
+    arrival.parts.push_back({part.shard, part.weight, part.key, part.cost_us.has_value(),
+                             Duration(part.cost_us.value_or(0) / 1e6)});
+  switch (engine_.take(loop_.now(), std::move(arrival))) {
+    case engine::Engine::Taken::taken:
+      return;
+    case engine::Engine::Taken::full:
+      return front_.answer(connection,
+                           {503, clients::error_body("all places are taken"), "application/json", {}, 0});
+    case engine::Engine::Taken::same:
+      return refuse_bad(connection, 409, "X-Correlation-Id: a request under this id is open");
   }
-  // Two queries under one id would share the ids of their parts at the nodes.
-  if (open_ids_.count(asked.id) != 0)
-    return refuse_bad(connection, 409, "X-Correlation-Id: a request under this id is open");
-  take_query(connection, asked, cls->second, tenant);
 }
 
 bool Broker::answer_own_paths(net::SlotId connection, const http::Message& message) {
@@ -155,7 +168,7 @@
     refuse_bad(connection, 405, "only GET", "GET");
   } else if (counters) {
     front_.answer(connection, {200, counters_json(), "application/json", {}, 0});
-  } else if (live || (ready_ && !winding_down_)) {
+  } else if (live || (engine_.ready() && !winding_down_)) {
     front_.answer(connection, {200, "{\"ok\":true}", "application/json", {}, 0});
   } else {
     std::string_view why = winding_down_ ? "ending" : "no node is known yet";
@@ -165,98 +178,35 @@
 }
 
 void Broker::refuse_bad(net::SlotId connection, int status, std::string_view why, std::string_view allow) {
-  ++counters_.bad_queries;
+  ++bad_queries_;
   log_.debug("no query: {}", why);
   front_.answer(connection, {status, clients::error_body(why), "application/json", allow, 0});
 }
 
-void Broker::take_query(net::SlotId connection, const clients::Query& asked, int cls, int tenant) {
-  ++counters_.queries;
-  QueryId id = ++last_id_;
-  std::uint32_t ordinal = ++last_ordinal_;
-  net::SlotId slot = queries_.add();
-  query_slots_[id] = slot;
-  by_connection_[connection] = id;
-  Query& query = *queries_.find(slot);
-  query.connection = connection;
-  query.id = asked.id;
-  open_ids_.insert(query.id);
-  query.text = asked.text;
-  query.deadline = loop_.now() + net::Duration(asked.time_left_ms / 1000);
-  query.timer = loop_.at(query.deadline, [this, id] { out_of_time(id); });
-
-  QueryArrived arrival;
-  arrival.query = id;
-  arrival.ordinal = ordinal;
-  arrival.cls = cls;
-  arrival.tenant = tenant;
-  arrival.deadline = query.deadline;
-  arrival.parts = static_cast<int>(asked.parts.size());
-  arrival.repeat = asked.repeat;
-  arrival.cost_known = !asked.parts.empty();
-  for (const clients::QueryPart& part : asked.parts) {
-    arrival.cost_known = arrival.cost_known && part.cost_us;
-    arrival.cost += Duration(part.cost_us.value_or(0) / 1e6);
-  }
-  if (!arrival.cost_known) arrival.cost = Duration{};
-  events_.emplace_back(arrival);
-  for (const clients::QueryPart& part : asked.parts) {
-    PartArrived told;
-    told.part = ++last_id_;
-    told.ordinal = ordinal;
-    told.shard = part.shard;
-    told.weight = part.weight;
-    told.key = part.key;
-    told.cost_known = part.cost_us.has_value();
-    told.cost = Duration(part.cost_us.value_or(0) / 1e6);
-    parts_[told.part] = {id, query.parts.size()};
-    query.parts.push_back({told.part, part.shard, 0, false, {}});
-    events_.emplace_back(told);
+void Broker::client_left(net::SlotId connection) { engine_.client_left(loop_.now(), client_of(connection)); }
+
+void Broker::answered(engine::ClientId client, const engine::Result& result) {
+  using Kind = engine::Result::Kind;
+  clients::Answer answer{500, {}, "application/json", {}, 0};
+  switch (result.kind) {
+    case Kind::whole:
+    case Kind::partial:
+      answer.status = 200;
+      answer.body = clients::answer_body(result.kind == Kind::whole, result.values);
+      break;
+    case Kind::refused:
+      answer.status = 503;
+      answer.body = clients::error_body("refused");
+      answer.retry_after_s = result.come_back.count();
+      break;
+    case Kind::failed:
+      answer.body = clients::error_body("failed");
+      break;
+    case Kind::out_of_time:
+      answer.status = 504;
+      answer.body = clients::error_body("out of time");
   }
-}
-
-void Broker::client_left(net::SlotId connection) {
-  auto found = by_connection_.find(connection);
-  if (found == by_connection_.end()) return;
-  ++counters_.clients_left;
-  QueryId id = found->second;
-  events_.emplace_back(ClientLeft{id});
-  end_query(id, nullptr);
-}
-
-// The module ends each query in time; this is the net under it, so that no client is left without an answer.
-void Broker::out_of_time(QueryId id) {
-  if (!find(id)) return;
-  ++counters_.out_of_time;
-  log_.error("a query was still open at its deadline");
-  events_.emplace_back(ClientLeft{id});
-  clients::Answer answer{504, clients::error_body("out of time"), "application/json", {}, 0};
-  end_query(id, &answer);
-}
-
-Broker::Query* Broker::find(QueryId id) {
-  auto found = query_slots_.find(id);
-  return found == query_slots_.end() ? nullptr : queries_.find(found->second);
-}
-
-// The one place where a query ends: its slot and its parts are given back, and its client is answered.
-void Broker::end_query(QueryId id, const clients::Answer* answer) {
-  auto found = query_slots_.find(id);
-  if (found == query_slots_.end()) return;
-  // What this batch sends for it goes out first; the text is the query's.
-  flush_sends();
-  net::SlotId slot = found->second;
-  Query& query = *queries_.find(slot);
-  net::SlotId connection = query.connection;
-  for (const Part& part : query.parts) {
-    links_.withdraw(part.id);
-    parts_.erase(part.id);
-  }
-  by_connection_.erase(connection);
-  open_ids_.erase(query.id);
-  query_slots_.erase(found);
-  queries_.release(slot);
-  if (answer) front_.answer(connection, *answer);
+  front_.answer(connection_of(client), answer);
 }
 
 // ---- nodes ----
@@ -266,232 +216,38 @@
   return used < static_cast<std::size_t>(config_.max_sockets) || front_.close_one_idle();
 }
 
-// Only notes what came: it may be called from within a send.
 void Broker::attempt_ended(const nodelink::AttemptEnd& end) {
-  ++counters_.attempts[static_cast<std::size_t>(end.outcome)];
-  AttemptEnded event;
-  event.part = end.part;
-  event.node = end.node;
-  event.attempt = end.attempt;
-  event.outcome = end.outcome;
-  event.took = end.took;
-  event.report = nodelink::read_report(end.report, config_.broker.report_fields);
-  if (auto place = parts_.find(end.part); place != parts_.end()) {
-    Part& part = find(place->second.query)->parts[place->second.index];
-    if (end.outcome == Outcome::ok && !part.in) {
-      part.in = true;
-      part.value = end.value;
-    }
-    event.part_open = !part.in;
-  }
-  events_.emplace_back(std::move(event));
+  engine_.attempt_ended(end, nodelink::read_report(end.report, config_.broker.report_fields));
 }
 
 void Broker::probe_ended(const nodelink::ProbeEnd& end) {
-  events_.emplace_back(ProbeEnded{end.node, end.outcome, end.took,
-                                  nodelink::read_report(end.report, config_.broker.report_fields)});
-}
-
-// ---- discovery ----
-
-void Broker::members_told(const membership::MemberList& list) {
-  take_list(list, list.complete ? ListForm::whole : ListForm::changes);
-}
-
-void Broker::members_failed() {
-  if (config_.module.membership_by_asking)
-    list_news_.emplace_back(MembersChanged{ListForm::failed, 0, nullptr});
+  engine_.probe_ended(end, nodelink::read_report(end.report, config_.broker.report_fields));
 }
 
-Member Broker::member_of(const membership::Entry& entry) {
-  Member member;
-  member.zone = place_in(config_.broker.zones, entry.zone);
-  member.kind = place_in(config_.broker.kinds, entry.kind);
-  member.cell = entry.cell;
-  member.status = entry.phase == membership::Phase::ready      ? NodeStatus::ready
-                  : entry.phase == membership::Phase::draining ? NodeStatus::draining
-                                                               : NodeStatus::gone;
-  member.rating = entry.size;
-  member.start_known = entry.up_since_ms > 0;
-  if (member.start_known) member.started = net::Clock::from_unix_ms(entry.up_since_ms);
-  return member;
+void Broker::numbered(NodeId node, std::string_view id, const net::Address& address) {
+  log_.debug("node {} is {} at {}", node, id, address.text());
 }
 
-void Broker::note_gone(KnownNode& node) {
-  if (node.member.status != NodeStatus::gone) node.gone_at = loop_.now();
-  node.member.status = NodeStatus::gone;
-  links_.retire(node.number);
+void Broker::probe(NodeId node) {
+  links_.probe(node, config_.module.report_source == ReportSource::by_probe);
 }
 
-// Where nodes come under new ids all day, those that are gone must not be kept. Within the time in which a
-// node counts as cold its number stays: should it return, the module has to know it again.
-void Broker::forget_gone() {
-  net::Duration keep = config_.module.warm_within + config_.module.fall_span;
-  std::erase_if(nodes_, [&](const auto& entry) {
-    const KnownNode& node = entry.second;
-    return node.member.status == NodeStatus::gone && loop_.now() > node.gone_at + keep;
-  });
-}
-
-void Broker::take_list(const membership::MemberList& list, ListForm form) {
-  auto members = std::make_shared<std::vector<Member>>();
-  std::set<NodeId> listed;
-  for (const membership::Entry& entry : list.entries) {
-    auto found = nodes_.find(entry.id);
-    if (found == nodes_.end()) {
-      if (entry.phase == membership::Phase::gone) continue;  // never heard of
-      found = nodes_.emplace(entry.id, KnownNode{++last_node_, {}}).first;
-      log_.debug("node {} is {} at {}", found->second.number, entry.id, entry.address.text());
-    }
-    KnownNode& node = found->second;
-    if (entry.phase == membership::Phase::gone) {
-      note_gone(node);
-    } else {
-      node.member = member_of(entry);
-      node.member.node = node.number;
-      links_.place(node.number, entry.address, entry.up_since_ms);
-    }
-    listed.insert(node.number);
-    members->push_back(node.member);
-  }
-  if (form != ListForm::changes) {
-    for (auto& [name, node] : nodes_) {
-      if (listed.count(node.number) == 0) note_gone(node);
-    }
-  }
-  forget_gone();
-  ready_ = ready_ || !members->empty();
-  list_news_.emplace_back(
-      MembersChanged{form, static_cast<std::uint32_t>(list.revision), std::move(members)});
-}
+void Broker::members_told(const membership::MemberList& list) { engine_.members_told(loop_.now(), list); }
+void Broker::members_failed() { engine_.members_failed(); }
 
-// ---- the module ----
-
-void Broker::hand_batch() {
-  batch_timer_.reset();
-  std::vector<Event> batch = std::move(list_news_);
-  list_news_.clear();
-  std::move(events_.begin(), events_.end(), std::back_inserter(batch));
-  events_.clear();
-  last_batch_ = loop_.now();
-  ++counters_.batches;
-  std::vector<Action> actions;
-  policy_->handle(last_batch_, batch, actions);
-  for (const Action& action : actions) std::visit([this](const auto& asked) { act(asked); }, action);
-  flush_sends();
+void Broker::say(bool fault, std::string_view text) {
+  fault ? log_.error("{}", text) : log_.info("{}", text);
 }
 
-void Broker::act(const SendPart& send) {
-  auto place = parts_.find(send.part);
-  if (place == parts_.end()) {
-    // The query is over: not sent.
-    events_.emplace_back(AttemptEnded{send.part, send.node, 0, Outcome::moot, {}, false, {}});
-    return;
-  }
-  Query& query = *find(place->second.query);
-  Part& part = query.parts[place->second.index];
-  int attempt = part.attempts++;
-  net::Time give_up_at = query.deadline;
-  if (send.max_wait > Duration{}) give_up_at = std::min(give_up_at, loop_.now() + send.max_wait);
-  if (attempt >= config_.module.max_attempts || give_up_at <= loop_.now()) {
-    ++counters_.attempts[static_cast<std::size_t>(Outcome::moot)];
-    events_.emplace_back(AttemptEnded{send.part, send.node, attempt, Outcome::moot, {}, !part.in, {}});
-    return;
-  }
-  ++counters_.sends;
-  std::vector<Send>& sends = sends_[send.node];
-  sends.push_back({&part, &query, attempt, give_up_at});
-  if (sends.size() >= static_cast<std::size_t>(config_.module.parts_per_call)) flush_node(send.node, sends);
-}
-
-void Broker::flush_node(NodeId node, std::vector<Send>& sends) {
-  std::vector<std::string> ids;
-  ids.reserve(sends.size());
-  std::vector<nodelink::Call> call;
-  for (const Send& send : sends) {
-    ids.push_back(send.query->id + "." + std::to_string(send.part->shard));
-    call.push_back({send.part->id, send.attempt, ids.back(), send.part->shard, send.query->text,
-                    send.give_up_at, send.query->deadline});
-  }
-  sends.clear();
-  if (!call.empty()) links_.send(node, call);
-}
-
-void Broker::flush_sends() {
-  for (auto& [node, sends] : sends_) flush_node(node, sends);
-  sends_.clear();
-}
-
-void Broker::act(const CancelAttempt& cancel) {
-  for (const auto& [node, sends] : sends_) {
-    if (std::none_of(sends.begin(), sends.end(),
-                     [&](const Send& send) { return send.part->id == cancel.part; }))
-      continue;
-    flush_sends();
-    break;
-  }
-  links_.give_up(cancel.part, cancel.attempt);
-}
-
-void Broker::act(const AnswerQuery& answer) {
-  Query* query = find(answer.query);
-  if (!query) return;
-  std::vector<clients::PartValue> values;
-  for (const Part& part : query->parts)
-    if (part.in) values.push_back({part.shard, part.value});
-  ++(answer.whole ? counters_.whole : counters_.partial);
-  clients::Answer served{200, clients::answer_body(answer.whole, values), "application/json", {}, 0};
-  end_query(answer.query, &served);
-}
-
-void Broker::act(const RefuseQuery& refuse) {
-  if (!find(refuse.query)) return;
-  ++counters_.refused;
-  double come_back = config_.module.may_advise_return ? refuse.come_back.count() : 0;
-  clients::Answer answer{503, clients::error_body("refused"), "application/json", {}, come_back};
-  end_query(refuse.query, &answer);
-}
-
-void Broker::act(const FailQuery& fail) {
-  if (!find(fail.query)) return;
-  ++counters_.failed;
-  clients::Answer answer{500, clients::error_body("failed"), "application/json", {}, 0};
-  end_query(fail.query, &answer);
-}
-
-void Broker::act(const ProbeNode& probe) {
-  if (!config_.module.may_probe) return;
-  ++counters_.probes;
-  links_.probe(probe.node, config_.module.report_source == ReportSource::by_probe);
-}
-
-void Broker::act(const TellPeer&) { log_.debug("a message to peers: no way leads there yet"); }
-void Broker::act(const FetchMembers&) { members_.fetch(); }
-void Broker::act(const SubscribeMembers& subscribe) {
-  if (!config_.module.membership_by_asking) return;
-  subscribe.on ? members_.start() : members_.stop();
-}
-
-void Broker::act(const SetTimer& timer) {
-  std::uint64_t number = ++last_timer_;
-  timers_[number] = loop_.at(loop_.now() + timer.after, [this, number, token = timer.token] {
-    timers_.erase(number);
-    events_.emplace_back(TimerFired{token});
-  });
-}
-
-void Broker::act(const DropIdleConnections& drop) { links_.drop_idle(drop.node); }
-void Broker::act(const LogLine& line) { log_.info("{}", line.text); }
-
 std::string Broker::counters_json() const {
+  const engine::Counters& counters = engine_.counters();
   std::string out = fmt::format(
       "{{\"queries\":{},\"whole\":{},\"partial\":{},\"refused\":{},\"failed\":{},\"clients_left\":{},"
       "\"out_of_time\":{},\"turned_away\":{},\"bad_queries\":{},\"sends\":{},\"attempts\":{{",
-      counters_.queries, counters_.whole, counters_.partial, counters_.refused, counters_.failed,
-      counters_.clients_left, counters_.out_of_time, counters_.turned_away, counters_.bad_queries,
-      counters_.sends);
+      counters.queries, counters.whole, counters.partial, counters.refused, counters.failed,
+      counters.clients_left, counters.out_of_time, counters.turned_away, bad_queries_, counters.sends);
   for (std::size_t i = 0; i < std::size(outcome_names); ++i)
-    out += fmt::format("{}\"{}\":{}", i == 0 ? "" : ",", outcome_names[i], counters_.attempts[i]);
+    out += fmt::format("{}\"{}\":{}", i == 0 ? "" : ",", outcome_names[i], counters.attempts[i]);
   const clients::FrontCounters& front = front_.counters();
   const nodelink::LinkCounters& links = links_.counters();
   const membership::SourceCounters lists = members_.counters();
@@ -499,7 +255,7 @@
       "}},\"probes\":{},\"batches\":{},\"clients\":{{\"accepted\":{},\"open\":{},\"requests\":{},"
       "\"bad_requests\":{},\"closed_for_room\":{},\"timed_out\":{},\"closed_unused\":{},\"accept_failures\":{"
       "}}},",
-      counters_.probes, counters_.batches, front.accepted, front_.connections(), front.requests,
+      counters.probes, counters.batches, front.accepted, front_.connections(), front.requests,
       front.bad_requests, front.closed_for_room, front.timed_out, front.closed_unused, front.accept_failures);
   out += fmt::format(
       "\"nodes\":{{\"connects\":{},\"connects_failed\":{},\"open\":{},\"frames\":{},\"give_ups\":{},"
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -1,20 +1,18 @@
-// Puts the decision module between clients, nodes and discovery: what comes in on the sockets becomes its
-// events, and its actions are carried out. Nothing here decides.
+// Joins the engine, which holds the queries and speaks with the decision module, with the sockets: the
+// clients' front, the connections to nodes, the source of the list. Nothing here decides.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <set>
+#include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
-#include <utility>
-#include <vector>
 
 #include "clients/front.h"
 #include "clients/query.h"
 #include "config/config.h"
+#include "engine/engine.h"
 #include "log/log.h"
 #include "membership/switch.h"
 #include "net/loop.h"
@@ -26,23 +24,13 @@
 
 namespace pearspar::broker {
 
-struct Counters {
-  std::uint64_t queries = 0;  // taken in: each of them ends in one of the next six
-  std::uint64_t whole = 0;
-  std::uint64_t partial = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t clients_left = 0;
-  std::uint64_t out_of_time = 0;   // the module had not ended them by their deadline
-  std::uint64_t turned_away = 0;   // before the module: all places were taken
-  std::uint64_t bad_queries = 0;   // before the module: no query, or of an unknown class or tenant
-  std::uint64_t attempts[8] = {};  // ended, by Outcome
-  std::uint64_t sends = 0;
-  std::uint64_t probes = 0;
-  std::uint64_t batches = 0;
-};
-
-class Broker : clients::FrontUser, nodelink::LinkUser, membership::MembersUser {
+class Broker : clients::FrontUser,
+               nodelink::LinkUser,
+               membership::MembersUser,
+               engine::Clients,
+               engine::Nodes,
+               engine::Members,
+               engine::Lines {
  public:
   Broker(net::Loop& loop, log::Logger& log, const config::Config& config, std::unique_ptr<Policy> policy,
          const options::Options& options = {});
@@ -63,37 +51,6 @@
   std::string counters_json() const;
 
  private:
-  struct Part {
-    PartId id = 0;
-    int shard = 0;
-    int attempts = 0;
-    bool in = false;
-    std::string value;
-  };
-  struct Query {
-    net::SlotId connection;
-    std::string id;
-    std::string text;
-    net::Time deadline{};
-    net::Timer timer;
-    std::vector<Part> parts;
-  };
-  struct Place {  // of a part
-    QueryId query = 0;
-    std::size_t index = 0;
-  };
-  struct KnownNode {
-    NodeId number = 0;
-    Member member;
-    net::Time gone_at{};
-  };
-  struct Send {
-    Part* part = nullptr;
-    Query* query = nullptr;
-    int attempt = 0;
-    net::Time give_up_at{};
-  };
-
   // What comes in.
   void request_arrived(net::SlotId connection, const http::Message& message) override;
   void client_left(net::SlotId connection) override;
@@ -105,34 +62,23 @@
 
   bool answer_own_paths(net::SlotId connection, const http::Message& message);
   void refuse_bad(net::SlotId connection, int status, std::string_view why, std::string_view allow = {});
-  void take_query(net::SlotId connection, const clients::Query& asked, int cls, int tenant);
-  void take_list(const membership::MemberList& list, ListForm form);
   void make_registration();
-  void note_gone(KnownNode& node);
-  void forget_gone();
-  Member member_of(const membership::Entry& entry);
-  void out_of_time(QueryId id);
-
-  // What the module asks for.
-  bool something_to_tell() const { return !events_.empty() || !list_news_.empty(); }
-  void hand_batch();
-  void act(const SendPart& send);
-  void act(const CancelAttempt& cancel);
-  void act(const AnswerQuery& answer);
-  void act(const RefuseQuery& refuse);
-  void act(const FailQuery& fail);
-  void act(const ProbeNode& probe);
-  void act(const TellPeer& tell);
-  void act(const FetchMembers& fetch);
-  void act(const SubscribeMembers& subscribe);
-  void act(const SetTimer& timer);
-  void act(const DropIdleConnections& drop);
-  void act(const LogLine& line);
 
-  void flush_sends();
-  void flush_node(NodeId node, std::vector<Send>& sends);
-  Query* find(QueryId id);
-  void end_query(QueryId id, const clients::Answer* answer);
+  // What the engine asks for.
+  void answered(engine::ClientId client, const engine::Result& result) override;
+  void place(NodeId node, const net::Address& address, double up_since_ms) override {
+    links_.place(node, address, up_since_ms);
+  }
+  void retire(NodeId node) override { links_.retire(node); }
+  void send(NodeId node, std::span<const engine::Call> call) override { links_.send(node, call); }
+  void withdraw(PartId part) override { links_.withdraw(part); }
+  void give_up(PartId part, int attempt) override { links_.give_up(part, attempt); }
+  void probe(NodeId node) override;
+  void drop_idle(NodeId node) override { links_.drop_idle(node); }
+  void fetch() override { members_.fetch(); }
+  void subscribe(bool on) override { on ? members_.start() : members_.stop(); }
+  void say(bool fault, std::string_view text) override;
+  void numbered(NodeId node, std::string_view id, const net::Address& address) override;
 
   net::Loop& loop_;
   log::Logger& log_;
@@ -141,35 +87,16 @@
   clients::Front front_;
   nodelink::Links links_;
   membership::Switch members_;
-  std::unique_ptr<Policy> policy_;
-
-  std::vector<Event> list_news_;  // told before all else in their batch
-  std::vector<Event> events_;
-  net::Time last_batch_{};
-  net::Timer batch_timer_;
-  std::uint64_t last_timer_ = 0;
-  std::map<std::uint64_t, net::Timer> timers_;  // the module's
-
-  net::SlotTable<Query> queries_;
-  std::unordered_map<QueryId, net::SlotId> query_slots_;
-  std::map<net::SlotId, QueryId> by_connection_;
-  std::set<std::string_view> open_ids_;      // those of the queries that are open, as slices of theirs
-  std::unordered_map<PartId, Place> parts_;  // of open queries
-  std::uint32_t last_id_ = 0;                // of queries and parts
-  std::uint32_t last_ordinal_ = 0;
-  std::map<NodeId, std::vector<Send>> sends_;  // of this batch, not yet written
-
+  engine::Engine engine_;
+  net::Timer engine_timer_;
   std::map<std::string, int, std::less<>> classes_;
   std::map<std::string, int, std::less<>> tenants_;
-  std::map<std::string, KnownNode, std::less<>> nodes_;
-  NodeId last_node_ = 0;
-  bool ready_ = false;
   bool done_ = false;
   bool winding_down_ = false;
   bool listening_ended_ = false;
   net::Timer wind_down_timer_;
   std::unique_ptr<registry::Registration> registration_;  // where the operator asks for one
-  Counters counters_;
+  std::uint64_t bad_queries_ = 0;  // never reached the engine: no query, or of an unknown class or tenant
 };
 
 }  // namespace pearspar::broker
--- a/src/clients/query.h
+++ b/src/clients/query.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "engine/ports.h"
 #include "http/message.h"
 #include "json/json.h"
 
@@ -46,10 +47,7 @@
 // Fills `query`, whose views are slices of the message; a fault where the request is none.
 std::optional<Fault> read_query(const http::Message& message, const QueryLimits& limits, Query& query);
 
-struct PartValue {
-  int shard = 0;
-  std::string_view value;
-};
+using engine::PartValue;
 std::string error_body(std::string_view why);
 std::string answer_body(bool whole, std::span<const PartValue> parts);
 
--- /dev/null
+++ b/src/engine/engine.cpp
@@ -0,0 +1,359 @@
+#include "engine/engine.h"
+
+#include <algorithm>
+
+namespace pearspar::engine {
+namespace {
+
+// A name that stands in no list of the settings gets a number of its own behind them.
+int place_in(const std::vector<std::string>& names, const std::string& name) {
+  return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+}  // namespace
+
+Engine::Engine(const Settings& settings, Names names, std::unique_ptr<Policy> policy, const Ports& ports)
+    : settings_(settings), names_(std::move(names)), policy_(std::move(policy)), ports_(ports) {}
+
+void Engine::know(net::Time now, const membership::MemberList& saved) {
+  now_ = now;
+  if (!saved.entries.empty()) take_list(saved, ListForm::saved);
+}
+
+void Engine::start(net::Time now) {
+  now_ = now;
+  hand_batch();
+}
+
+void Engine::end_turn(net::Time now) {
+  now_ = now;
+  if (something_to_tell() && now_ >= last_batch_ + settings_.quantum) hand_batch();
+}
+
+// Also for what the batch itself brought about (an attempt called off, one not sent): without a time for it
+// the host could sleep on it until something else happens.
+net::Time Engine::due() const {
+  net::Time first = net::Time::max();
+  if (something_to_tell()) first = last_batch_ + settings_.quantum;
+  if (!deadlines_.empty()) first = std::min(first, deadlines_.begin()->first);
+  if (!timers_.empty()) first = std::min(first, timers_.begin()->first);
+  return first;
+}
+
+void Engine::tick(net::Time now) {
+  now_ = now;
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) out_of_time(deadlines_.begin()->second);
+  while (!timers_.empty() && timers_.begin()->first <= now)
+    events_.emplace_back(TimerFired{timers_.extract(timers_.begin()).mapped()});
+}
+
+// ---- clients ----
+
+Engine::Taken Engine::take(net::Time now, Arrival asked) {
+  now_ = now;
+  if (queries_.size() + parts_.size() >= static_cast<std::size_t>(settings_.max_open)) {
+    ++counters_.turned_away;
+    return Taken::full;
+  }
+  // Two queries under one id would share the ids of their parts at the nodes.
+  if (open_ids_.count(asked.id) != 0) return Taken::same;
+  ++counters_.queries;
+  QueryId id = ++last_id_;
+  std::uint32_t ordinal = ++last_ordinal_;
+  net::SlotId slot = queries_.add();
+  query_slots_[id] = slot;
+  by_client_[asked.client] = id;
+  Query& query = *queries_.find(slot);
+  query.client = asked.client;
+  query.id = std::move(asked.id);
+  open_ids_.insert(query.id);
+  query.text = std::move(asked.text);
+  query.deadline = asked.deadline;
+  deadlines_.emplace(query.deadline, id);
+
+  QueryArrived arrival;
+  arrival.query = id;
+  arrival.ordinal = ordinal;
+  arrival.cls = asked.cls;
+  arrival.tenant = asked.tenant;
+  arrival.deadline = query.deadline;
+  arrival.parts = static_cast<int>(asked.parts.size());
+  arrival.repeat = asked.repeat;
+  arrival.cost_known = !asked.parts.empty();
+  for (const ArrivalPart& part : asked.parts) {
+    arrival.cost_known = arrival.cost_known && part.cost_known;
+    arrival.cost += part.cost;
+  }
+  if (!arrival.cost_known) arrival.cost = Duration{};
+  events_.emplace_back(arrival);
+  for (const ArrivalPart& part : asked.parts) {
+    PartArrived told;
+    told.part = ++last_id_;
+    told.ordinal = ordinal;
+    told.shard = part.shard;
+    told.weight = part.weight;
+    told.key = part.key;
+    told.cost_known = part.cost_known;
+    told.cost = part.cost;
+    parts_[told.part] = {id, query.parts.size()};
+    query.parts.push_back({told.part, part.shard, 0, false, {}});
+    events_.emplace_back(told);
+  }
+  return Taken::taken;
+}
+
+void Engine::client_left(net::Time now, ClientId client) {
+  now_ = now;
+  auto found = by_client_.find(client);
+  if (found == by_client_.end()) return;
+  ++counters_.clients_left;
+  QueryId id = found->second;
+  events_.emplace_back(ClientLeft{id});
+  end_query(id, nullptr);
+}
+
+// The module ends each query in time; this is the net under it, so that no client is left without an answer.
+void Engine::out_of_time(QueryId id) {
+  ++counters_.out_of_time;
+  ports_.lines.say(true, "a query was still open at its deadline");
+  events_.emplace_back(ClientLeft{id});
+  Result result{Result::Kind::out_of_time, {}, {}};
+  end_query(id, &result);
+}
+
+Engine::Query* Engine::find(QueryId id) {
+  auto found = query_slots_.find(id);
+  return found == query_slots_.end() ? nullptr : queries_.find(found->second);
+}
+
+void Engine::end_query(QueryId id, const Result* result) {
+  auto found = query_slots_.find(id);
+  if (found == query_slots_.end()) return;
+  // What this batch sends for it goes out first; the text is the query's.
+  flush_sends();
+  net::SlotId slot = found->second;
+  Query& query = *queries_.find(slot);
+  ClientId client = query.client;
+  for (const Part& part : query.parts) {
+    ports_.nodes.withdraw(part.id);
+    parts_.erase(part.id);
+  }
+  deadlines_.erase({query.deadline, id});
+  by_client_.erase(client);
+  open_ids_.erase(query.id);
+  query_slots_.erase(found);
+  // The values of the result are slices of the parts': they go once the client has them. The place is free
+  // before, since the client's next query may come within the answer.
+  std::vector<Part> parts = std::move(query.parts);
+  queries_.release(slot);
+  if (result) ports_.clients.answered(client, *result);
+}
+
+// ---- nodes ----
+
+// Only notes what came: it may be called from within a send.
+void Engine::attempt_ended(const AttemptEnd& end, std::vector<double> report) {
+  ++counters_.attempts[static_cast<std::size_t>(end.outcome)];
+  AttemptEnded event;
+  event.part = end.part;
+  event.node = end.node;
+  event.attempt = end.attempt;
+  event.outcome = end.outcome;
+  event.took = end.took;
+  event.report = std::move(report);
+  if (auto place = parts_.find(end.part); place != parts_.end()) {
+    Part& part = find(place->second.query)->parts[place->second.index];
+    if (end.outcome == Outcome::ok && !part.in) {
+      part.in = true;
+      part.value = end.value;
+    }
+    event.part_open = !part.in;
+  }
+  events_.emplace_back(std::move(event));
+}
+
+void Engine::probe_ended(const ProbeEnd& end, std::vector<double> report) {
+  events_.emplace_back(ProbeEnded{end.node, end.outcome, end.took, std::move(report)});
+}
+
+// ---- the list of nodes ----
+
+void Engine::members_told(net::Time now, const membership::MemberList& list) {
+  now_ = now;
+  take_list(list, list.complete ? ListForm::whole : ListForm::changes);
+}
+
+void Engine::members_failed() {
+  if (settings_.membership_by_asking) list_news_.emplace_back(MembersChanged{ListForm::failed, 0, nullptr});
+}
+
+Member Engine::member_of(const membership::Entry& entry) const {
+  Member member;
+  member.zone = place_in(names_.zones, entry.zone);
+  member.kind = place_in(names_.kinds, entry.kind);
+  member.cell = entry.cell;
+  member.status = entry.phase == membership::Phase::ready      ? NodeStatus::ready
+                  : entry.phase == membership::Phase::draining ? NodeStatus::draining
+                                                               : NodeStatus::gone;
+  member.rating = entry.size;
+  member.start_known = entry.up_since_ms > 0;
+  if (member.start_known) member.started = net::Clock::from_unix_ms(entry.up_since_ms);
+  return member;
+}
+
+void Engine::note_gone(KnownNode& node) {
+  if (node.member.status != NodeStatus::gone) node.gone_at = now_;
+  node.member.status = NodeStatus::gone;
+  ports_.nodes.retire(node.number);
+}
+
+// Where nodes come under new ids all day, those that are gone must not be kept. Within the time in which a
+// node counts as cold its number stays: should it return, the module has to know it again.
+void Engine::forget_gone() {
+  net::Duration keep = settings_.warm_within + settings_.fall_span;
+  std::erase_if(nodes_, [&](const auto& entry) {
+    const KnownNode& node = entry.second;
+    return node.member.status == NodeStatus::gone && now_ > node.gone_at + keep;
+  });
+}
+
+void Engine::take_list(const membership::MemberList& list, ListForm form) {
+  auto members = std::make_shared<std::vector<Member>>();
+  std::set<NodeId> listed;
+  for (const membership::Entry& entry : list.entries) {
+    auto found = nodes_.find(entry.id);
+    if (found == nodes_.end()) {
+      if (entry.phase == membership::Phase::gone) continue;  // never heard of
+      found = nodes_.emplace(entry.id, KnownNode{++last_node_, {}, {}}).first;
+      ports_.lines.numbered(found->second.number, entry.id, entry.address);
+    }
+    KnownNode& node = found->second;
+    if (entry.phase == membership::Phase::gone) {
+      note_gone(node);
+    } else {
+      node.member = member_of(entry);
+      node.member.node = node.number;
+      ports_.nodes.place(node.number, entry.address, entry.up_since_ms);
+    }
+    listed.insert(node.number);
+    members->push_back(node.member);
+  }
+  if (form != ListForm::changes) {
+    for (auto& [name, node] : nodes_) {
+      if (listed.count(node.number) == 0) note_gone(node);
+    }
+  }
+  forget_gone();
+  ready_ = ready_ || !members->empty();
+  list_news_.emplace_back(
+      MembersChanged{form, static_cast<std::uint32_t>(list.revision), std::move(members)});
+}
+
+// ---- the module ----
+
+void Engine::hand_batch() {
+  std::vector<Event> batch = std::move(list_news_);
+  list_news_.clear();
+  std::move(events_.begin(), events_.end(), std::back_inserter(batch));
+  events_.clear();
+  last_batch_ = now_;
+  ++counters_.batches;
+  std::vector<Action> actions;
+  policy_->handle(last_batch_, batch, actions);
+  for (const Action& action : actions) std::visit([this](const auto& asked) { act(asked); }, action);
+  flush_sends();
+}
+
+void Engine::act(const SendPart& send) {
+  auto place = parts_.find(send.part);
+  if (place == parts_.end()) {
+    // The query is over: not sent.
+    events_.emplace_back(AttemptEnded{send.part, send.node, 0, Outcome::moot, {}, false, {}});
+    return;
+  }
+  Query& query = *find(place->second.query);
+  Part& part = query.parts[place->second.index];
+  int attempt = part.attempts++;
+  net::Time give_up_at = query.deadline;
+  if (send.max_wait > Duration{}) give_up_at = std::min(give_up_at, now_ + send.max_wait);
+  if (attempt >= settings_.max_attempts || give_up_at <= now_) {
+    ++counters_.attempts[static_cast<std::size_t>(Outcome::moot)];
+    events_.emplace_back(AttemptEnded{send.part, send.node, attempt, Outcome::moot, {}, !part.in, {}});
+    return;
+  }
+  ++counters_.sends;
+  std::vector<Send>& sends = sends_[send.node];
+  sends.push_back({&part, &query, attempt, give_up_at});
+  if (sends.size() >= static_cast<std::size_t>(settings_.parts_per_call)) flush_node(send.node, sends);
+}
+
+void Engine::flush_node(NodeId node, std::vector<Send>& sends) {
+  std::vector<std::string> ids;
+  ids.reserve(sends.size());
+  std::vector<Call> call;
+  for (const Send& send : sends) {
+    ids.push_back(send.query->id + "." + std::to_string(send.part->shard));
+    call.push_back({send.part->id, send.attempt, ids.back(), send.part->shard, send.query->text,
+                    send.give_up_at, send.query->deadline});
+  }
+  sends.clear();
+  if (!call.empty()) ports_.nodes.send(node, call);
+}
+
+void Engine::flush_sends() {
+  for (auto& [node, sends] : sends_) flush_node(node, sends);
+  sends_.clear();
+}
+
+void Engine::act(const CancelAttempt& cancel) {
+  for (const auto& [node, sends] : sends_) {
+    if (std::none_of(sends.begin(), sends.end(),
+                     [&](const Send& send) { return send.part->id == cancel.part; }))
+      continue;
+    flush_sends();
+    break;
+  }
+  ports_.nodes.give_up(cancel.part, cancel.attempt);
+}
+
+void Engine::act(const AnswerQuery& answer) {
+  Query* query = find(answer.query);
+  if (!query) return;
+  std::vector<PartValue> values;
+  for (const Part& part : query->parts)
+    if (part.in) values.push_back({part.shard, part.value});
+  ++(answer.whole ? counters_.whole : counters_.partial);
+  Result result{answer.whole ? Result::Kind::whole : Result::Kind::partial, values, {}};
+  end_query(answer.query, &result);
+}
+
+void Engine::act(const RefuseQuery& refuse) {
+  if (!find(refuse.query)) return;
+  ++counters_.refused;
+  Result result{Result::Kind::refused, {}, settings_.may_advise_return ? refuse.come_back : Duration{}};
+  end_query(refuse.query, &result);
+}
+
+void Engine::act(const FailQuery& fail) {
+  if (!find(fail.query)) return;
+  ++counters_.failed;
+  Result result{Result::Kind::failed, {}, {}};
+  end_query(fail.query, &result);
+}
+
+void Engine::act(const ProbeNode& probe) {
+  if (!settings_.may_probe) return;
+  ++counters_.probes;
+  ports_.nodes.probe(probe.node);
+}
+
+void Engine::act(const TellPeer&) {}  // no way leads there yet
+void Engine::act(const FetchMembers&) { ports_.members.fetch(); }
+void Engine::act(const SubscribeMembers& subscribe) {
+  if (settings_.membership_by_asking) ports_.members.subscribe(subscribe.on);
+}
+void Engine::act(const SetTimer& timer) { timers_.emplace(now_ + timer.after, timer.token); }
+void Engine::act(const DropIdleConnections& drop) { ports_.nodes.drop_idle(drop.node); }
+void Engine::act(const LogLine& line) { ports_.lines.say(false, line.text); }
+
+}  // namespace pearspar::engine
--- a/src/nodelink/links.h
+++ b/src/nodelink/links.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "engine/ports.h"
 #include "log/log.h"
 #include "net/loop.h"
 #include "net/slots.h"
@@ -42,33 +43,9 @@
   std::uint64_t fell_silent = 0;  // connections avoided, since an attempt on them was taken for lost
 };
 
-// One part of a call, with the name under which its end is reported.
-struct Call {
-  PartId part = 0;
-  int attempt = 0;
-  std::string_view id;
-  int shard = 0;
-  std::string_view text;
-  net::Time give_up_at{};  // then it has timed out
-  net::Time forget_at{};   // until then an answer to it may still come in
-};
-
-struct AttemptEnd {
-  PartId part = 0;
-  int attempt = 0;
-  NodeId node = 0;
-  Outcome outcome = Outcome::error;
-  net::Duration took{};
-  std::string_view value;   // of one that was served
-  std::string_view report;  // empty where there is none
-};
-
-struct ProbeEnd {
-  NodeId node = 0;
-  Outcome outcome = Outcome::error;
-  net::Duration took{};
-  std::string_view report;
-};
+using engine::AttemptEnd;
+using engine::Call;
+using engine::ProbeEnd;
 
 class LinkUser {
  public:
