Registry client: a stray endpoint gets no list in a moment's outage; values of a message bounded

Need: a hostile read found two: with one endpoint of another cluster in the list, a moment's outage of the others made its list ours; and a message of 4 MB of tiny values takes over 200 MB once read, where the broker has 32.

Change: endpoints out of reach are given a second before another history is believed; a message holds 100,000 JSON values at most and counts as too large beyond.

--- a/src/registry/endpoints.cpp
+++ b/src/registry/endpoints.cpp
@@ -9,6 +9,7 @@
 
 constexpr int most_doublings = 16;
 constexpr int doubts_believed = 2;
+constexpr net::Duration absent_awaited = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -47,11 +48,13 @@
   return whole * std::uniform_real_distribution<double>(0.5, 1)(random_);
 }
 
-void Endpoints::doubted(int endpoint, std::uint64_t cluster) {
+void Endpoints::doubted(net::Time now, int endpoint, std::uint64_t cluster) {
   Endpoint& member = members_[static_cast<std::size_t>(endpoint)];
   // What was heard before the first doubt was about something else.
-  if (doubts_ == 0)
+  if (doubts_ == 0) {
+    first_doubt_ = now;
     for (Endpoint& each : members_) each.heard = Heard::nothing;
+  }
   ++doubts_;
   ++member.failures;
   member.heard = Heard::doubt;
@@ -63,11 +66,15 @@
   for (Endpoint& each : members_) each.heard = Heard::nothing;
 }
 
-bool Endpoints::believe(std::uint64_t cluster) const {
+bool Endpoints::believe(net::Time now, std::uint64_t cluster) const {
   if (doubts_ < doubts_believed) return false;
-  return std::all_of(members_.begin(), members_.end(), [&](const Endpoint& each) {
-    return each.heard == Heard::failure || (each.heard == Heard::doubt && each.cluster == cluster);
-  });
+  bool all_say_so = true;
+  for (const Endpoint& each : members_) {
+    bool says_so = each.heard == Heard::doubt && each.cluster == cluster;
+    if (!says_so && each.heard != Heard::failure) return false;
+    all_say_so = all_say_so && says_so;
+  }
+  return all_say_so || now >= first_doubt_ + absent_awaited;
 }
 
 }  // namespace pearspar::registry
--- a/src/registry/endpoints.h
+++ b/src/registry/endpoints.h
@@ -39,12 +39,13 @@
   double spread() { return std::uniform_real_distribution<double>(0.75, 1.25)(random_); }
 
   // An endpoint spoke of another history: another cluster, or of a revision or term before what is known.
-  void doubted(int endpoint, std::uint64_t cluster);
+  void doubted(net::Time now, int endpoint, std::uint64_t cluster);
   // An endpoint knows the history that we know: whoever doubted it is wrong.
   void vouched();
   // Whether that other history is the truth: every endpoint was asked since, none knew ours, and what was
-  // heard was heard twice at least.
-  bool believe(std::uint64_t cluster) const;
+  // heard was heard twice at least. Where some could not be reached, they are given a second to be back: one
+  // stray endpoint must not take over in a moment's outage of the others.
+  bool believe(net::Time now, std::uint64_t cluster) const;
   int doubts() const { return doubts_; }
 
  private:
@@ -61,6 +62,7 @@
   std::uint64_t asked_ = 0;
   int failures_ = 0;
   int doubts_ = 0;
+  net::Time first_doubt_{};
 };
 
 }  // namespace pearspar::registry
--- a/src/registry/follower.cpp
+++ b/src/registry/follower.cpp
@@ -39,7 +39,7 @@
   ticket = 0;
 }
 
-bool Follower::check(const Header& header) {
+bool Follower::check(net::Time now, const Header& header) {
   if (!known_) return true;
   bool other =
       header.cluster != known_->cluster || header.revision < view_.revision() || header.term < known_->term;
@@ -50,12 +50,12 @@
     return true;
   }
   ++counters_.doubts;
-  endpoints_.doubted(endpoint_, header.cluster);
+  endpoints_.doubted(now, endpoint_, header.cluster);
   return false;
 }
 
-bool Follower::believed(const Header& header) {
-  if (!endpoints_.believe(header.cluster)) return false;
+bool Follower::believed(net::Time now, const Header& header) {
+  if (!endpoints_.believe(now, header.cluster)) return false;
   ++counters_.new_histories;
   known_.reset();
   endpoints_.vouched();
@@ -175,7 +175,7 @@
 }
 
 void WatchFollower::doubt(net::Time now, const Header& header) {
-  if (believed(header)) {
+  if (believed(now, header)) {
     whole_ = true;
     return read_anew(now);
   }
@@ -223,8 +223,8 @@
   if (ticket != main_ || step_ != Step::reading) return;
   main_ = 0;
   if (pinned_ == 0) {
-    if (!check(page.header)) {
-      if (!believed(page.header)) return rest(now);
+    if (!check(now, page.header)) {
+      if (!believed(now, page.header)) return rest(now);
       whole_ = true;
     }
     pinned_ = page.header.revision;
@@ -258,7 +258,7 @@
   if (ticket != main_ || step_ != Step::opening) return;
   // A member that lags may show an older revision or term here, but never another cluster.
   if (known_ && header.cluster != known_->cluster) {
-    check(header);
+    check(now, header);
     return doubt(now, header);
   }
   step_ = Step::watching;
@@ -272,7 +272,7 @@
 void WatchFollower::told(net::Time now, std::uint64_t ticket, Events events) {
   if (ticket != main_ || step_ != Step::watching) return;
   if (known_ && events.header.cluster != 0 && events.header.cluster != known_->cluster) {
-    check(events.header);
+    check(now, events.header);
     return doubt(now, events.header);
   }
   bool mark = events.changes.empty() && fragments_.empty() && !events.fragment;
@@ -318,7 +318,7 @@
   if (ticket != look_) return;
   look_ = 0;
   next_look_ = now + options_.look_every;
-  if (!check(standing.header)) return doubt(now, standing.header);
+  if (!check(now, standing.header)) return doubt(now, standing.header);
   endpoints_.worked(endpoint_);
   if (step_ == Step::verifying) return verified(now, standing);
   if (step_ != Step::watching) return;
@@ -407,8 +407,8 @@
   Revision index = page.header.revision;
   // An index of 0 or less could never be waited on: the published way is to begin anew.
   if (index <= 0) return leave(now, Fault::malformed);
-  if (!check(page.header)) {
-    if (!believed(page.header)) return rest(now);
+  if (!check(now, page.header)) {
+    if (!believed(now, page.header)) return rest(now);
     whole_ = true;
   }
   adopt(page.header);
--- a/src/registry/follower.h
+++ b/src/registry/follower.h
@@ -101,10 +101,10 @@
                     bool with_item = false);
   void drop(std::uint64_t& ticket);
   // Another history than the one we know? True where the header may be used; else a doubt was noted.
-  bool check(const Header& header);
+  bool check(net::Time now, const Header& header);
   void adopt(const Header& header);
   // Believed by now, so that what is read next counts whatever it says.
-  bool believed(const Header& header);
+  bool believed(net::Time now, const Header& header);
 
   FollowerOptions options_;
   Endpoints endpoints_;
--- a/src/registry/framer.cpp
+++ b/src/registry/framer.cpp
@@ -15,6 +15,7 @@
       }
       if (c != '{') return Result::malformed;
       object_.clear();
+      values_ = 0;
     }
     if (in_text_) {
       if (escape_) {
@@ -36,6 +37,7 @@
       continue;
     }
     if (object_.size() >= limits_.message) return Result::too_large;
+    if ((c == ',' || c == '{' || c == '[') && ++values_ > limits_.values) return Result::too_large;
     object_.push_back(c);
     if (c == '"') {
       in_text_ = true;
--- a/src/registry/framer.h
+++ b/src/registry/framer.h
@@ -13,6 +13,8 @@
 struct FramerLimits {
   std::size_t text = 96 * 1024;    // bytes of one text as it is written
   std::size_t message = 4u << 20;  // bytes of one object, long texts left out
+  // Values in one object: read, each takes some hundred bytes, however few it has on the wire.
+  std::size_t values = 100'000;
 };
 
 class Framer {
@@ -36,6 +38,7 @@
   bool closed_ = false;
   std::string object_;
   int depth_ = 0;
+  std::size_t values_ = 0;
   bool in_text_ = false;
   bool escape_ = false;
   bool left_out_ = false;
--- a/src/registry/wire.h
+++ b/src/registry/wire.h
@@ -58,7 +58,7 @@
   std::size_t value = 64 * 1024;   // bytes of one value, as it is kept
   std::size_t message = 4u << 20;  // bytes of one object on the wire
 
-  FramerLimits framer() const { return {value * 4 / 3 + 8, message}; }
+  FramerLimits framer() const { return {value * 4 / 3 + 8, message, FramerLimits{}.values}; }
 };
 
 class Dialect {
--- a/tests/registry_wire_test.cpp
+++ b/tests/registry_wire_test.cpp
@@ -52,6 +52,13 @@
   EXPECT_EQ(frame("{} x", 1).result, Framer::Result::malformed);
 }
 
+// Small on the wire and large once it is read.
+TEST(Framer, AnObjectOfVeryManyValuesIsTooLarge) {
+  std::string text = "{\"kvs\":[1";
+  for (int i = 0; i < 150'000; ++i) text += ",1";
+  EXPECT_EQ(frame(text + "]}", 4096).result, Framer::Result::too_large);
+}
+
 TEST(Framer, TheItemsOfAList) {
   for (std::size_t step : {1ul, 3ul, 100ul})
     EXPECT_EQ(frame(" [{\"a\":1}, {\"b\":[2]}] ", step, {}, true).objects,
