Registry client: a reader that falls behind, tested

Need: the hard case of a slow reader was caused from the registry's side only.

Change: a test with two loops, in which ours stands still while 8,000 changes are told.

Result: the list is equal afterwards and the view as small as its 50 keys.

--- a/tests/registry_source_test.cpp
+++ b/tests/registry_source_test.cpp
@@ -461,6 +461,42 @@
   EXPECT_EQ(counters().snapshots, 1u);
 }
 
+// We do not read for a while, and the registry goes on telling into a full connection. Their loop and ours
+// are two.
+TEST(SlowReader, WhatPiledUpIsReadInTurnsAndTheListIsEqual) {
+  net::Loop theirs, ours;
+  standins::RegistryWorld world(theirs, Wire::etcd, 1, 3);
+  RegistryOptions options;
+  options.endpoints = world.addresses();
+  testing::Listener user;
+  RegistrySource source(ours, peers::quiet_log(), options, 11, user);
+  source.start();
+  auto equal = [&] {
+    for (const auto& [key, kv] : world.store().now()) {
+      auto held = user.nodes.find(key.substr(options.prefix.size()));
+      if (held == user.nodes.end() || write_record(held->second) != kv.value) return false;
+    }
+    return user.whole > 0 && user.nodes.size() == world.store().now().size();
+  };
+  auto both = [&] {
+    return peers::turn_until(
+        ours, [&] { theirs.turn(net::Duration{}); }, equal);
+  };
+  for (int i = 0; i < 50; ++i)
+    world.store().put(options.prefix + "n" + std::to_string(i), record_of("n" + std::to_string(i), 0));
+  ASSERT_TRUE(both());
+  ASSERT_TRUE(peers::turn_until(
+      ours, [&] { theirs.turn(net::Duration{}); }, [&] { return source.follower().live(); }));
+  for (int i = 0; i < 8000; ++i) {
+    std::string id = "n" + std::to_string(i % 50);
+    world.store().put(options.prefix + id, record_of(id, 1 + i));
+    if (i % 50 == 0) theirs.turn(net::Duration{});
+  }
+  ASSERT_FALSE(equal());
+  ASSERT_TRUE(both());
+  EXPECT_LT(source.follower().view().bytes(), 20'000u);
+}
+
 // ---- Consul ----
 
 class ConsulSource : public RegistryTest {};
