--- a/src/cli/registry_commands.cpp
+++ b/src/cli/registry_commands.cpp
@@ -255,7 +255,7 @@
                                   printer);
   net::Signals signals{SIGINT, SIGTERM};
   bool ended = false;
-  signals.watch(loop, [&](int) { ended = true; });
+  net::Watch watch = signals.watch(loop, [&](int) { ended = true; });
   if (!arguments.json)
     std::printf("%8s %-20s %-21s %-6s %-6s %5s %-9s %5s %s\n", "revision", "id", "address", "zone", "kind",
                 "cell", "phase", "size", "start_ms");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -61,7 +61,7 @@
   pearspar::net::Loop loop;
   pearspar::broker::Broker broker(loop, log, config, pearspar::make_policy(config.module, config.seed),
                                   options);
-  signals.watch(loop, [&](int signal) {
+  pearspar::net::Watch watch = signals.watch(loop, [&](int signal) {
     if (signal == SIGUSR1)
       log.info("counters {}", broker.counters_json());
     else if (signal == SIGHUP)
--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -19,8 +19,8 @@
   if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
 }
 
-void Signals::watch(Loop& loop, std::function<void(int signal)> on_signal) {
-  watch_ = loop.watch(fd_.get(), POLLIN, [this, on_signal = std::move(on_signal)](short) {
+Watch Signals::watch(Loop& loop, std::function<void(int signal)> on_signal) {
+  return loop.watch(fd_.get(), POLLIN, [this, on_signal = std::move(on_signal)](short) {
     signalfd_siginfo info{};
     while (::read(fd_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info))
       on_signal(static_cast<int>(info.ssi_signo));
--- a/src/net/signals.h
+++ b/src/net/signals.h
@@ -9,16 +9,15 @@
 
 namespace pearspar::net {
 
-// Blocks the signals for the process and calls `on_signal` from the loop with each that comes. Throws
-// std::system_error.
+// Blocks the signals for the process and calls `on_signal` from the loop with each that comes. May stand
+// before the loop does; the watch is the caller's and ends before both. Throws std::system_error.
 class Signals {
  public:
   Signals(std::initializer_list<int> signals);
-  void watch(Loop& loop, std::function<void(int signal)> on_signal);
+  [[nodiscard]] Watch watch(Loop& loop, std::function<void(int signal)> on_signal);
 
  private:
   Fd fd_;
-  Watch watch_;
 };
 
 }  // namespace pearspar::net
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -23,7 +23,7 @@
 void serve(net::Loop& loop, double for_s) {
   net::Signals signals{SIGINT, SIGTERM};
   bool ended = false;
-  signals.watch(loop, [&](int) { ended = true; });
+  net::Watch watch = signals.watch(loop, [&](int) { ended = true; });
   net::Timer over;
   if (for_s > 0) over = loop.at(loop.now() + net::Duration(for_s), [&] { ended = true; });
   while (!ended) loop.turn();
