--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -54,7 +54,7 @@
 constexpr double full_share = 0.1;     // of a step's answers: more turned away say at once, before the median
 constexpr double load_up = 1.1;        // at most, and only while the limit is in use
 constexpr double load_least = 2;       // parts: something is always under way, or nothing would be learnt
-constexpr Duration worth_memory = 3s;  // what was asked and what it earned is smoothed over this
+constexpr Duration worth_memory = 8s;  // what was asked and what it earned is smoothed over this
 constexpr double worth_slack = 1.5;    // times what earned something may be let in
 constexpr double hopeless_most =
     0.95;  // a query needs the time within which so many of its attempts end, at most
