--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -213,7 +213,8 @@
 
 bool Broker::make_room() {
   std::size_t used = front_.connections() + links_.connections() + other_descriptors;
-  return used < static_cast<std::size_t>(config_.max_sockets) || front_.close_one_idle();
+  return used < static_cast<std::size_t>(config_.max_sockets) || front_.close_one_idle() ||
+         links_.close_one_idle();
 }
 
 void Broker::attempt_ended(const nodelink::AttemptEnd& end) {
@@ -259,12 +260,13 @@
       front.bad_requests, front.closed_for_room, front.timed_out, front.closed_unused, front.accept_failures);
   out += fmt::format(
       "\"nodes\":{{\"connects\":{},\"connects_failed\":{},\"open\":{},\"frames\":{},\"give_ups\":{},"
-      "\"closed_idle\":{},\"fell_silent\":{},\"closed_silent\":{},\"late_answers\":{},\"unknown_answers\":{},"
+      "\"closed_idle\":{},\"closed_for_room\":{},\"fell_silent\":{},\"closed_silent\":{},\"late_answers\":{},"
+      "\"unknown_answers\":{},"
       "\"broken_frames\":{},\"complaints\":{}}}"
       ",",
       links.connects, links.connects_failed, links_.connections(), links.frames_sent, links.give_ups_sent,
-      links.closed_idle, links.fell_silent, links.closed_silent, links.late_answers, links.unknown_answers,
-      links.broken_frames, links.complaints);
+      links.closed_idle, links.closed_for_room, links.fell_silent, links.closed_silent, links.late_answers,
+      links.unknown_answers, links.broken_frames, links.complaints);
   out += fmt::format(
       "\"discovery\":{{\"lists\":{},\"changes\":{},\"stale\":{},\"failures\":{},\"revision\":{}}},",
       lists.lists, lists.changes, lists.stale, lists.failures, members_.revision());
--- a/src/nodelink/links.cpp
+++ b/src/nodelink/links.cpp
@@ -55,6 +55,24 @@
   }
 }
 
+// Where there are more nodes than descriptors, the node that is sent to takes the place of the one not sent
+// to for the longest: its part would else fail as if the node could not be reached.
+bool Links::close_one_idle() {
+  net::SlotId oldest;
+  net::Time least = net::Time::max();
+  connections_.each([&](net::SlotId id, Connection& connection) {
+    if (!connection.up || !connection.attempts.empty() || !connection.abandoned.empty() ||
+        !connection.probes.empty() || !connection.out.empty() || connection.last_used >= least)
+      return;
+    oldest = id;
+    least = connection.last_used;
+  });
+  if (!oldest) return false;
+  ++counters_.closed_for_room;
+  close(oldest, "room for another node");
+  return true;
+}
+
 // One line when a node begins to fail and one when it answers again: what lies between is counted.
 void Links::note_failure(Node& node, const char* why) {
   if (++node.failures == 1) log_.warning("node at {}: {}", node.address.text(), why);
@@ -166,8 +184,9 @@
 }
 
 net::SlotId Links::open(NodeId node) {
+  bool room = user_.make_room();  // which may end a connection, and with it a node that is gone
   Node& known = nodes_[node];
-  if (known.address.port == 0 || !user_.make_room()) {
+  if (known.address.port == 0 || !room) {
     ++counters_.connects_failed;
     return {};
   }
--- a/src/nodelink/links.h
+++ b/src/nodelink/links.h
@@ -35,6 +35,7 @@
   std::uint64_t connects = 0;
   std::uint64_t connects_failed = 0;
   std::uint64_t closed_idle = 0;
+  std::uint64_t closed_for_room = 0;
   std::uint64_t late_answers = 0;
   std::uint64_t unknown_answers = 0;  // to nothing that was sent there: the connection ends
   std::uint64_t broken_frames = 0;
@@ -76,6 +77,8 @@
   void give_up(PartId part, int attempt);
   void probe(NodeId node, bool for_load);
   void drop_idle(NodeId node);
+  // Gives back the connection that has carried nothing for the longest. False where each carries something.
+  bool close_one_idle();
 
   std::size_t nodes() const { return nodes_.size(); }
   std::size_t connections() const { return connections_.size(); }
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -45,7 +45,7 @@
   void probe_ended(const ProbeEnd& end) override {
     probes.push_back({end.node, 0, end.outcome, "", std::string(end.report)});
   }
-  bool make_room() override { return room; }
+  bool make_room() override { return room || (idle_makes_room && links.close_one_idle()); }
 
   Call call(PartId part, const std::string& id, double wait = 10, int attempt = 0) {
     net::Time end = loop.now() + net::Duration(wait);
@@ -75,7 +75,7 @@
 
   net::Loop loop;
   peers::Listener node;
-  bool room = true;
+  bool room = true, idle_makes_room = false;
   double forget = 30;
   std::vector<Ended> ended, probes;
   std::deque<std::string> ids;  // what the calls' views point to
@@ -261,6 +261,35 @@
   EXPECT_EQ(ended[0].outcome, Outcome::connect_failed);
 }
 
+// More nodes than descriptors: what carries nothing makes way, the one used least lately first; what carries
+// an attempt does not.
+TEST_F(LinksTest, AnIdleConnectionMakesWayForAnotherNode) {
+  peers::Listener other, third;
+  links.place(2, other.address(), 0);
+  links.place(3, third.address(), 0);
+  send(1, "q.1");
+  ASSERT_TRUE(gets(0, "m"));
+  room = false, idle_makes_room = true;
+  Call to_second = call(2, "q.2");
+  links.send(2, {&to_second, 1});
+  ASSERT_EQ(ended.size(), 1u);  // the first one's connection carries a part
+  EXPECT_EQ(ended[0].outcome, Outcome::connect_failed);
+  at(0).write(node_frame('q', "q.1 good 1 -\nv"));
+  ASSERT_TRUE(ends_after(2));
+  Call again = call(3, "q.3");
+  links.send(2, {&again, 1});
+  EXPECT_EQ(links.connections(), 1u);
+  EXPECT_EQ(links.counters().closed_for_room, 1u);
+  ASSERT_TRUE(peers::turn_until(
+      loop, [&] { other.poll(); },
+      [&] { return !other.peers.empty() && take_frame(*other.peers[0]).substr(0, 1) == "m"; }));
+  EXPECT_EQ(ended.size(), 2u);
+  Call last = call(4, "q.4");
+  links.send(3, {&last, 1});  // the second carries a part now
+  ASSERT_EQ(ended.size(), 3u);
+  EXPECT_EQ(ended[2].outcome, Outcome::connect_failed);
+}
+
 TEST_F(LinksTest, ABreakAfterTheLastByteIsAReset) {
   send(1, "q.1");
   send(2, "q.2");
