Scripted fleet: an unused account goes, the connect time-out is the settings'

Cause: read as a reviewer, src/fleet kept a count of busy time that nothing reads, a connect time-out of its own beside the settings', and a result type named by chance. Change: the first two go, the type is DayResult.

--- a/src/fleet/days.cpp
+++ b/src/fleet/days.cpp
@@ -115,7 +115,7 @@
 
 }  // namespace
 
-double Outcome3::served() const {
+double DayResult::served() const {
   double asked = 0, worth = 0;
   for (const std::vector<Tally>* part : {&before, &during, &after})
     for (std::size_t cls = 0; cls < part->size(); ++cls) {
@@ -183,13 +183,13 @@
   return all;
 }
 
-Outcome3 play(std::string_view name, const Shape& shape, std::uint64_t seed, const Moments& m) {
+DayResult play(std::string_view name, const Shape& shape, std::uint64_t seed, const Moments& m) {
   auto found = std::find_if(scripts().begin(), scripts().end(),
                             [&](const auto& each) { return each.first.name == name; });
   if (found == scripts().end()) throw std::out_of_range("no day is named " + std::string(name));
   Fleet fleet(shape, seed);
   found->second(fleet, shape, m);
-  Outcome3 result;
+  DayResult result;
   for (double moment : {m.from, m.to}) {
     fleet.run_until(start + moment);
     fleet.mark();
--- a/src/fleet/days.h
+++ b/src/fleet/days.h
@@ -16,7 +16,7 @@
   double end = 20;
 };
 
-struct Outcome3 {
+struct DayResult {
   std::vector<Tally> before, during, after;  // by class, of the queries that came then
   Audit audit;
   std::uint64_t sends = 0;
@@ -37,6 +37,6 @@
 const std::vector<Day>& days();
 
 // Throws std::out_of_range for a name that is not among days().
-Outcome3 play(std::string_view day, const Shape& shape, std::uint64_t seed, const Moments& moments = {});
+DayResult play(std::string_view day, const Shape& shape, std::uint64_t seed, const Moments& moments = {});
 
 }  // namespace pearspar::fleet
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -7,9 +7,8 @@
 namespace pearspar::fleet {
 namespace {
 
-constexpr double way = 0.0003;            // one way between any two machines, seconds
-constexpr double connect_timeout = 0.25;  // to a node that is silent
-constexpr double rule_slack = 1.1;        // for chance, on the cold-node budget
+constexpr double way = 0.0003;      // one way between any two machines, seconds
+constexpr double rule_slack = 1.1;  // for chance, on the cold-node budget
 
 net::Time at_time(double seconds) { return net::Time(net::Duration(seconds)); }
 
@@ -356,7 +355,8 @@
     return end(way, Outcome::connect_failed);
   }
   if (node.silent) {
-    if (broker.connected.count(number) == 0) end(connect_timeout, Outcome::connect_failed);
+    if (broker.connected.count(number) == 0)
+      end(shape_.settings.connect_timeout.count(), Outcome::connect_failed);
     return;
   }
   broker.connected.insert(number);
@@ -373,7 +373,6 @@
   Node& node = nodes_[static_cast<std::size_t>(number)];
   node.working.push_back(job);
   double takes = job.work / std::max(1e-3, capacity(node));
-  node.busy += takes;
   schedule(now_ + takes, [this, number, life = node.life, id = job.id] { finish(number, life, id); });
 }
 
@@ -407,11 +406,6 @@
   wake(number);
 }
 
-double Fleet::utilization(int number) const {
-  const Node& node = nodes_[static_cast<std::size_t>(number)];
-  return node.busy / (shape_.cores * std::max(1e-9, now_ - 1000));
-}
-
 void Fleet::silence(int number, bool on) { nodes_[static_cast<std::size_t>(number)].silent = on; }
 void Fleet::slow(int number, double times) { nodes_[static_cast<std::size_t>(number)].slowed = times; }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -84,12 +84,11 @@
   int zone_of(int node) const;
   void silence(int node, bool on);  // takes all, answers nothing; connections do not come up
   void slow(int node, double times);
-  void kill(int node);                 // connections are refused, work is lost
-  void start(int node);                // after kill(): cold; tells the list
-  void drain(int node);                // turns new work away; tells the list
-  void remove(int node);               // dies; tells the list
-  int add(int cell, int zone);         // cold; tells the list
-  double utilization(int node) const;  // busy cores' share since the last call
+  void kill(int node);          // connections are refused, work is lost
+  void start(int node);         // after kill(): cold; tells the list
+  void drain(int node);         // turns new work away; tells the list
+  void remove(int node);        // dies; tells the list
+  int add(int cell, int zone);  // cold; tells the list
 
   // A broker dies and comes back after `down` seconds with no memory but the list as it had it.
   void restart_broker(int broker, double down);
@@ -130,7 +129,6 @@
     int life = 0;
     std::vector<Job> working;
     std::vector<Job> waiting;
-    double busy = 0, busy_since = 0, busy_at = 0;
     std::vector<double> cold_arrivals;
   };
   struct Client {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -18,7 +18,7 @@
 // On each day every query has one honest answer in its client's time, drains are kept, no node that has just
 // started is pushed over by the sum of all brokers, and no part is tried too often.
 TEST_P(FleetDays, KeepTheRulesOverAllBrokers) {
-  Outcome3 day = play(GetParam(), usual_shape(brokers, nodes, 0.5), 1);
+  DayResult day = play(GetParam(), usual_shape(brokers, nodes, 0.5), 1);
   EXPECT_EQ(day.audit.answered_twice, 0u);
   EXPECT_EQ(day.audit.answered_late, 0u);
   EXPECT_EQ(day.audit.dishonest, 0u);
@@ -54,7 +54,7 @@
   Shape shape = usual_shape(brokers, nodes, 0.55);
   ASSERT_LT(shape.rate * 1.5 / brokers, 0.5);
   for (std::uint64_t seed : {1, 2}) {
-    Outcome3 day = play("burst", shape, seed);
+    DayResult day = play("burst", shape, seed);
     EXPECT_GT(day.during[1].served(), 0.92) << "seed " << seed;
     EXPECT_GT(day.after[1].served(), 0.95) << "seed " << seed;
     EXPECT_GT(day.during[0].served(), 0.9) << "seed " << seed;
@@ -64,7 +64,7 @@
 // What a fifth of the nodes took with them when they fell silent is made good within their absence, and all
 // is well at once when they are back.
 TEST(Fleet, AFifthOfTheNodesSilentWithALateListCostsTheirAbsenceOnly) {
-  Outcome3 day = play("silent-fifth", usual_shape(brokers, nodes, 0.5), 2);
+  DayResult day = play("silent-fifth", usual_shape(brokers, nodes, 0.5), 2);
   EXPECT_GT(day.during[0].served(), 0.85);
   EXPECT_GT(day.after[0].served(), 0.93);
   EXPECT_GT(day.after[1].served(), 0.95);
@@ -96,7 +96,7 @@
 
 TEST(Fleet, OneSeedOneResult) {
   auto sums = [](std::uint64_t seed) {
-    Outcome3 day = play("herd", usual_shape(60, 30, 0.5), seed);
+    DayResult day = play("herd", usual_shape(60, 30, 0.5), seed);
     return std::tuple(day.sends, day.refused_unsent, day.served());
   };
   EXPECT_EQ(sums(5), sums(5));
