--- /dev/null
+++ b/src/peers/core.cpp
@@ -0,0 +1,1128 @@
+#include "peers/core.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pearspar::peers {
+namespace {
+
+using net::Address;
+using net::Duration;
+using net::Time;
+
+constexpr int worst_health = 8;
+constexpr int helpers_asked = 3;
+constexpr int accusers_enough = 3;  // beside the first: with so many a suspicion is shortest
+constexpr int spread_to = 2;        // members that a tick of news goes to
+constexpr double spreads_a_period = 4;
+constexpr double checks_of_suspect = 6;  // brokers that look after a suspect in each period
+constexpr double direct_share = 0.5;     // of a period, before others are asked
+constexpr double helper_share = 0.3;     // of a period, before a helper says that it got no answer
+constexpr double settled_periods = 5;
+constexpr double joining_periods = 10;  // that seeds have to answer before a broker is content with itself
+constexpr double differ_periods = 3;    // that news may take before tables are compared
+constexpr std::size_t greeting_padding = 260;  // room for the answer's news
+constexpr int pages_at_once = 16;
+constexpr std::size_t most_relays = 64;
+constexpr double datagrams_a_period = 64;  // of one member
+constexpr double unproven_a_period = 64;   // of all others together
+constexpr double burst_periods = 4;        // of both
+constexpr double name_tries = 5;           // of five periods each, before a silent namesake's name is ours
+
+std::uint32_t accuser_of(std::string_view name) { return static_cast<std::uint32_t>(hash_of(name, 2)); }
+
+Place place_of(const Address& theirs, const Address& ours) {
+  return theirs == ours ? Place::ours : AddressOrder()(theirs, ours) ? Place::lower : Place::higher;
+}
+
+}  // namespace
+
+const char* text_of(Cause cause) {
+  constexpr const char* texts[] = {
+      "its own word",       "no answer to us", "several accusers", "its address is another's", "told",
+      "no word against it", "alone",           "our own word"};
+  return texts[static_cast<int>(cause)];
+}
+
+Core::Core(Options options, Self self, std::uint64_t seed, Time now)
+    : options_(std::move(options)),
+      self_(std::move(self)),
+      own_{self_.run, 1},
+      sealer_(options_.fleet),
+      random_(seed ^ hash_of(self_.name, self_.run)),
+      secret_(random_()),
+      table_(options_.max_members),
+      next_period_(now + options_.period * std::uniform_real_distribution<double>(0, 1)(random_)),
+      next_spread_(Time::max()),
+      last_spread_(now - options_.period),
+      next_reconnect_(now),
+      next_forget_(now + options_.remember_gone / 16),
+      tokens_(static_cast<double>(options_.bytes_per_s)),
+      tokens_at_(now),
+      unproven_allowed_(unproven_a_period * burst_periods),
+      unproven_at_(now),
+      changed_at_(now),
+      disputed_at_(now),
+      joined_by_(now + options_.period * joining_periods) {
+  rewrite_word();
+}
+
+// ---- the host's words ----
+
+void Core::ready(Time now) {
+  if (phase_ != Phase::joining) return;
+  phase_ = Phase::alive;
+  raise_own(now, 0);
+}
+
+void Core::leave(Time now) {
+  if (phase_ == Phase::leaving || phase_ == Phase::left) return;
+  phase_ = Phase::leaving;
+  raise_own(now, 0);
+}
+
+void Core::finish(Time now) {
+  if (phase_ == Phase::left) return;
+  const bool spoke = speaks();
+  phase_ = Phase::left;
+  raise_own(now, 0);
+  finish_by_ = now;
+  if (!spoke || table_.in_force().empty()) return;
+  finish_by_ = now + options_.period;
+  probe_.stage = Stage::idle;
+  // Not left to chance alone: several hear it from us.
+  std::vector<Member*> some = table_.in_force();
+  std::shuffle(some.begin(), some.end(), random_);
+  if (some.size() > 5) some.resize(5);
+  for (Member* member : some) {
+    wire::Body body = body_for(member->address, member);
+    *body.add_news() = own_news();
+    send(now, member->address, body, member, Pay::always);
+  }
+}
+
+bool Core::publish(Time now, const std::string& key, const std::string& value) {
+  if (key.empty() || key.size() > longest_key || value.size() > longest_value) return false;
+  auto found = shelf_.find(key);
+  if (found != shelf_.end() && found->second.value == value) return true;
+  Shelf next = shelf_;
+  next[key] = {value, shelf_version_ + 1};
+  if (next.size() > static_cast<std::size_t>(most_records) || bytes_of(next) > largest_shelf) return false;
+  ++shelf_version_;
+  shelf_ = std::move(next);
+  tell_all(now, self_.name, Worth::record);
+  snapshot_.reset();
+  return true;
+}
+
+void Core::add_seeds(const std::vector<Address>& seeds) {
+  for (const Address& seed : seeds)
+    if (std::find(options_.seeds.begin(), options_.seeds.end(), seed) == options_.seeds.end())
+      options_.seeds.push_back(seed);
+}
+
+// ---- ourselves ----
+
+void Core::rewrite_word() {
+  wire::Word word;
+  word.set_host(self_.address.host);
+  word.set_port(self_.address.port);
+  word.set_serves_host(self_.serves.host);
+  word.set_serves_port(self_.serves.port);
+  word.set_zone(self_.zone);
+  word.set_region(self_.region);
+  word.set_version(self_.version);
+  word.set_phase(static_cast<wire::Phase>(phase_));
+  word_ = word.SerializeAsString();
+}
+
+void Core::raise_own(Time now, std::uint64_t above) {
+  own_ = raised(own_, above);
+  self_.run = own_.run;
+  rewrite_word();
+  changed(now);
+  rumours_.add(self_.name, Worth::verdict);
+  if (!shelf_.empty()) tell_all(now, self_.name, Worth::record);
+}
+
+void Core::take_own_news(Time now, const wire::News& news) {
+  Member heard;
+  if (!Table::read_word(news.word(), heard)) heard.address = self_.address;
+  heard.standing.run = news.run();
+  heard.standing.incarnation = news.incarnation();
+  heard.standing.verdict = static_cast<Verdict>(news.verdict());
+  if (news.word().empty()) heard.standing.phase = phase_;
+  // Our own end is no news to us.
+  if (phase_ == Phase::left && heard.standing.run == own_.run) return;
+  const Place place = place_of(heard.address, self_.address);
+  const OwnWeighed weighed = weigh_own(own_, heard.standing, place);
+  switch (weighed.effect) {
+    case OwnEffect::none:
+      return;
+    case OwnEffect::refute:
+      ++counters_.refuted;
+      if (heard.standing.verdict != Verdict::trusted) worse(1);
+      break;
+    case OwnEffect::outrun:
+      ++counters_.outruns;
+      if (heard.standing.run >= greatest_run) return;
+      break;
+    case OwnEffect::yield:
+      if (yields_) return;
+      yields_ = true;
+      namesake_ = heard.address;
+      namesake_heard_ = now;
+      namesake_tries_ = 0;
+      own_.run = std::min(own_.run, heard.standing.run);
+      probe_.stage = Stage::idle;
+      notes_.push_back({self_.name, heard.standing.run, heard.standing.incarnation, State::alive, true,
+                        State::gone, Cause::address_taken, heard.address.text(), 0});
+      next_period_ = now;
+      changed(now);
+      return;
+  }
+  own_ = {weighed.next.run, weighed.next.incarnation - (weighed.effect == OwnEffect::refute ? 1 : 0)};
+  raise_own(now, 0);
+}
+
+// A silent namesake's name is ours again; one that answers keeps it.
+void Core::look_up_namesake(Time now) {
+  next_period_ = now + options_.period * 5;
+  if (++namesake_tries_ > name_tries) {
+    yields_ = false;
+    ++counters_.outruns;
+    own_ = {own_.run + 1, 0};
+    if (const Member* other = table_.find(self_.name)) own_.run = std::max(own_.run, other->standing.run + 1);
+    notes_.push_back({self_.name, own_.run, own_.incarnation, State::gone, true, State::alive, Cause::silence,
+                      namesake_.text(), 0});
+    raise_own(now, 0);
+    return;
+  }
+  ping(now, namesake_, nullptr, 0, true);
+}
+
+void Core::start_over(Time now) {
+  ++counters_.startovers;
+  std::vector<Address> known;
+  for (const Member* member : table_.in_force())
+    if (known.size() < 64) known.push_back(member->address);
+  add_seeds(known);
+  std::vector<std::string> names;
+  for (const auto& [name, member] : table_.all()) names.push_back(name);
+  for (const std::string& name : names) {
+    rumours_.drop(name);
+    table_.erase(name);
+  }
+  judgements_.clear();
+  round_.clear();
+  joined_by_ = now + options_.period * joining_periods;
+  raise_own(now, 0);
+}
+
+void Core::worse(int by) {
+  if (options_.local_health) health_ = std::min(worst_health, health_ + by);
+}
+void Core::better() { health_ = std::max(0, health_ - 1); }
+
+Duration Core::scaled_period() const { return options_.period * (1 + health_); }
+
+void Core::note_hold(Time now) {
+  const Time wanted = due();
+  if (wanted == Time::max() || now - wanted <= options_.period / 2) return;
+  const Duration gap = now - wanted;
+  ++counters_.held_up;
+  worse(gap > options_.period * 2 ? 2 : 1);
+  // What was not answered while we did not listen says nothing about others.
+  probe_.stage = Stage::idle;
+  relays_.clear();
+  std::set<std::pair<Time, std::string>> moved;
+  for (const auto& [at, name] : judgements_) {
+    moved.insert({at + gap, name});
+    if (Member* member = table_.find(name)) {
+      member->judged += gap;
+      member->suspected += gap;
+    }
+  }
+  judgements_ = std::move(moved);
+  next_period_ = std::max(next_period_, now);
+  if (gap > options_.remember_gone / 2) start_over(now);
+}
+
+// ---- members ----
+
+void Core::changed(Time now) {
+  changed_at_ = now;
+  snapshot_.reset();
+}
+
+int Core::accusers_wanted() const { return std::clamp(static_cast<int>(in_force()) - 2, 0, accusers_enough); }
+
+Time Core::judgement_of(const Member& member) const {
+  const int wanted = accusers_wanted();
+  const double others = std::max<double>(0, static_cast<double>(member.accusers.size()) - 1);
+  const double share = wanted == 0 ? 1 : std::min(1.0, std::log(others + 1) / std::log(wanted + 1.0));
+  return member.suspected + member.at_most - (member.at_most - member.at_least) * share;
+}
+
+void Core::set_standing(Time now, Member& member, const Standing& standing, Cause cause,
+                        const std::string& by) {
+  const Standing held = member.standing;
+  const bool known = held.run != 0;
+  const State before = member.standing.state();
+  judgements_.erase({member.judged, member.name});
+  table_.change(member, [&](Member& each) {
+    if (each.standing.run != standing.run) {
+      each.shelf.clear();
+      each.seen = {};
+      each.cookie = 0;
+    }
+    each.standing = standing;
+  });
+  const State after = standing.state();
+  const int accusers = static_cast<int>(member.accusers.size());
+  if (after != State::suspect) member.accusers.clear();
+  if (!known || before != after || held.run != standing.run) {
+    member.since = now;
+    notes_.push_back(
+        {member.name, standing.run, standing.incarnation, before, known, after, cause, by, accusers});
+  }
+  changed(now);
+}
+
+void Core::tell_all(Time now, const std::string& name, Worth worth) {
+  rumours_.add(name, worth);
+  // News that come together go together.
+  const Time soon = now + options_.period / (spreads_a_period * 8);
+  next_spread_ = std::max(std::min(next_spread_, soon), last_spread_ + options_.period / spreads_a_period);
+}
+
+void Core::suspect(Time now, Member& member, const Standing& next, Cause cause, const std::string& by,
+                   std::vector<std::uint32_t> accusers) {
+  member.accusers = std::move(accusers);
+  set_standing(now, member, next, cause, by);
+  const double size = std::max(1.0, std::log10(static_cast<double>(in_force())));
+  member.suspected = now;
+  member.at_least = options_.period * (options_.suspicion_periods * size * (1 + health_ / 3.0));
+  member.at_most = member.at_least * options_.suspicion_stretch;
+  if (!options_.suspicion) member.at_least = member.at_most = Duration(0);
+  member.judged = judgement_of(member);
+  judgements_.insert({member.judged, member.name});
+  tell_all(now, member.name, Worth::verdict);
+  disputed_at_ = now;
+}
+
+void Core::accuse_ourselves(Time now, Member& member, Cause cause) {
+  Standing next = member.standing;
+  next.verdict = Verdict::suspect;
+  suspect(now, member, next, cause, self_.name, {accuser_of(self_.name)});
+}
+
+void Core::accuse(Time now, Member& member, std::uint32_t accuser) {
+  if (member.standing.state() != State::suspect ||
+      std::find(member.accusers.begin(), member.accusers.end(), accuser) != member.accusers.end())
+    return;
+  if (static_cast<int>(member.accusers.size()) >= accusers_enough + 1) return;
+  member.accusers.push_back(accuser);
+  judgements_.erase({member.judged, member.name});
+  member.judged = judgement_of(member);
+  judgements_.insert({member.judged, member.name});
+  tell_all(now, member.name, Worth::verdict);
+}
+
+void Core::judge(Time now, Member& member) {
+  Standing next = member.standing;
+  next.verdict = Verdict::gone;
+  ++counters_.removed;
+  set_standing(now, member, next, member.accusers.size() > 1 ? Cause::accusers : Cause::alone, self_.name);
+  tell_all(now, member.name, Worth::verdict);
+}
+
+void Core::forget_old(Time now) {
+  next_forget_ = now + options_.remember_gone / 16;
+  std::vector<std::string> old;
+  for (const auto& [name, member] : table_.all())
+    if (!member.standing.in_force() && now - member.since > options_.remember_gone) old.push_back(name);
+  for (const std::string& name : old) {
+    rumours_.drop(name);
+    table_.erase(name);
+  }
+  if (!old.empty()) snapshot_.reset();
+}
+
+void Core::take_news(Time now, const wire::News& news, const std::string& teller) {
+  if (news.run() > greatest_run) {
+    ++counters_.malformed;
+    return;
+  }
+  if (news.name() == self_.name) return take_own_news(now, news);
+  Member* member = table_.find(news.name());
+  std::optional<Standing> held;
+  if (member) held = member->standing;
+  Member read;
+  const bool same_word = held && held->run == news.run() && held->incarnation == news.incarnation();
+  if (!same_word || !news.word().empty()) {
+    if (news.word().empty()) {
+      const bool old = held && (news.run() < held->run ||
+                                (news.run() == held->run && news.incarnation() < held->incarnation));
+      if (!old) ++counters_.wordless;
+      return;
+    }
+    if (!Table::read_word(news.word(), read)) {
+      ++counters_.malformed;
+      return;
+    }
+  } else {
+    read.standing.phase = held->phase;
+  }
+  read.standing.run = news.run();
+  read.standing.incarnation = news.incarnation();
+  read.standing.verdict = static_cast<Verdict>(news.verdict());
+  const Weighed weighed = weigh(held, read.standing);
+  if (weighed.effect == Effect::none) return;
+  if (weighed.effect == Effect::accused) {
+    for (std::uint32_t accuser : news.accusers()) accuse(now, *member, accuser);
+    if (read.standing.verdict == Verdict::gone) accuse(now, *member, accuser_of(teller));
+    return;
+  }
+  if (!member) member = table_.add(news.name());
+  if (!member) {
+    ++counters_.table_full;
+    return;
+  }
+  if (!news.word().empty()) {
+    Member* there = weighed.next.in_force() ? table_.at(read.address) : nullptr;
+    if (there == member || (there && !there->standing.in_force())) there = nullptr;
+    const bool moved = !(member->address == read.address);
+    table_.change(*member, [&](Member& each) {
+      const Standing before = each.standing;
+      Table::read_word(news.word(), each);
+      each.standing = before;
+      if (moved) each.cookie = 0;
+    });
+    if (there && there->standing.verdict == Verdict::trusted)
+      accuse_ourselves(now, *there, Cause::address_taken);
+  }
+  if (weighed.effect == Effect::suspected) {
+    std::vector<std::uint32_t> accusers;
+    auto add = [&](std::uint32_t accuser) {
+      if (std::find(accusers.begin(), accusers.end(), accuser) == accusers.end()) accusers.push_back(accuser);
+    };
+    for (std::uint32_t accuser : news.accusers()) add(accuser);
+    // Who says gone has judged for itself.
+    if (accusers.empty() || read.standing.verdict == Verdict::gone) add(accuser_of(teller));
+    return suspect(now, *member, weighed.next, Cause::told, teller, std::move(accusers));
+  }
+  const bool was_gone = held && !held->in_force();
+  set_standing(now, *member, weighed.next, weighed.effect == Effect::kept ? Cause::told : Cause::word,
+               teller);
+  if (weighed.effect == Effect::kept && !was_gone && !held) return;  // hearsay about one we never knew
+  tell_all(now, member->name, weighed.effect == Effect::entered ? Worth::coming : Worth::verdict);
+}
+
+void Core::take_shelf(Time now, const wire::Shelf& shelf) {
+  Member* member = table_.find(shelf.name());
+  if (!member || member->standing.run != shelf.run() || !member->standing.in_force()) return;
+  bool news = false, fits = true;
+  table_.change(*member, [&](Member& each) { fits = merge_shelf(each.shelf, shelf, news); });
+  if (!fits) ++counters_.shelf_full;
+  if (!news) return;
+  snapshot_.reset();
+  tell_all(now, member->name, Worth::record);
+}
+
+// ---- what comes in ----
+
+void Core::receive(Time now, const Address& from, std::string_view bytes) {
+  note_hold(now);
+  ++counters_.received;
+  counters_.received_bytes += bytes.size();
+  if (phase_ == Phase::left) return;
+  wire::Body body;
+  switch (sealer_.open(bytes, body)) {
+    case Opened::good:
+      break;
+    case Opened::oversized:
+      ++counters_.oversized;
+      return;
+    case Opened::malformed:
+      ++counters_.malformed;
+      return;
+    case Opened::foreign:
+      ++counters_.foreign;
+      return;
+    case Opened::other_format:
+      ++counters_.other_format;
+      return;
+    case Opened::spoilt:
+      ++counters_.spoilt;
+      return;
+  }
+  if (!(Address{body.host(), static_cast<std::uint16_t>(body.port())} == from) || body.run() > greatest_run) {
+    ++counters_.wrong_source;
+    return;
+  }
+  if (body.name() == self_.name) {
+    if (!(from == self_.address)) take_namesake(now, from, body, bytes.size());
+    return;
+  }
+  if (yields_) return;
+  if (body.echo() == cookie_for(from))
+    take_proven(now, from, body, bytes.size());
+  else
+    take_unproven(now, from, body, bytes.size());
+}
+
+// Believed nothing; answered so that it can prove its address, with no more than it sent.
+void Core::take_unproven(Time now, const Address& from, const wire::Body& body, std::size_t size) {
+  ++counters_.unproven;
+  const Duration passed = now - unproven_at_;
+  unproven_at_ = now;
+  unproven_allowed_ = std::min(unproven_a_period * burst_periods,
+                               unproven_allowed_ + passed / options_.period * unproven_a_period);
+  if (unproven_allowed_ < 1) {
+    ++counters_.too_many;
+    return;
+  }
+  unproven_allowed_ -= 1;
+  if (body.has_answer()) return;  // or two that know each other no longer would answer for ever
+  if (body.has_ping() && !body.ping().target().empty() && body.ping().target() != self_.name) {
+    ++counters_.not_for_us;
+    return;
+  }
+  wire::Body answer = body_for(from, nullptr);
+  answer.set_echo(body.cookie());
+  answer.mutable_answer()->set_probe(body.has_ping() ? body.ping().probe() : 0);
+  auto fits = [&](const wire::News& news) {
+    return answer.ByteSizeLong() + size_of(news) + sealer_.around() <= size;
+  };
+  // What it should know of itself comes before what we are.
+  const Member* member = table_.find(body.name());
+  const bool against = member && (member->standing.run > body.run() ||
+                                  (member->standing.run == body.run() && !member->standing.in_force()));
+  if (against) {
+    wire::News news = news_of(*member, true);
+    if (fits(news)) *answer.add_news() = std::move(news);
+  }
+  wire::News own = own_news();
+  if (fits(own)) *answer.add_news() = std::move(own);
+  if (answer.ByteSizeLong() + sealer_.around() <= size) send(now, from, answer, nullptr, Pay::if_any);
+}
+
+// A datagram under our own name from another address.
+void Core::take_namesake(Time now, const Address& from, const wire::Body& body, std::size_t size) {
+  ++counters_.namesakes;
+  const bool proven = body.echo() == cookie_for(from);
+  if (yields_) {
+    if (proven && from == namesake_) namesake_tries_ = 0;
+    return;
+  }
+  const bool later = body.run() > own_.run || (body.run() == own_.run && AddressOrder()(self_.address, from));
+  if (proven && later) {
+    wire::News news;
+    news.set_name(self_.name);
+    news.set_run(body.run());
+    news.set_incarnation(body.incarnation());
+    wire::Word word;
+    word.set_host(from.host);
+    word.set_port(from.port);
+    word.set_phase(wire::ALIVE);
+    word.SerializeToString(news.mutable_word());
+    return take_own_news(now, news);
+  }
+  if (!body.has_answer()) take_unproven(now, from, body, size);
+}
+
+bool Core::allowed(Time now, Member& member) {
+  const double most = datagrams_a_period * burst_periods;
+  if (member.allowed_at == Time{}) {
+    member.allowance = most;
+  } else {
+    member.allowance =
+        std::min(most, member.allowance + (now - member.allowed_at) / options_.period * datagrams_a_period);
+  }
+  member.allowed_at = now;
+  if (member.allowance < 1) return false;
+  member.allowance -= 1;
+  return true;
+}
+
+void Core::take_proven(Time now, const Address& from, const wire::Body& body, std::size_t size) {
+  Member* member = table_.find(body.name());
+  auto admit = [&](Member& each) {
+    if (!(each.address == from)) {
+      ++counters_.wrong_source;
+    } else if (!allowed(now, each)) {
+      ++counters_.too_many;
+    } else if (!each.seen.take(body.number())) {
+      ++counters_.repeated;
+    } else {
+      each.cookie = body.cookie();
+      each.heard = heard_at_ = now;
+      return true;
+    }
+    return false;
+  };
+  if (member && body.run() < member->standing.run) {
+    ++counters_.old_run;
+    wire::Body answer = body_for(from, nullptr);
+    answer.set_echo(body.cookie());
+    *answer.add_news() = news_of(*member, true);
+    if (answer.ByteSizeLong() + sealer_.around() <= std::max(size, std::size_t{256}))
+      send(now, from, answer, nullptr, Pay::if_any);
+    return;
+  }
+  const bool known = member && member->standing.run == body.run();
+  if (known && !admit(*member)) return;
+  for (const wire::News& news : body.news()) take_news(now, news, body.name());
+  for (const wire::Shelf& shelf : body.shelves()) take_shelf(now, shelf);
+  if (yields_) return;
+  member = table_.find(body.name());
+  if (!member || member->standing.run != body.run()) {
+    // Proven, but its word is still to come.
+    if (body.has_ping()) return take_unproven(now, from, body, size);
+    if (!body.has_answer()) ping(now, from, nullptr, 0, true);
+    return;
+  }
+  if (!known && !admit(*member)) return;
+
+  const bool agrees = body.members() == digest();
+  const bool all_agree = agrees && body.records() == records_digest();
+  if (!agrees) disputed_at_ = now;
+  if (all_agree)
+    member->differs = Time::max();
+  else if (member->differs == Time::max())
+    member->differs = now;
+
+  bool told = false;
+  switch (body.kind_case()) {
+    case wire::Body::kPing: {
+      if (!body.ping().target().empty() && body.ping().target() != self_.name) {
+        ++counters_.not_for_us;
+        return;
+      }
+      wire::Body answer = body_for(from, member);
+      answer.mutable_answer()->set_probe(body.ping().probe());
+      if (!agrees) *answer.add_news() = own_news();
+      fill(now, answer, member, room_in(answer));
+      send(now, from, answer, member, Pay::always);
+      told = true;
+      break;
+    }
+    case wire::Body::kAnswer:
+      take_answer(now, body);
+      break;
+    case wire::Body::kAsk:
+      take_ask(now, *member, body.ask());
+      break;
+    case wire::Body::kSummary:
+      take_summary(now, *member, body.summary());
+      break;
+    case wire::Body::KIND_NOT_SET:
+      break;
+  }
+  const bool against = member->standing.verdict != Verdict::trusted && member->standing.phase != Phase::left;
+  if (against && !told) tell_off(now, *member);
+  const bool eager = member->standing.verdict == Verdict::gone ||
+                     (now < joined_by_ && member->compared == Time{} && !agrees);
+  const Duration standing_out = member->differs == Time::max() ? Duration(0) : now - member->differs;
+  if (eager || standing_out > options_.period * differ_periods) compare(now, *member);
+}
+
+void Core::take_answer(Time now, const wire::Body& body) {
+  const wire::Answer& answer = body.answer();
+  if (answer.probe() == 0) return;
+  if (probe_.stage != Stage::idle && answer.probe() == probe_.id) {
+    if (answer.missed()) {
+      if (body.name() != probe_.target) ++probe_.missed;
+      return;
+    }
+    // From itself only under the run that was asked; from a helper who has checked that.
+    if (body.name() == probe_.target && body.run() != probe_.run) return;
+    probe_.stage = Stage::idle;
+    better();
+    return;
+  }
+  auto relay = std::find_if(relays_.begin(), relays_.end(),
+                            [&](const Relay& each) { return each.id == answer.probe(); });
+  if (relay == relays_.end()) return;
+  const Relay found = *relay;
+  relays_.erase(relay);
+  const Member* asker = table_.find(found.asker_name);
+  wire::Body said = body_for(found.asker, asker);
+  said.mutable_answer()->set_probe(found.asked);
+  send(now, found.asker, said, asker, Pay::always);
+}
+
+void Core::take_ask(Time now, const Member& asker, const wire::Ask& ask) {
+  const Member* target = table_.find(ask.target());
+  if (!target || relays_.size() >= most_relays) return;
+  Relay relay{random_() | 1, ask.probe(), asker.address, asker.name, now + options_.period * helper_share};
+  relays_.push_back(relay);
+  ping(now, target->address, target, relay.id, false);
+}
+
+void Core::take_summary(Time now, const Member& member, const wire::Summary& summary) {
+  const auto mine = sums();
+  std::array<bool, sums_in_summary> differs{};
+  bool any = false;
+  for (int i = 0; i < sums_in_summary; ++i)
+    any |= differs[static_cast<std::size_t>(i)] = mine[static_cast<std::size_t>(i)] != summary.sums(i);
+  if (!any) return;
+  if (!summary.answer()) {
+    wire::Body body = body_for(member.address, &member);
+    for (std::uint64_t sum : mine) body.mutable_summary()->add_sums(sum);
+    body.mutable_summary()->set_answer(true);
+    send(now, member.address, body, &member, Pay::if_plenty);
+  }
+  std::vector<const Member*> entries;
+  for (const auto& [name, each] : table_.all())
+    if (each.standing.run != 0 && differs[Table::bucket(name)]) entries.push_back(&each);
+  // Whoever is left out this time comes another time.
+  std::shuffle(entries.begin(), entries.end(), random_);
+  int pages = 0;
+  wire::Body page = body_for(member.address, &member);
+  bool full = false;
+  auto turn_page = [&] {
+    if (page.news_size() == 0 && page.shelves_size() == 0) return;
+    ++counters_.pages;
+    full = !send(now, member.address, page, &member, Pay::if_plenty) || ++pages >= pages_at_once;
+    page = body_for(member.address, &member);
+  };
+  auto put = [&](const std::string& name, std::uint64_t run, wire::News&& news, const Shelf* shelf) {
+    if (size_of(news) > room_in(page)) turn_page();
+    if (full) return;
+    *page.add_news() = std::move(news);
+    wire::Shelf item;
+    if (!shelf || shelf->empty()) return;
+    if (!shelf_items(name, run, *shelf, room_in(page), item) ||
+        item.records_size() < static_cast<int>(shelf->size())) {
+      turn_page();
+      if (full) return;
+      shelf_items(name, run, *shelf, room_in(page), item);
+    }
+    if (item.records_size() > 0) *page.add_shelves() = std::move(item);
+  };
+  if (differs[Table::bucket(self_.name)]) put(self_.name, own_.run, own_news(), &shelf_);
+  for (const Member* each : entries) {
+    if (full) break;
+    put(each->name, each->standing.run, news_of(*each, true),
+        each->standing.in_force() ? &each->shelf : nullptr);
+  }
+  if (!full) turn_page();
+}
+
+// ---- probes ----
+
+// A suspect that we have not tried ourselves, so that a few brokers of all do at once and its fate is soon
+// plain; else each member once in a round, in an order drawn anew.
+Member* Core::next_target() {
+  std::vector<Member*> suspects;
+  for (const auto& [at, name] : judgements_) {
+    Member* member = table_.find(name);
+    if (member && std::find(member->accusers.begin(), member->accusers.end(), accuser_of(self_.name)) ==
+                      member->accusers.end())
+      suspects.push_back(member);
+  }
+  const double share =
+      checks_of_suspect * static_cast<double>(suspects.size()) / static_cast<double>(in_force());
+  if (!suspects.empty() && std::uniform_real_distribution<double>(0, 1)(random_) < share)
+    return suspects[std::uniform_int_distribution<std::size_t>(0, suspects.size() - 1)(random_)];
+  for (int rounds = 0; rounds < 2; ++rounds) {
+    while (!round_.empty()) {
+      const std::string name = std::move(round_.back());
+      round_.pop_back();
+      Member* member = table_.find(name);
+      if (member && member->standing.in_force()) return member;
+    }
+    for (const Member* member : table_.in_force()) round_.push_back(member->name);
+    std::sort(round_.begin(), round_.end());
+    std::shuffle(round_.begin(), round_.end(), random_);
+  }
+  return nullptr;
+}
+
+Member* Core::any_member() {
+  const auto& all = table_.in_force();
+  if (all.empty()) return nullptr;
+  return all[std::uniform_int_distribution<std::size_t>(0, all.size() - 1)(random_)];
+}
+
+void Core::begin_period(Time now) {
+  if (yields_) return look_up_namesake(now);
+  if (probe_.stage == Stage::indirect) probe_step(now);
+  next_period_ = now + scaled_period();
+  Member* target = next_target();
+  if (!target) return;
+  ++counters_.probes;
+  probe_ = {Stage::direct,
+            random_() | 1,
+            target->name,
+            target->standing.run,
+            now + scaled_period() * direct_share,
+            0,
+            0};
+  ping(now, target->address, target, probe_.id, target->cookie == 0);
+}
+
+void Core::probe_step(Time now) {
+  Member* target = table_.find(probe_.target);
+  const bool stands = target && target->standing.in_force() && target->standing.run == probe_.run;
+  if (!stands) {
+    probe_.stage = Stage::idle;
+    return;
+  }
+  if (probe_.stage == Stage::direct) {
+    probe_.stage = Stage::indirect;
+    probe_.due = now + scaled_period() * (1 - direct_share) * 0.96;
+    std::vector<Member*> others;
+    for (Member* each : table_.in_force())
+      if (each != target && each->cookie != 0 && each->standing.verdict == Verdict::trusted)
+        others.push_back(each);
+    for (int i = 0; i < helpers_asked && !others.empty(); ++i) {
+      const std::size_t at = std::uniform_int_distribution<std::size_t>(0, others.size() - 1)(random_);
+      Member* helper = others[at];
+      others.erase(others.begin() + static_cast<std::ptrdiff_t>(at));
+      wire::Body body = body_for(helper->address, helper);
+      body.mutable_ask()->set_probe(probe_.id);
+      body.mutable_ask()->set_target(probe_.target);
+      if (send(now, helper->address, body, helper, Pay::always)) ++probe_.helpers;
+      ++counters_.asked_others;
+    }
+    return;
+  }
+  probe_.stage = Stage::idle;
+  ++counters_.probes_failed;
+  // One helper that says it tried shows that we do hear and are heard; the others may be gone themselves.
+  if (probe_.missed == 0) worse(1);
+  if (target->standing.verdict == Verdict::trusted) {
+    accuse_ourselves(now, *target, Cause::own_probe);
+    tell_off(now, *target);
+  } else {
+    accuse(now, *target, accuser_of(self_.name));
+  }
+}
+
+// Those who are gone, and seeds that nobody is known at, are asked in turn: so split parts find each other
+// again.
+void Core::reconnect(Time now) {
+  const bool alone = table_.in_force().empty();
+  const double n = static_cast<double>(in_force());
+  next_reconnect_ = now + options_.period * (alone ? 0.5 : std::max(2.0, n / 8));
+  std::vector<Address> seeds;
+  for (const Address& seed : options_.seeds)
+    if (!(seed == self_.address) && !table_.at(seed)) seeds.push_back(seed);
+  std::vector<const Member*> gone;
+  for (const auto& [name, member] : table_.all())
+    if (member.standing.run != 0 && member.standing.state() == State::gone) gone.push_back(&member);
+  for (int i = 0; i < (alone ? 3 : 1); ++i) {
+    const std::size_t choices = seeds.size() + gone.size();
+    if (choices == 0) return;
+    const std::size_t at = std::uniform_int_distribution<std::size_t>(0, choices - 1)(random_);
+    if (at < seeds.size())
+      ping(now, seeds[at], nullptr, 0, true);
+    else
+      ping(now, gone[at - seeds.size()]->address, gone[at - seeds.size()], 0, true);
+  }
+}
+
+void Core::tick(Time now) {
+  note_hold(now);
+  while (!judgements_.empty() && judgements_.begin()->first <= now) {
+    const std::string name = judgements_.begin()->second;
+    judgements_.erase(judgements_.begin());
+    Member* member = table_.find(name);
+    if (member && member->standing.state() == State::suspect) judge(now, *member);
+  }
+  for (std::size_t i = 0; i < relays_.size();) {
+    if (relays_[i].due > now) {
+      ++i;
+      continue;
+    }
+    const Relay relay = relays_[i];
+    relays_.erase(relays_.begin() + static_cast<std::ptrdiff_t>(i));
+    const Member* asker = table_.find(relay.asker_name);
+    wire::Body said = body_for(relay.asker, asker);
+    said.mutable_answer()->set_probe(relay.asked);
+    said.mutable_answer()->set_missed(true);
+    send(now, relay.asker, said, asker, Pay::always);
+  }
+  if (phase_ != Phase::left) {
+    if (probe_.stage != Stage::idle && probe_.due <= now) probe_step(now);
+    if (next_period_ <= now) begin_period(now);
+    if (!yields_ && next_reconnect_ <= now) reconnect(now);
+    if (next_forget_ <= now) forget_old(now);
+  }
+  if (next_spread_ <= now) spread(now);
+}
+
+Time Core::due() const {
+  Time due = next_spread_;
+  if (!judgements_.empty()) due = std::min(due, judgements_.begin()->first);
+  for (const Relay& relay : relays_) due = std::min(due, relay.due);
+  if (finish_by_ != Time::max()) return std::min(due, finish_by_);
+  if (probe_.stage != Stage::idle) due = std::min(due, probe_.due);
+  if (!yields_) due = std::min(due, next_reconnect_);
+  return std::min({due, next_period_, next_forget_});
+}
+
+// ---- what goes out ----
+
+std::uint64_t Core::digest() const {
+  return table_.digest() + (speaks() ? Table::weight(self_.name, {own_.run, own_.incarnation, {}, {}}) : 0);
+}
+std::uint64_t Core::records_digest() const {
+  return table_.records() + (speaks() ? Table::weight(self_.name, own_.run, shelf_) : 0);
+}
+std::array<std::uint64_t, sums_in_summary> Core::sums() const {
+  auto all = table_.sums();
+  if (speaks())
+    all[Table::bucket(self_.name)] += Table::weight(self_.name, {own_.run, own_.incarnation, {}, {}}) +
+                                      Table::weight(self_.name, own_.run, shelf_);
+  return all;
+}
+
+std::uint64_t Core::cookie_for(const Address& address) const {
+  const std::uint64_t words[2] = {address.host, address.port};
+  const std::uint64_t made = hash_of({reinterpret_cast<const char*>(words), sizeof words}, secret_);
+  return made == 0 ? 1 : made;
+}
+
+wire::Body Core::body_for(const Address& to, const Member* member) {
+  wire::Body body;
+  body.set_name(self_.name);
+  body.set_run(own_.run);
+  body.set_incarnation(own_.incarnation);
+  body.set_host(self_.address.host);
+  body.set_port(self_.address.port);
+  body.set_number(++number_);
+  body.set_cookie(cookie_for(to));
+  if (member) body.set_echo(member->cookie);
+  body.set_members(digest());
+  body.set_records(records_digest());
+  return body;
+}
+
+void Core::refill(Time now) {
+  const double most = static_cast<double>(options_.bytes_per_s);
+  tokens_ = std::min(most, tokens_ + (now - tokens_at_).count() * most);
+  tokens_at_ = now;
+}
+
+// Probes and answers may overdraw the budget by one second's worth; nothing else may.
+bool Core::send(Time now, const Address& to, wire::Body& body, const Member*, Pay pay) {
+  refill(now);
+  const double most = static_cast<double>(options_.bytes_per_s);
+  const double least = pay == Pay::always ? -most : pay == Pay::if_any ? 0 : most / 4;
+  if (tokens_ <= least) {
+    ++counters_.unpaid;
+    return false;
+  }
+  std::string bytes = sealer_.seal(body);
+  if (bytes.size() > largest_datagram) {
+    ++counters_.oversized;
+    return false;
+  }
+  tokens_ -= static_cast<double>(bytes.size());
+  ++counters_.sent;
+  counters_.sent_bytes += bytes.size();
+  out_.push_back({to, std::move(bytes)});
+  return true;
+}
+
+std::size_t Core::room_in(const wire::Body& body) const {
+  const std::size_t used = body.ByteSizeLong() + sealer_.around();
+  return used >= largest_datagram ? 0 : largest_datagram - used;
+}
+
+wire::News Core::news_of(const Member& member, bool with_word) const {
+  wire::News news;
+  news.set_name(member.name);
+  news.set_run(member.standing.run);
+  news.set_incarnation(member.standing.incarnation);
+  news.set_verdict(static_cast<wire::Verdict>(member.standing.verdict));
+  if (with_word) news.set_word(member.word);
+  for (std::uint32_t accuser : member.accusers)
+    if (news.accusers_size() < most_accusers) news.add_accusers(accuser);
+  return news;
+}
+
+wire::News Core::own_news() const {
+  wire::News news;
+  news.set_name(self_.name);
+  news.set_run(own_.run);
+  news.set_incarnation(own_.incarnation);
+  news.set_word(word_);
+  return news;
+}
+
+// As many records as fit, the newest first; false where none does.
+bool Core::shelf_items(const std::string& name, std::uint64_t run, const Shelf& shelf, std::size_t room,
+                       wire::Shelf& into) const {
+  into.Clear();
+  into.set_name(name);
+  into.set_run(run);
+  std::vector<const Shelf::value_type*> newest;
+  for (const auto& each : shelf) newest.push_back(&each);
+  std::sort(newest.begin(), newest.end(),
+            [](const auto* a, const auto* b) { return a->second.version > b->second.version; });
+  for (const Shelf::value_type* each : newest) {
+    wire::Record* record = into.add_records();
+    record->set_key(each->first);
+    record->set_value(each->second.value);
+    record->set_version(each->second.version);
+    if (size_of(into) > room) {
+      into.mutable_records()->RemoveLast();
+      break;
+    }
+  }
+  return into.records_size() > 0;
+}
+
+int Core::times_told() const {
+  return 4 * std::max(1, static_cast<int>(std::ceil(std::log10(static_cast<double>(in_force()) + 1))));
+}
+
+// News for one datagram: what concerns its receiver first, then what is to be told to all.
+void Core::fill(Time now, wire::Body& body, const Member* member, std::size_t room) {
+  refill(now);
+  if (member && member->standing.verdict != Verdict::trusted && member->standing.phase != Phase::left) {
+    wire::News news = news_of(*member, false);
+    if (size_of(news) <= room) {
+      room -= size_of(news);
+      *body.add_news() = std::move(news);
+    }
+  }
+  if (tokens_ <= 0 || rumours_.empty()) return;
+  rumours_.offer(times_told(), [&](const std::string& name, Worth worth) {
+    if (room < 48) return -1;
+    const bool own = name == self_.name;
+    const Member* about = own ? nullptr : table_.find(name);
+    if (!own && !about) return 1;
+    if (about == member && about) return 0;  // it knows, or was told above
+    if (worth == Worth::record) {
+      wire::Shelf item;
+      if (!shelf_items(name, own ? own_.run : about->standing.run, own ? shelf_ : about->shelf, room, item))
+        return room > 400 ? 1 : 0;
+      room -= std::min(room, size_of(item));
+      *body.add_shelves() = std::move(item);
+      return 1;
+    }
+    wire::News news = own ? own_news() : news_of(*about, about->standing.verdict == Verdict::trusted);
+    if (size_of(news) > room) return 0;
+    room -= size_of(news);
+    *body.add_news() = std::move(news);
+    return 1;
+  });
+}
+
+void Core::ping(Time now, const Address& to, const Member* member, std::uint64_t id, bool greet) {
+  wire::Body body = body_for(to, member);
+  body.mutable_ping()->set_probe(id);
+  if (member) body.mutable_ping()->set_target(member->name);
+  if (greet)
+    body.mutable_padding()->resize(greeting_padding);
+  else
+    fill(now, body, member, room_in(body));
+  send(now, to, body, member, id == 0 ? Pay::if_any : Pay::always);
+}
+
+void Core::tell_off(Time now, Member& member) {
+  if (member.told_off != Time{} && now - member.told_off < options_.period / 2) return;
+  member.told_off = now;
+  wire::Body body = body_for(member.address, &member);
+  *body.add_news() = news_of(member, true);
+  send(now, member.address, body, &member, Pay::if_any);
+}
+
+// A tick of news: to a few members drawn by chance, as long as there is any that was not told often enough.
+void Core::spread(Time now) {
+  next_spread_ = Time::max();
+  last_spread_ = now;
+  if (yields_ || rumours_.empty() || table_.in_force().empty()) return;
+  next_spread_ = now + options_.period / spreads_a_period;
+  for (int i = 0; i < spread_to && !rumours_.empty(); ++i) {
+    Member* member = any_member();
+    if (member->cookie == 0) {
+      ping(now, member->address, member, 0, true);
+      continue;
+    }
+    wire::Body body = body_for(member->address, member);
+    fill(now, body, member, room_in(body));
+    if (body.news_size() + body.shelves_size() > 0) send(now, member->address, body, member, Pay::if_any);
+  }
+}
+
+void Core::compare(Time now, Member& member) {
+  if (member.compared != Time{} && now - member.compared < options_.period / 2) return;
+  member.compared = now;
+  ++counters_.summaries;
+  wire::Body body = body_for(member.address, &member);
+  for (std::uint64_t sum : sums()) body.mutable_summary()->add_sums(sum);
+  *body.add_news() = own_news();
+  send(now, member.address, body, &member, Pay::if_plenty);
+}
+
+// ---- the view ----
+
+bool Core::settled(Time now) const {
+  if (!speaks() || !judgements_.empty()) return false;
+  const Duration quiet = options_.period * settled_periods;
+  if (now - std::max(changed_at_, disputed_at_) < quiet) return false;
+  if (table_.in_force().empty()) return now >= joined_by_;
+  return now - heard_at_ < quiet * (1 + health_);
+}
+
+// Of those in force and those gone without a word: the smaller part, or the half without the lowest name.
+bool Core::smaller_part() const {
+  std::size_t here = speaks() ? 1 : 0, gone = 0;
+  const std::string* lowest = &self_.name;
+  bool lowest_here = true;
+  for (const auto& [name, member] : table_.all()) {
+    const bool in_force = member.standing.in_force();
+    if (!in_force && member.standing.state() != State::gone) continue;
+    ++(in_force ? here : gone);
+    if (name < *lowest) {
+      lowest = &name;
+      lowest_here = in_force;
+    }
+  }
+  return gone > here || (gone == here && !lowest_here);
+}
+
+std::shared_ptr<const Snapshot> Core::snapshot(Time now) {
+  const bool is_settled = settled(now);
+  if (snapshot_ && snapshot_->settled == is_settled) return snapshot_;
+  auto next = std::make_shared<Snapshot>();
+  next->number = ++snapshot_number_;
+  next->self = self_.name;
+  next->digest = digest();
+  next->in_force = in_force();
+  next->settled = is_settled;
+  next->settled_since = std::max(changed_at_, disputed_at_) + options_.period * settled_periods;
+  next->smaller_part = smaller_part();
+  next->yields = yields_;
+  auto by_name = [](const MemberView& a, const MemberView& b) { return a.name < b.name; };
+  for (const auto& [name, member] : table_.all())
+    if (member.standing.run != 0)
+      next->members.push_back({name, member.standing.run, member.standing.incarnation,
+                               member.standing.state(), member.since, member.address, member.serves,
+                               member.zone, member.region, member.version,
+                               member.standing.in_force() ? member.shelf : Shelf{}});
+  MemberView self{self_.name,
+                  own_.run,
+                  own_.incarnation,
+                  Standing{0, 0, {}, phase_}.state(),
+                  {},
+                  self_.address,
+                  self_.serves,
+                  self_.zone,
+                  self_.region,
+                  self_.version,
+                  shelf_};
+  next->members.insert(std::lower_bound(next->members.begin(), next->members.end(), self, by_name),
+                       std::move(self));
+  snapshot_ = std::move(next);
+  return snapshot_;
+}
+
+}  // namespace pearspar::peers
--- /dev/null
+++ b/src/peers/core.h
@@ -0,0 +1,266 @@
+// The protocol by which the brokers of a fleet keep a view of it (docs/fleet-view.md). Free of I/O: it is
+// handed the time, datagrams and the host's words, and gives back datagrams to send, notes of what changed,
+// and when it wants to be called again. All decisions about members stand here and in standing.h.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "peers/rumours.h"
+#include "peers/table.h"
+#include "peers/wire.h"
+
+namespace pearspar::peers {
+
+struct Options {
+  std::string fleet;
+  net::Duration period = std::chrono::milliseconds(200);
+  double suspicion_periods = 3;  // least time of a suspicion, times max(1, log10 of the members)
+  double suspicion_stretch = 6;  // the longest, where nobody else accuses
+  std::size_t bytes_per_s = 64 * 1024;
+  std::size_t max_members = 2048;
+  net::Duration remember_gone = std::chrono::hours(4);
+  std::vector<net::Address> seeds;
+  // For measurements only: without them it is plain SWIM.
+  bool suspicion = true;
+  bool local_health = true;
+};
+
+struct Self {
+  std::string name;
+  std::uint64_t run = 0;  // rises with each start under the name
+  net::Address address;   // where the fleet's datagrams come
+  net::Address serves;    // where clients come
+  std::string zone;
+  std::string region;
+  std::string version;
+};
+
+// ---- what readers get ----
+
+struct MemberView {
+  std::string name;
+  std::uint64_t run = 0;
+  std::uint64_t incarnation = 0;
+  State state = State::joining;
+  net::Time since{};  // our own clock's
+  net::Address address;
+  net::Address serves;
+  std::string zone;
+  std::string region;
+  std::string version;
+  Shelf records;
+};
+
+// The whole view at one moment; never changed once given out.
+struct Snapshot {
+  std::uint64_t number = 0;  // rises with each change
+  std::string self;
+  std::uint64_t digest = 0;  // over the members in force
+  std::size_t in_force = 0;  // ourselves among them, unless we yield or have left
+  bool settled = false;
+  net::Time settled_since{};
+  bool smaller_part = false;        // reason to think that we are in the smaller part of a split
+  bool yields = false;              // another process serves under our name
+  std::vector<MemberView> members;  // by name, ourselves among them; gone and left ones while remembered
+};
+
+// ---- what changed, for logs and for those who judge ----
+
+enum class Cause { word, own_probe, accusers, address_taken, told, silence, alone, own };
+
+struct Note {
+  std::string name;
+  std::uint64_t run = 0;
+  std::uint64_t incarnation = 0;
+  State before = State::gone;
+  bool known_before = false;
+  State after = State::gone;
+  Cause cause = Cause::word;
+  std::string by;  // who told, where somebody did
+  int accusers = 0;
+};
+const char* text_of(Cause cause);
+
+struct Datagram {
+  net::Address to;
+  std::string bytes;
+};
+
+struct Counters {
+  std::uint64_t sent = 0, sent_bytes = 0, received = 0, received_bytes = 0;
+  std::uint64_t oversized = 0, malformed = 0, foreign = 0, other_format = 0, spoilt = 0;  // dropped
+  std::uint64_t wrong_source = 0, repeated = 0, unproven = 0, too_many = 0, old_run = 0, not_for_us = 0;
+  std::uint64_t namesakes = 0, wordless = 0, table_full = 0, shelf_full = 0;
+  std::uint64_t unpaid = 0;  // datagrams not sent, the budget was used up
+  std::uint64_t probes = 0, probes_failed = 0, asked_others = 0, refuted = 0, held_up = 0, removed = 0;
+  std::uint64_t summaries = 0, pages = 0, startovers = 0, outruns = 0;
+};
+
+class Core {
+ public:
+  Core(Options options, Self self, std::uint64_t seed, net::Time now);
+
+  // ---- the host's words ----
+  void ready(net::Time now);   // joining no longer
+  void leave(net::Time now);   // an ordered end begins: leaving
+  void finish(net::Time now);  // the last word: left
+  bool finished(net::Time now) const { return finish_by_ != net::Time::max() && now >= finish_by_; }
+  // A record of ours for all; an empty value takes it back. False where it would not fit.
+  bool publish(net::Time now, const std::string& key, const std::string& value);
+  void add_seeds(const std::vector<net::Address>& seeds);
+
+  // ---- the loop's ----
+  void receive(net::Time now, const net::Address& from, std::string_view bytes);
+  void tick(net::Time now);
+  net::Time due() const;
+  std::vector<Datagram> take_out() { return std::exchange(out_, {}); }
+  std::vector<Note> take_notes() { return std::exchange(notes_, {}); }
+
+  std::shared_ptr<const Snapshot> snapshot(net::Time now);
+  const Counters& counters() const { return counters_; }
+  int health() const { return health_; }  // 0 is well
+  std::uint64_t digest() const;
+  std::size_t in_force() const { return table_.in_force().size() + (speaks() ? 1 : 0); }
+  bool settled(net::Time now) const;
+  bool smaller_part() const;
+  bool yields() const { return yields_; }
+  const Self& self() const { return self_; }
+
+ private:
+  enum class Stage { idle, direct, indirect };
+  struct Probe {
+    Stage stage = Stage::idle;
+    std::uint64_t id = 0;
+    std::string target;
+    std::uint64_t run = 0;
+    net::Time due{};  // of the next step
+    int helpers = 0;
+    int missed = 0;  // helpers that said they tried
+  };
+  struct Relay {
+    std::uint64_t id = 0;     // of our ping
+    std::uint64_t asked = 0;  // of the one who asked
+    net::Address asker;
+    std::string asker_name;
+    net::Time due{};
+  };
+  enum class Pay { always, if_any, if_plenty };
+
+  // What comes in.
+  void take_unproven(net::Time now, const net::Address& from, const wire::Body& body, std::size_t size);
+  void take_proven(net::Time now, const net::Address& from, const wire::Body& body, std::size_t size);
+  void take_namesake(net::Time now, const net::Address& from, const wire::Body& body, std::size_t size);
+  void take_answer(net::Time now, const wire::Body& body);
+  void take_ask(net::Time now, const Member& asker, const wire::Ask& ask);
+  void take_summary(net::Time now, const Member& member, const wire::Summary& summary);
+  void take_news(net::Time now, const wire::News& news, const std::string& teller);
+  void take_own_news(net::Time now, const wire::News& news);
+  void take_shelf(net::Time now, const wire::Shelf& shelf);
+  bool allowed(net::Time now, Member& member);
+
+  // Members.
+  void set_standing(net::Time now, Member& member, const Standing& standing, Cause cause,
+                    const std::string& by);
+  void accuse(net::Time now, Member& member, std::uint32_t accuser);
+  void suspect(net::Time now, Member& member, const Standing& next, Cause cause, const std::string& by,
+               std::vector<std::uint32_t> accusers);
+  void accuse_ourselves(net::Time now, Member& member, Cause cause);
+  void tell_all(net::Time now, const std::string& name, Worth worth);
+  void judge(net::Time now, Member& member);
+  void forget_old(net::Time now);
+  net::Time judgement_of(const Member& member) const;
+  int accusers_wanted() const;
+  void raise_own(net::Time now, std::uint64_t above);
+  void rewrite_word();
+  void start_over(net::Time now);
+  void note_hold(net::Time now);
+  void worse(int by);
+  void better();
+  void changed(net::Time now);
+
+  // Probes.
+  void begin_period(net::Time now);
+  void probe_step(net::Time now);
+  Member* next_target();
+  Member* any_member();
+  void reconnect(net::Time now);
+  void look_up_namesake(net::Time now);
+
+  // What goes out.
+  wire::Body body_for(const net::Address& to, const Member* member);
+  bool send(net::Time now, const net::Address& to, wire::Body& body, const Member* member, Pay pay);
+  void fill(net::Time now, wire::Body& body, const Member* member, std::size_t room);
+  void ping(net::Time now, const net::Address& to, const Member* member, std::uint64_t id, bool greet);
+  void spread(net::Time now);
+  void compare(net::Time now, Member& member);
+  void tell_off(net::Time now, Member& member);
+  wire::News news_of(const Member& member, bool with_word) const;
+  wire::News own_news() const;
+  bool shelf_items(const std::string& name, std::uint64_t run, const Shelf& shelf, std::size_t room,
+                   wire::Shelf& into) const;
+  std::size_t room_in(const wire::Body& body) const;
+  std::uint64_t cookie_for(const net::Address& address) const;
+  std::uint64_t records_digest() const;
+  std::array<std::uint64_t, sums_in_summary> sums() const;
+  bool speaks() const { return !yields_ && phase_ != Phase::left; }
+  net::Duration scaled_period() const;
+  int times_told() const;
+  void refill(net::Time now);
+
+  Options options_;
+  Self self_;
+  OwnStanding own_;
+  Phase phase_ = Phase::joining;
+  std::string word_;
+  Shelf shelf_;
+  std::uint64_t shelf_version_ = 0;
+  Sealer sealer_;
+  std::mt19937_64 random_;
+  std::uint64_t secret_;
+  Table table_;
+  Rumours rumours_;
+  Counters counters_;
+  std::vector<Datagram> out_;
+  std::vector<Note> notes_;
+
+  std::uint64_t number_ = 0;
+  int health_ = 0;
+  bool yields_ = false;
+  net::Address namesake_;
+  net::Time namesake_heard_{};
+  int namesake_tries_ = 0;
+
+  Probe probe_;
+  std::vector<std::string> round_;  // names still to be probed in this round
+  std::vector<Relay> relays_;
+  std::set<std::pair<net::Time, std::string>> judgements_;
+  net::Time next_period_;
+  net::Time next_spread_;
+  net::Time last_spread_;
+  net::Time next_reconnect_;
+  net::Time next_forget_;
+  net::Time finish_by_ = net::Time::max();
+  std::size_t next_seed_ = 0;
+
+  double tokens_;
+  net::Time tokens_at_;
+  double unproven_allowed_;
+  net::Time unproven_at_;
+
+  net::Time changed_at_;   // of the members in force
+  net::Time disputed_at_;  // last time that somebody had another digest, or a member was suspect
+  net::Time heard_at_{};   // anybody
+  net::Time joined_by_;    // until then seeds may answer yet
+  std::size_t gone_count_ = 0;
+  std::uint64_t snapshot_number_ = 0;
+  std::shared_ptr<const Snapshot> snapshot_;
+};
+
+}  // namespace pearspar::peers
