--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -34,6 +34,9 @@
   return {static_cast<std::uint32_t>(client), static_cast<std::uint32_t>(client >> 32)};
 }
 
+// How often a broker's load is told to the fleet where it has changed.
+constexpr net::Duration records_every = 1s;
+
 constexpr std::string_view outcome_names[] = {"error",          "served", "turned_away", "timed_out",
                                               "connect_failed", "reset",  "called_off",  "moot"};
 
@@ -71,6 +74,25 @@
                                                registry::write_record(self), wanted.lease, config_.seed);
 }
 
+void Broker::make_fleet() {
+  if (!options_.fleet) return;
+  const options::FleetOptions& wanted = *options_.fleet;
+  fleet_ =
+      std::make_unique<peerlink::Fleet>(loop_, log_, wanted, config_.name, front_.address(), config_.seed);
+  if (wanted.registry_prefix && options_.registration)
+    seeds_ = std::make_unique<peerlink::RegistrySeeds>(
+        loop_, log_, *options_.registration, *wanted.registry_prefix, config_.name, config_.seed, *fleet_);
+  fleet_->publish("settings", fmt::format("{:016x}", config_.settings.fingerprint()));
+  publish_records();
+}
+
+// What each broker tells the others of itself, beside its word.
+void Broker::publish_records() {
+  fleet_->publish("load", std::to_string(engine_.open()));
+  fleet_->publish("drain", winding_down_ ? "yes" : "no");
+  records_timer_ = loop_.at(loop_.now() + records_every, [this] { publish_records(); });
+}
+
 void Broker::start() {
   engine_.know(loop_.now(), config_.known);
   front_.listen(config_.listen);
@@ -78,6 +100,7 @@
   if (!config_.module.membership_by_asking) members_.start();
   make_registration();
   if (registration_) registration_->start();
+  make_fleet();
   engine_.start(loop_.now());
   end_turn();
 }
@@ -85,8 +108,14 @@
 void Broker::end_turn() {
   if (listening_ended_ && !done_) {
     front_.close_idle();
-    done_ = front_.busy() == 0 && (!registration_ || registration_->done());
+    const bool quiet = front_.busy() == 0 && (!registration_ || registration_->done());
+    if (quiet && fleet_ && !fleet_finished_) {
+      fleet_finished_ = true;
+      fleet_->finish();
+    }
+    done_ = quiet && (!fleet_ || fleet_->done()) && (!seeds_ || seeds_->done());
   }
+  if (fleet_ && engine_.ready()) fleet_->ready();
   engine_.end_turn(loop_.now());
   net::Time due = engine_.due();
   if (due == net::Time::max())
@@ -112,6 +141,11 @@
   log_.info("ending: {} queries open", engine_.open());
   front_.wind_down();
   if (registration_) registration_->withdraw();
+  if (seeds_) seeds_->withdraw();
+  if (fleet_) {
+    fleet_->leave();
+    publish_records();
+  }
   wind_down_timer_ = loop_.at(loop_.now() + taking_on, [this] {
     front_.stop_listening();
     listening_ended_ = true;
@@ -162,6 +196,7 @@
 
 bool Broker::answer_own_paths(net::SlotId connection, const http::Message& message) {
   std::string_view path = message.target.substr(0, message.target.find('?'));
+  if (fleet_ && path.starts_with("/fleet") && answer_fleet(connection, message, path)) return true;
   bool ready = path == "/health/ready", live = path == "/health/live", counters = path == "/counters";
   if (!ready && !live && !counters) return false;
   if (message.method != "GET") {
@@ -177,6 +212,28 @@
   return true;
 }
 
+bool Broker::answer_fleet(net::SlotId connection, const http::Message& message, std::string_view path) {
+  if (path == "/fleet") {
+    if (message.method != "GET") {
+      refuse_bad(connection, 405, "only GET", "GET");
+    } else {
+      front_.answer(connection, {200, fleet_->view_json(), "application/json", {}, 0});
+    }
+    return true;
+  }
+  if (path != "/fleet/leave") return false;
+  if (message.method != "POST") {
+    refuse_bad(connection, 405, "only POST", "POST");
+  } else if (!options_.fleet->leave_by_request) {
+    refuse_bad(connection, 403, "fleet.leave_by_request is not set");
+  } else {
+    log_.info("fleet: told to leave by request");
+    front_.answer(connection, {200, "{\"leaving\":true}", "application/json", {}, 0});
+    wind_down();
+  }
+  return true;
+}
+
 void Broker::refuse_bad(net::SlotId connection, int status, std::string_view why, std::string_view allow) {
   ++bad_queries_;
   log_.debug("no query: {}", why);
@@ -273,6 +330,7 @@
   if (std::string details = members_.details_json(); !details.empty())
     out += "\"registry\":{" + details + "},";
   if (registration_) out += "\"registration\":{" + registration_->counters_json() + "},";
+  if (fleet_) out += "\"fleet\":{" + fleet_->counters_json() + "},";
   rusage used{};
   ::getrusage(RUSAGE_SELF, &used);
   auto ms = [](const timeval& time) { return time.tv_sec * 1000 + time.tv_usec / 1000; };
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -19,6 +19,8 @@
 #include "net/slots.h"
 #include "nodelink/links.h"
 #include "options/options.h"
+#include "peerlink/fleet.h"
+#include "peerlink/seeds.h"
 #include "policy/policy.h"
 #include "registry/registration.h"
 
@@ -62,7 +64,10 @@
 
   bool answer_own_paths(net::SlotId connection, const http::Message& message);
   void refuse_bad(net::SlotId connection, int status, std::string_view why, std::string_view allow = {});
+  bool answer_fleet(net::SlotId connection, const http::Message& message, std::string_view path);
   void make_registration();
+  void make_fleet();
+  void publish_records();
 
   // What the engine asks for.
   void answered(engine::ClientId client, const engine::Result& result) override;
@@ -96,6 +101,10 @@
   bool listening_ended_ = false;
   net::Timer wind_down_timer_;
   std::unique_ptr<registry::Registration> registration_;  // where the operator asks for one
+  std::unique_ptr<peerlink::Fleet> fleet_;                // the same
+  std::unique_ptr<peerlink::RegistrySeeds> seeds_;        // the same
+  net::Timer records_timer_;
+  bool fleet_finished_ = false;
   std::uint64_t bad_queries_ = 0;  // never reached the engine: no query, or of an unknown class or tenant
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,8 +12,10 @@
 #include <system_error>
 
 #include "broker/broker.h"
+#include "cli/fleet_commands.h"
 #include "cli/registry_commands.h"
 #include "config/config.h"
+#include "config/version.h"
 #include "log/log.h"
 #include "net/loop.h"
 #include "net/signals.h"
@@ -23,7 +25,6 @@
 
 constexpr int status_fault = 1;   // it could not start or go on
 constexpr int status_config = 2;  // its configuration is no good
-constexpr const char* version = "0.1.0";
 
 pearspar::config::Config read_config(const std::string& path) {
   pearspar::config::Config config = pearspar::config::read_config_file(path);
@@ -105,12 +106,15 @@
   CLI::App* version_command = app.add_subcommand("version", "print the version");
   pearspar::cli::RegistryArguments registry_arguments;
   CLI::App* registry_command = pearspar::cli::add_registry(app, registry_arguments);
+  pearspar::cli::FleetArguments fleet_arguments;
+  CLI::App* fleet_command = pearspar::cli::add_fleet(app, fleet_arguments);
   CLI11_PARSE(app, argc, argv);
   try {
     if (*version_command) {
-      std::printf("pearspar %s\n", version);
+      std::printf("pearspar %s\n", pearspar::version);
       return 0;
     }
+    if (*fleet_command) return pearspar::cli::run_fleet(fleet_arguments);
     if (*registry_command) return pearspar::cli::run_registry(registry_arguments);
     // An operator's file can be checked without the platform's.
     if (*check_command && !options_path.empty()) {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -150,4 +150,37 @@
   return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoResult::none : IoResult::failed;
 }
 
+Fd bind_datagrams(const Address& address) {
+  Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  auto fail = [&](const char* what) {
+    throw std::system_error(errno, std::generic_category(), std::string(what) + " " + address.text());
+  };
+  if (!fd) fail("datagram socket for");
+  int room = 1 << 20;  // the kernel grants what it allows
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
+  sockaddr_in system = to_system(address);
+  if (::bind(fd.get(), reinterpret_cast<sockaddr*>(&system), sizeof system) != 0) fail("bind datagrams to");
+  return fd;
+}
+
+std::size_t receive_datagram(const Fd& fd, char* into, std::size_t room, Address& from, bool& more) {
+  sockaddr_in system{};
+  socklen_t size = sizeof system;
+  ssize_t got = ::recvfrom(fd.get(), into, room, 0, reinterpret_cast<sockaddr*>(&system), &size);
+  more = got >= 0;
+  if (got < 0) {
+    // A datagram of ours that nobody took comes back as an error; the next may be a good one.
+    more = errno == ECONNREFUSED || errno == EINTR;
+    return 0;
+  }
+  from = {ntohl(system.sin_addr.s_addr), ntohs(system.sin_port)};
+  return static_cast<std::size_t>(got);
+}
+
+bool send_datagram(const Fd& fd, const Address& to, std::string_view bytes) {
+  sockaddr_in system = to_system(to);
+  return ::sendto(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<sockaddr*>(&system),
+                  sizeof system) == static_cast<ssize_t>(bytes.size());
+}
+
 }  // namespace pearspar::net
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -1,4 +1,4 @@
-// Descriptors and the few calls on them that the broker needs: all sockets are IPv4, TCP and non-blocking.
+// Descriptors and the few calls on them that the broker needs: all sockets are IPv4 and non-blocking.
 #pragma once
 
 #include <cstddef>
@@ -64,4 +64,12 @@
 // Writes what it can of `bytes`; `written` says how much that was.
 IoResult write_from(const Fd& fd, std::string_view bytes, std::size_t& written);
 
+// A socket for datagrams, with room for a burst of them. Throws std::system_error where the address cannot be
+// had.
+Fd bind_datagrams(const Address& address);
+// One datagram; `more` is false where none waits. One longer than `room` is cut off there.
+std::size_t receive_datagram(const Fd& fd, char* into, std::size_t room, Address& from, bool& more);
+// False where the kernel would not take it.
+bool send_datagram(const Fd& fd, const Address& to, std::string_view bytes);
+
 }  // namespace pearspar::net
--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -242,6 +242,73 @@
   return read;
 }
 
+net::Address read_address(const std::string& text, const char* field, const Reader& at, int index = -1) {
+  auto address = net::Address::parse(text);
+  if (address && address->port != 0) return *address;
+  at.fault(field, fmt::format("'{}' is no address with a port, like 10.0.0.5:7400", text), index);
+  return {};
+}
+
+std::string read_word(const std::string& word, const char* field, std::size_t most, const Reader& at) {
+  const bool clean = std::all_of(word.begin(), word.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+  if (word.size() > most) at.fault(field, fmt::format("is longer than {} bytes", most));
+  if (!clean) at.fault(field, "holds what is no letter, digit or plain sign");
+  return word;
+}
+
+FleetOptions read_fleet(const Fleet& file, const Reader& at, const Options& options) {
+  FleetOptions read;
+  read.core.fleet = read_word(file.name(), "name", peers::longest_fleet, at);
+  if (file.name().empty()) at.fault("name", "is missing");
+  if (file.listen().empty()) {
+    at.fault("listen", "is missing: an address for datagrams, like 10.0.0.5:7400");
+  } else if (auto address = net::Address::parse(file.listen())) {
+    read.listen = *address;
+    // Another broker must be able to come back to the address that it is told.
+    if (address->host == 0 && !file.has_advertise())
+      at.fault("listen", "names no host, and advertise is missing: others could not find this broker");
+  } else {
+    at.fault("listen", fmt::format("'{}' is no address with a port, like 10.0.0.5:7400", file.listen()));
+  }
+  if (file.has_advertise()) read.advertise = read_address(file.advertise(), "advertise", at);
+  if (file.seeds_size() > 64) at.fault("seeds", fmt::format("are {}, 64 at most", file.seeds_size()));
+  for (int i = 0; i < file.seeds_size(); ++i) {
+    net::Address seed = read_address(file.seeds(i), "seeds", at, i);
+    auto& seeds = read.core.seeds;
+    if (seed.port == 0) continue;
+    if (std::find(seeds.begin(), seeds.end(), seed) != seeds.end())
+      at.fault("seeds", fmt::format("{} stands twice", file.seeds(i)), i);
+    seeds.push_back(seed);
+  }
+  if (file.has_registry_prefix()) {
+    read.registry_prefix = read_prefix(file.registry_prefix(), "registry_prefix", at);
+    if (!options.registration)
+      at.fault("registry_prefix", "needs a registration, whose registry it stands in");
+    for (const std::string& other : {options.registry ? options.registry->prefix : std::string(),
+                                     options.registration ? options.registration->prefix : std::string()})
+      if (!other.empty() &&
+          (other.starts_with(*read.registry_prefix) || read.registry_prefix->starts_with(other)))
+        at.fault("registry_prefix", "and the prefix '" + other + "' hold one another");
+  }
+  read.zone = read_word(file.zone(), "zone", 32, at);
+  read.region = read_word(file.region(), "region", 32, at);
+  PEARSPAR_TAKE_MS(file, at, period_ms, read.core.period, 20, 60'000)
+  PEARSPAR_TAKE(file, at, suspicion_periods, read.core.suspicion_periods, 1, 100)
+  PEARSPAR_TAKE(file, at, bytes_per_s, read.core.bytes_per_s, 4096, 1u << 30)
+  PEARSPAR_TAKE(file, at, max_members, read.core.max_members, 2, 65'536)
+  if (file.has_remember_gone_s()) {
+    at.range<std::uint64_t>("remember_gone_s", file.remember_gone_s(), 60, 7 * 24 * 3600);
+    read.core.remember_gone = std::chrono::seconds(file.remember_gone_s());
+  }
+  // A probe and an answer each period, and what a helper's errands take, have to fit.
+  const double least = 3000 / read.core.period.count();
+  if (static_cast<double>(read.core.bytes_per_s) < least)
+    at.fault("bytes_per_s", fmt::format("{} is below what probes alone take at this period, {:.0f}",
+                                        read.core.bytes_per_s, least));
+  read.leave_by_request = file.leave_by_request();
+  return read;
+}
+
 std::string joined(const std::vector<std::string>& faults) {
   std::string all;
   for (const std::string& fault : faults) all += (all.empty() ? "" : "\n") + fault;
@@ -250,6 +317,15 @@
 
 }  // namespace
 
+std::string FleetOptions::text() const {
+  std::string text = fmt::format("{} {} {} {} {} {} {} {} {} {} {} {}", core.fleet, listen.text(),
+                                 advertise ? advertise->text() : "", registry_prefix.value_or(""), zone,
+                                 region, core.period.count(), core.suspicion_periods, core.bytes_per_s,
+                                 core.max_members, core.remember_gone.count(), leave_by_request);
+  for (const net::Address& seed : core.seeds) text += " " + seed.text();
+  return text;
+}
+
 OptionsError::OptionsError(std::vector<std::string> faults)
     : std::runtime_error(joined(faults)), faults_(std::move(faults)) {}
 
@@ -264,6 +340,7 @@
   if (now.log.json != then.log.json || now.log.lines_per_s != then.log.lines_per_s ||
       now.log.burst != then.log.burst)
     keys.push_back("log");
+  if ((now.fleet ? now.fleet->text() : "") != (then.fleet ? then.fleet->text() : "")) keys.push_back("fleet");
   return keys;
 }
 
@@ -300,6 +377,7 @@
   if (file.has_registration())
     options.registration =
         read_registration(file.registration(), top.inner("registration", file.registration()), options);
+  if (file.has_fleet()) options.fleet = read_fleet(file.fleet(), top.inner("fleet", file.fleet()), options);
   if (file.has_log()) {
     const Log& log = file.log();
     Reader at = top.inner("log", log);
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -9,6 +9,7 @@
 
 #include "log/log.h"
 #include "membership/members.h"
+#include "peers/core.h"
 #include "registry/source.h"
 
 namespace pearspar::options {
@@ -32,12 +33,26 @@
   std::string zone;
 };
 
+struct FleetOptions {
+  peers::Options core;
+  net::Address listen;
+  std::optional<net::Address> advertise;
+  std::optional<std::string> registry_prefix;
+  std::string zone;
+  std::string region;
+  bool leave_by_request = false;
+
+  // What of it can be said in one line; two of one text are alike.
+  std::string text() const;
+};
+
 struct Options {
   MembershipKind membership = MembershipKind::agent;
   std::optional<registry::RegistryOptions> registry;
   membership::MemberList fixed;
   std::optional<RegistrationOptions> registration;
   log::Options log;
+  std::optional<FleetOptions> fleet;
 };
 
 // The parts that differ between the two and take effect only at a start.
--- /dev/null
+++ b/src/peerlink/fleet.cpp
@@ -0,0 +1,203 @@
+#include "peerlink/fleet.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <array>
+
+#include "config/version.h"
+#include "json/json.h"
+
+namespace pearspar::peerlink {
+namespace {
+
+// One turn takes so many datagrams; what more has come waits for the next, so that clients are served
+// between.
+constexpr int most_in_a_turn = 64;
+
+// Rises with each start: milliseconds, and the process's number for two starts in one.
+std::uint64_t run_of(net::Time now) {
+  const auto ms = static_cast<std::uint64_t>(now.time_since_epoch().count() * 1000);
+  return ms << 16 | (static_cast<std::uint64_t>(::getpid()) & 0xffff);
+}
+
+peers::Self self_of(const options::FleetOptions& options, const std::string& name, const net::Fd& fd,
+                    const net::Address& serves, net::Time now) {
+  return {name,   run_of(now),  options.advertise ? *options.advertise : net::local_address(fd),
+          serves, options.zone, options.region,
+          version};
+}
+
+std::string quoted(std::string_view text) {
+  std::string out;
+  json::append_quoted(out, text);
+  return out;
+}
+
+}  // namespace
+
+Fleet::Fleet(net::Loop& loop, log::Logger& log, const options::FleetOptions& options, const std::string& name,
+             const net::Address& serves, std::uint64_t seed)
+    : loop_(loop),
+      log_(log),
+      fd_(net::bind_datagrams(options.listen)),
+      core_(options.core, self_of(options, name, fd_, serves, loop.now()), seed, loop.now()),
+      watch_(loop.watch(fd_.get(), POLLIN, [this](short) { readable(); })) {
+  log_.info("fleet: {} takes part in {} at {}, {} seeds", name, options.core.fleet,
+            core_.self().address.text(), options.core.seeds.size());
+  after();
+}
+
+void Fleet::readable() {
+  std::array<char, 2048> bytes;
+  net::Address from;
+  bool more = true;
+  for (int i = 0; i < most_in_a_turn && more; ++i) {
+    const std::size_t got = net::receive_datagram(fd_, bytes.data(), bytes.size(), from, more);
+    if (more && got > 0) core_.receive(loop_.now(), from, {bytes.data(), got});
+  }
+  after();
+}
+
+void Fleet::after() {
+  for (const peers::Datagram& datagram : core_.take_out())
+    if (!net::send_datagram(fd_, datagram.to, datagram.bytes)) ++unsent_;
+  for (const peers::Note& note : core_.take_notes()) say(note);
+  say_view();
+  const net::Time due = core_.due();
+  if (due == net::Time::max()) {
+    timer_.reset();
+    return;
+  }
+  timer_ = loop_.at(due, [this] {
+    core_.tick(loop_.now());
+    after();
+  });
+}
+
+void Fleet::say(const peers::Note& note) {
+  const std::string who = fmt::format("{} run {} incarnation {}", note.name, note.run, note.incarnation);
+  if (note.name == core_.self().name) {
+    if (core_.yields())
+      log_.error("fleet: {} is also the name of a broker at {}, started later: we are silent", who, note.by);
+    else
+      log_.warning("fleet: {}, our name, is not used at {} any more: we take part again", who, note.by);
+    return;
+  }
+  const std::string was =
+      note.known_before ? fmt::format("was {}", peers::name_of(note.before)) : "was not known";
+  const std::string by = note.by == core_.self().name ? "us" : note.by;
+  const std::string line = fmt::format("fleet: {} is {}, {}: {}, by {}{}", who, peers::name_of(note.after),
+                                       was, peers::text_of(note.cause), by,
+                                       note.accusers > 0 ? fmt::format(", accusers {}", note.accusers) : "");
+  if (note.after == peers::State::gone)
+    log_.warning("{}", line);
+  else
+    log_.info("{}", line);
+}
+
+// Whether the view has settled, on what, and whether we have to think ourselves cut off.
+void Fleet::say_view() {
+  const net::Time now = loop_.now();
+  const bool settled = core_.settled(now);
+  const std::uint64_t digest = core_.digest();
+  if (settled != said_settled_ || (settled && digest != said_digest_)) {
+    if (settled)
+      log_.info("fleet: settled, digest {:016x}, {} in force", digest, core_.in_force());
+    else
+      log_.info("fleet: not settled, digest {:016x}, {} in force", digest, core_.in_force());
+    said_settled_ = settled;
+    said_digest_ = digest;
+    const bool smaller = core_.smaller_part();
+    if (settled && smaller != said_smaller_) {
+      said_smaller_ = smaller;
+      if (smaller)
+        log_.warning("fleet: we may be in the smaller part of a split, {} in force here", core_.in_force());
+      else
+        log_.info("fleet: no longer in the smaller part of a split");
+    }
+  }
+  if (core_.counters().held_up != said_held_up_) {
+    said_held_up_ = core_.counters().held_up;
+    log_.warning("fleet: our own loop was held up, {} times by now; health {}", said_held_up_,
+                 core_.health());
+  }
+}
+
+void Fleet::ready() {
+  if (ready_) return;
+  ready_ = true;
+  core_.ready(loop_.now());
+  after();
+}
+
+void Fleet::leave() {
+  core_.leave(loop_.now());
+  after();
+}
+
+void Fleet::finish() {
+  core_.finish(loop_.now());
+  after();
+}
+
+bool Fleet::done() const { return core_.finished(loop_.now()); }
+
+bool Fleet::publish(const std::string& key, const std::string& value) {
+  const bool fits = core_.publish(loop_.now(), key, value);
+  after();
+  return fits;
+}
+
+void Fleet::found_seeds(std::vector<net::Address> seeds) {
+  core_.found_seeds(std::move(seeds));
+  after();
+}
+
+std::string Fleet::view_json() {
+  const auto view = snapshot();
+  const net::Time now = loop_.now();
+  std::string out = fmt::format(
+      "{{\"self\":{},\"number\":{},\"digest\":\"{:016x}\",\"in_force\":{},\"settled\":{},\"settled_for_ms\":{"
+      ":.0f},"
+      "\"smaller_part\":{},\"yields\":{},\"health\":{},\"members\":[",
+      quoted(view->self), view->number, view->digest, view->in_force, view->settled,
+      view->settled ? (now - view->settled_since).count() * 1000 : 0.0, view->smaller_part, view->yields,
+      core_.health());
+  bool first = true;
+  for (const peers::MemberView& member : view->members) {
+    out += fmt::format(
+        "{}{{\"name\":{},\"run\":{},\"incarnation\":{},\"state\":\"{}\",\"for_ms\":{:.0f},\"address\":\"{}\","
+        "\"serves\":\"{}\",\"zone\":{},\"region\":{},\"version\":{},\"records\":{{",
+        first ? "" : ",", quoted(member.name), member.run, member.incarnation, peers::name_of(member.state),
+        member.since == net::Time{} ? 0.0 : (now - member.since).count() * 1000, member.address.text(),
+        member.serves.text(), quoted(member.zone), quoted(member.region), quoted(member.version));
+    first = false;
+    bool first_record = true;
+    for (const auto& [key, record] : member.records) {
+      if (record.value.empty()) continue;
+      out += fmt::format("{}{}:{}", first_record ? "" : ",", quoted(key), quoted(record.value));
+      first_record = false;
+    }
+    out += "}}";
+  }
+  return out + "]}";
+}
+
+std::string Fleet::counters_json() const {
+  const peers::Counters& c = core_.counters();
+  return fmt::format(
+      "\"in_force\":{},\"health\":{},\"sent\":{},\"sent_bytes\":{},\"received\":{},\"received_bytes\":{},"
+      "\"unsent\":{},\"unpaid\":{},\"probes\":{},\"probes_failed\":{},\"asked_others\":{},\"refuted\":{},"
+      "\"removed\":{},\"held_up\":{},\"summaries\":{},\"pages\":{},\"startovers\":{},\"outruns\":{},"
+      "\"dropped\":{{\"oversized\":{},\"malformed\":{},\"foreign\":{},\"other_format\":{},\"spoilt\":{},"
+      "\"wrong_source\":{},\"repeated\":{},\"unproven\":{},\"too_many\":{},\"old_run\":{},\"not_for_us\":{},"
+      "\"namesakes\":{},\"wordless\":{},\"table_full\":{},\"shelf_full\":{}}}",
+      core_.in_force(), core_.health(), c.sent, c.sent_bytes, c.received, c.received_bytes, unsent_, c.unpaid,
+      c.probes, c.probes_failed, c.asked_others, c.refuted, c.removed, c.held_up, c.summaries, c.pages,
+      c.startovers, c.outruns, c.oversized, c.malformed, c.foreign, c.other_format, c.spoilt, c.wrong_source,
+      c.repeated, c.unproven, c.too_many, c.old_run, c.not_for_us, c.namesakes, c.wordless, c.table_full,
+      c.shelf_full);
+}
+
+}  // namespace pearspar::peerlink
--- a/src/peers/core.cpp
+++ b/src/peers/core.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t greeting_padding = 260;  // room for the answer's news
 constexpr int pages_at_once = 16;
 constexpr std::size_t most_relays = 64;
+constexpr std::size_t most_seeds = 64;     // from each place
 constexpr double datagrams_a_period = 64;  // of one member
 constexpr double unproven_a_period = 64;   // of all others together
 constexpr double burst_periods = 4;        // of both
@@ -115,10 +116,9 @@
   return true;
 }
 
-void Core::add_seeds(const std::vector<Address>& seeds) {
-  for (const Address& seed : seeds)
-    if (std::find(options_.seeds.begin(), options_.seeds.end(), seed) == options_.seeds.end())
-      options_.seeds.push_back(seed);
+void Core::found_seeds(std::vector<Address> seeds) {
+  if (seeds.size() > most_seeds) seeds.resize(most_seeds);
+  found_ = std::move(seeds);
 }
 
 // ---- ourselves ----
@@ -203,10 +203,9 @@
 
 void Core::start_over(Time now) {
   ++counters_.startovers;
-  std::vector<Address> known;
+  former_.clear();
   for (const Member* member : table_.in_force())
-    if (known.size() < 64) known.push_back(member->address);
-  add_seeds(known);
+    if (former_.size() < most_seeds) former_.push_back(member->address);
   std::vector<std::string> names;
   for (const auto& [name, member] : table_.all()) names.push_back(name);
   for (const std::string& name : names) {
@@ -809,8 +808,9 @@
   const double n = static_cast<double>(in_force());
   next_reconnect_ = now + options_.period * (alone ? 0.5 : std::max(2.0, n / 8));
   std::vector<Address> seeds;
-  for (const Address& seed : options_.seeds)
-    if (!(seed == self_.address) && !table_.at(seed)) seeds.push_back(seed);
+  for (const auto* from : {&options_.seeds, &found_, &former_})
+    for (const Address& seed : *from)
+      if (!(seed == self_.address) && !table_.at(seed)) seeds.push_back(seed);
   std::vector<const Member*> gone;
   for (const auto& [name, member] : table_.all())
     if (member.standing.run != 0 && member.standing.state() == State::gone) gone.push_back(&member);
--- a/src/peers/core.h
+++ b/src/peers/core.h
@@ -114,7 +114,8 @@
   bool finished(net::Time now) const { return finish_by_ != net::Time::max() && now >= finish_by_; }
   // A record of ours for all; an empty value takes it back. False where it would not fit.
   bool publish(net::Time now, const std::string& key, const std::string& value);
-  void add_seeds(const std::vector<net::Address>& seeds);
+  // Beside those of the options, in the place of those found before.
+  void found_seeds(std::vector<net::Address> seeds);
 
   // ---- the loop's ----
   void receive(net::Time now, const net::Address& from, std::string_view bytes);
@@ -247,7 +248,8 @@
   net::Time next_reconnect_;
   net::Time next_forget_;
   net::Time finish_by_ = net::Time::max();
-  std::size_t next_seed_ = 0;
+  std::vector<net::Address> found_;   // seeds from elsewhere
+  std::vector<net::Address> former_;  // where members were before we started over
 
   double tokens_;
   net::Time tokens_at_;
@@ -258,7 +260,6 @@
   net::Time disputed_at_;  // last time that somebody had another digest, or a member was suspect
   net::Time heard_at_{};   // anybody
   net::Time joined_by_;    // until then seeds may answer yet
-  std::size_t gone_count_ = 0;
   std::uint64_t snapshot_number_ = 0;
   std::shared_ptr<const Snapshot> snapshot_;
 };
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -118,6 +118,19 @@
 
 }  // namespace
 
+std::uint64_t Values::fingerprint() const {
+  std::uint64_t sum = 14695981039346656037u;  // FNV-1a
+  auto add = [&](const std::string& text) {
+    for (char c : text) sum = (sum ^ static_cast<unsigned char>(c)) * 1099511628211u;
+    sum = (sum ^ 0xff) * 1099511628211u;
+  };
+  for (const auto& [path, value] : values_) {
+    add(path);
+    add(value.text);
+  }
+  return sum;
+}
+
 std::optional<std::string> Values::first_difference(const Values& other) const {
   auto a = values_.begin(), b = other.values_.begin();
   while (a != values_.end() && b != other.values_.end()) {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -2,6 +2,7 @@
 // (path=value) or as the members of a configuration file, and fills the interface's Settings.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <stdexcept>
@@ -40,6 +41,8 @@
   bool empty() const { return values_.empty(); }
   // The first path under which the two hold different values; nothing where they are alike.
   std::optional<std::string> first_difference(const Values& other) const;
+  // Alike for the same paths and values, wherever it is made.
+  std::uint64_t fingerprint() const;
 
  private:
   std::map<std::string, Value> values_;
