--- a/src/peersim/network.cpp
+++ b/src/peersim/network.cpp
@@ -40,7 +40,7 @@
   if (each.address == net::Address{}) each.address = address(number);
   each.name = name;
   each.run = run;
-  each.stopped = false;
+  each.stopped = each.held = false;
   each.finish_at = -1;
   each.waiting.clear();
   each.claimed_settled = false;
@@ -68,7 +68,7 @@
   judge_.happened({now_, judge::Deed::told_to_leave, each.name, each.run});
   each.core->leave(time_of(number));
   each.finish_at = now_ + 0.5;
-  events_.push({each.finish_at, ++order_, number, true, {}, {}});
+  events_.push({each.finish_at, ++order_, number, true, false, {}, {}});
   after(number);
 }
 
@@ -82,7 +82,24 @@
   if (!each.core) return;
   each.stopped = false;
   judge_.happened({now_, judge::Deed::resumed, each.name, 0});
-  // A process that wakes up finds what has come before it looks at its own clocks.
+  wake(number);
+}
+
+void Network::hold(int number, net::Duration time) {
+  if (!running(number) || broker(number).held) return;
+  broker(number).held = true;
+  Event event;
+  event.at = now_ + time.count();
+  event.order = ++order_;
+  event.to = number;
+  event.wake = true;
+  events_.push(std::move(event));
+}
+
+// A process that wakes up finds what has come before it looks at its own clocks.
+void Network::wake(int number) {
+  Broker& each = broker(number);
+  each.held = false;
   auto waiting = std::move(each.waiting);
   each.waiting.clear();
   for (const auto& [from, bytes] : waiting) deliver(number, from, bytes);
@@ -95,13 +112,13 @@
 void Network::troubled() { judge_.happened({now_, judge::Deed::troubled, {}, 0}); }
 
 void Network::inject(const net::Address& from, int to, std::string bytes) {
-  events_.push({now_, ++order_, to, false, from, std::move(bytes)});
+  events_.push({now_, ++order_, to, false, false, from, std::move(bytes)});
 }
 
 void Network::deliver(int number, const net::Address& from, const std::string& bytes) {
   Broker& each = broker(number);
   if (!each.core) return;
-  if (each.stopped) {
+  if (each.stopped || each.held) {
     if (each.waiting.size() < most_waiting) each.waiting.emplace_back(from, bytes);
     return;
   }
@@ -128,7 +145,7 @@
         bytes[bit / 8] = static_cast<char>(bytes[bit / 8] ^ (1 << (bit % 8)));
       }
       const double at = now_ + way.delay.count() + way.jitter.count() * even(random_);
-      events_.push({at, ++order_, to, false, each.address, std::move(bytes)});
+      events_.push({at, ++order_, to, false, false, each.address, std::move(bytes)});
     }
   }
   for (peers::Note& note : each.core->take_notes()) {
@@ -150,7 +167,7 @@
   const double at = std::max(now_, (due - time_of(number)).count() + now_);
   if (each.tick_at >= now_ && each.tick_at <= at) return;
   each.tick_at = at;
-  events_.push({at, ++order_, number, true, {}, {}});
+  events_.push({at, ++order_, number, true, false, {}, {}});
 }
 
 void Network::run_for(net::Duration time) {
@@ -159,12 +176,16 @@
     Event event = events_.top();
     events_.pop();
     now_ = std::max(now_, event.at);
+    if (event.wake) {
+      wake(event.to);
+      continue;
+    }
     if (!event.tick) {
       deliver(event.to, event.from, event.bytes);
       continue;
     }
     Broker& each = broker(event.to);
-    if (!each.core || each.stopped) continue;
+    if (!each.core || each.stopped || each.held) continue;
     if (each.tick_at <= now_) each.tick_at = -1;
     if (each.finish_at >= 0 && each.finish_at <= now_) {
       each.finish_at = -1;
--- a/src/peersim/network.h
+++ b/src/peersim/network.h
@@ -37,6 +37,8 @@
   void leave(int broker);  // the last word comes 0.5 s later
   void stop(int broker);   // as SIGSTOP does: what comes waits, to a bound
   void resume(int broker);
+  // Its loop is held for that long, which is no deed that the judge would excuse.
+  void hold(int broker, net::Duration time);
   void calm();
   void restless();
   void troubled();
@@ -70,6 +72,7 @@
     std::unique_ptr<peers::Core> core;
     std::uint64_t run = 0;
     bool stopped = false;
+    bool held = false;
     double tick_at = -1;
     double finish_at = -1;
     std::vector<std::pair<net::Address, std::string>> waiting;
@@ -83,12 +86,14 @@
     std::uint64_t order = 0;
     int to = 0;
     bool tick = false;
+    bool wake = false;  // the end of a hold
     net::Address from;
     std::string bytes;
     bool operator>(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
   };
   Broker& broker(int number);
   void after(int number);  // takes what the core has to say
+  void wake(int number);
   void deliver(int number, const net::Address& from, const std::string& bytes);
 
   std::mt19937_64 random_;
