--- a/src/trial/runner.cpp
+++ b/src/trial/runner.cpp
@@ -351,7 +351,8 @@
     brokers_.push_back(std::move(broker));
     speaker_.push_back(static_cast<int>(i));
   }
-  for (std::size_t i = 0; i < std::min<std::size_t>(3, brokers_.size()); ++i)
+  for (std::size_t i = 0;
+       i < std::min<std::size_t>(schedule_.seeds() > 0 ? schedule_.seeds() : 3, brokers_.size()); ++i)
     seeds_.push_back(relay_.known(brokers_[i].place));
   for (std::uint32_t i = 0; i < schedule_.brokers(); ++i) start(static_cast<int>(i), false);
   // All processes have to be there before the calm is called.
--- a/src/trial/schedule.cpp
+++ b/src/trial/schedule.cpp
@@ -291,6 +291,7 @@
     Writer writer(schedule, seed);
     each.write(writer);
     if (name == "split-in-three") heal_in_two_steps(schedule);
+    if (name == "start") schedule.set_seeds(1);
     return schedule;
   }
   return std::nullopt;
--- a/tests/fleet_process.sh
+++ b/tests/fleet_process.sh
@@ -92,6 +92,25 @@
 expect_status 1 "$program" fleet leave "${serves[1]}"
 grep -q 'leave_by_request is not set' "$dir/out" || fail "the key is not named: $(cat "$dir/out")"
 
+# Clients take the last descriptor of one: its voice in the fleet stays.
+printf '%s\nfleet { name: "test" listen: "127.0.0.1:0" seeds: "%s" }\n' "$membership" "$seed" >"$dir/o4.textproto"
+ulimit -S -n 72
+start 4 "$dir/o4.textproto"
+ulimit -S -n "$(ulimit -H -n)"
+wait_for "$dir/log4" 'settled, .* 4 in force'
+connections=()
+for _ in $(seq 120); do
+  exec {fd}<>"/dev/tcp/${serves[4]%:*}/${serves[4]#*:}" || break
+  connections+=("$fd")
+done
+sleep 3
+! grep -q 'n4 .* is gone' "$dir/log1" || fail "n4 was removed for want of descriptors"
+for fd in "${connections[@]}"; do exec {fd}>&-; done
+kill -TERM "${pids[4]}"
+wait "${pids[4]}" || fail "n4 ended with status $?"
+unset 'pids[4]'
+wait_for "$dir/log2" 'n4 .* is left'
+
 # One leaves by request and is seen as leaving; one is killed and is seen as gone.
 expect_status 0 "$program" fleet leave "${serves[2]}"
 wait_for "$dir/log1" 'n2 .* is leaving'
--- a/tests/fleet_trial.sh
+++ b/tests/fleet_trial.sh
@@ -12,6 +12,8 @@
   exit 1
 }
 
+"$trial" cases start --brokers 1 --program "$program" >/dev/null || { echo "FAILED: a fleet of one" >&2; exit 1; }
+
 # The rig is killed in the middle: its brokers end with it.
 "$trial" cases lossy --brokers 4 --program "$program" >/dev/null &
 rig=$!
