Fleet view: records that change all the time no longer set off comparisons of whole tables

Cause: read through: the load record changes every second on a busy broker, so records digests differ at almost every contact, and after three periods each contact asked for a comparison; at 300 brokers that would fill the budget at rest. Change: records have to differ for 25 periods, one comparison goes out a period; the load is told by powers of two; a name taken back rises above its namesake's run at once.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <bit>
 #include <chrono>
 
 #include "broker/sources.h"
@@ -88,7 +89,8 @@
 
 // What each broker tells the others of itself, beside its word.
 void Broker::publish_records() {
-  fleet_->publish("load", std::to_string(engine_.open()));
+  // By powers of two: each change goes to all, so what only jitters is not told.
+  fleet_->publish("load", std::to_string(std::bit_floor(engine_.open())));
   fleet_->publish("drain", winding_down_ ? "yes" : "no");
   records_timer_ = loop_.at(loop_.now() + records_every, [this] { publish_records(); });
 }
--- a/src/peers/core.cpp
+++ b/src/peers/core.cpp
@@ -23,6 +23,7 @@
 constexpr double settled_periods = 5;
 constexpr double joining_periods = 10;  // that seeds have to answer before a broker is content with itself
 constexpr double differ_periods = 3;    // that news may take before tables are compared
+constexpr double records_differ_periods = 25;  // the same for records
 constexpr std::size_t greeting_padding = 260;  // room for the answer's news
 constexpr int pages_at_once = 16;
 constexpr std::size_t most_relays = 64;
@@ -173,9 +174,8 @@
       if (yields_) return;
       yields_ = true;
       namesake_ = heard.address;
-      namesake_heard_ = now;
       namesake_tries_ = 0;
-      own_.run = std::min(own_.run, heard.standing.run);
+      namesake_run_ = heard.standing.run;
       probes_.clear();
       notes_.push_back({self_.name, heard.standing.run, heard.standing.incarnation, State::alive, true,
                         State::gone, Cause::address_taken, heard.address.text(), 0});
@@ -193,8 +193,7 @@
   if (++namesake_tries_ > name_tries) {
     yields_ = false;
     ++counters_.outruns;
-    own_ = {own_.run + 1, 0};
-    if (const Member* other = table_.find(self_.name)) own_.run = std::max(own_.run, other->standing.run + 1);
+    own_ = {std::max(own_.run, namesake_run_) + 1, 0};
     notes_.push_back({self_.name, own_.run, own_.incarnation, State::gone, true, State::alive, Cause::silence,
                       namesake_.text(), 0});
     raise_own(now, 0);
@@ -590,12 +589,15 @@
   if (!known && !admit(*member)) return;
 
   const bool agrees = body.members() == digest();
-  const bool all_agree = agrees && body.records() == records_digest();
   if (!agrees) disputed_at_ = now;
-  if (all_agree)
-    member->differs = Time::max();
-  else if (member->differs == Time::max())
-    member->differs = now;
+  auto mark = [&](Time& since, bool alike) {
+    if (alike)
+      since = Time::max();
+    else if (since == Time::max())
+      since = now;
+  };
+  mark(member->differs, agrees);
+  mark(member->records_differ, body.records() == records_digest());
 
   bool told = false;
   switch (body.kind_case()) {
@@ -628,8 +630,13 @@
   if (against && !told) tell_off(now, *member);
   const bool eager = member->standing.verdict == Verdict::gone ||
                      (now < joined_by_ && member->compared == Time{} && !agrees);
-  const Duration standing_out = member->differs == Time::max() ? Duration(0) : now - member->differs;
-  if (eager || standing_out > options_.period * differ_periods) compare(now, *member);
+  auto stands_out = [&](Time since, double periods) {
+    return since != Time::max() && now - since > options_.period * periods;
+  };
+  // Records change all the time, and come by themselves; only what stays different was missed.
+  if (eager || stands_out(member->differs, differ_periods) ||
+      stands_out(member->records_differ, records_differ_periods))
+    compare(now, *member, eager);
 }
 
 void Core::take_answer(Time now, const wire::Body& body) {
@@ -1076,9 +1083,11 @@
   }
 }
 
-void Core::compare(Time now, Member& member) {
+void Core::compare(Time now, Member& member, bool eager) {
   if (member.compared != Time{} && now - member.compared < options_.period / 2) return;
-  member.compared = now;
+  // One after the other: what one comparison mends, the next need not find.
+  if (!eager && now - last_compared_ < options_.period) return;
+  member.compared = last_compared_ = now;
   ++counters_.summaries;
   wire::Body body = body_for(member.address, &member);
   for (std::uint64_t sum : sums()) body.mutable_summary()->add_sums(sum);
--- a/src/peers/core.h
+++ b/src/peers/core.h
@@ -203,7 +203,7 @@
   void fill(net::Time now, wire::Body& body, const Member* member, std::size_t room);
   void ping(net::Time now, const net::Address& to, const Member* member, std::uint64_t id, bool greet);
   void spread(net::Time now);
-  void compare(net::Time now, Member& member);
+  void compare(net::Time now, Member& member, bool eager);
   void tell_off(net::Time now, Member& member);
   wire::News news_of(const Member& member, bool with_word) const;
   wire::News own_news() const;
@@ -238,7 +238,7 @@
   int health_ = 0;
   bool yields_ = false;
   net::Address namesake_;
-  net::Time namesake_heard_{};
+  std::uint64_t namesake_run_ = 0;
   int namesake_tries_ = 0;
 
   std::vector<Probe> probes_;       // that are out
@@ -262,7 +262,8 @@
   net::Time changed_at_;   // of the members in force
   net::Time disputed_at_;  // last time that somebody had another digest, or a member was suspect
   net::Time heard_at_{};   // anybody
-  net::Time joined_by_;    // until then seeds may answer yet
+  net::Time last_compared_{};
+  net::Time joined_by_;  // until then seeds may answer yet
   std::uint64_t snapshot_number_ = 0;
   std::shared_ptr<const Snapshot> snapshot_;
 };
--- a/src/peers/table.cpp
+++ b/src/peers/table.cpp
@@ -25,7 +25,7 @@
   if (members_.size() >= most_) return nullptr;
   Member& member = members_[name];
   member.name = name;
-  member.differs = net::Time::max();
+  member.differs = member.records_differ = net::Time::max();
   // Not in force until a change says so.
   member.standing.verdict = Verdict::gone;
   return &member;
--- a/src/peers/table.h
+++ b/src/peers/table.h
@@ -65,10 +65,11 @@
   std::uint64_t cookie = 0;  // to be given back; 0: it has not spoken to us yet
   SeenNumbers seen;
   net::Time heard{};
-  net::Time told_off{};  // when it was last told directly what is held against it
-  net::Time compared{};  // when its sums were last asked for
-  net::Time differs{};   // since when its digest differs from ours; Time::max(): it does not
-  double allowance = 0;  // datagrams it may send
+  net::Time told_off{};        // when it was last told directly what is held against it
+  net::Time compared{};        // when its sums were last asked for
+  net::Time differs{};         // since when its digest differs from ours; Time::max(): it does not
+  net::Time records_differ{};  // the same of the records'
+  double allowance = 0;        // datagrams it may send
   net::Time allowed_at{};
 
   std::size_t place = 0;  // among those in force
