--- a/src/trial/main.cpp
+++ b/src/trial/main.cpp
@@ -174,7 +174,10 @@
   std::map<std::string, std::vector<double>> detected, joined, settled;
   std::size_t removals = 0, broken = 0;
   for (const Result& result : results) {
-    for (const std::string& title : {result.title, std::string("all")}) {
+    // What several troubles in a row took says nothing of any one of them.
+    const bool one = result.title.find('+') == std::string::npos;
+    for (const std::string& title :
+         {one ? result.title : std::string("several in a row"), std::string("all")}) {
       for (double each : result.detected) detected[title].push_back(each);
       for (double each : result.joined) joined[title].push_back(each);
       for (double each : result.settled) settled[title].push_back(each);
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -75,6 +75,7 @@
     EXPECT_EQ(report.detected.size(), 8u);
     std::sort(report.detected.begin(), report.detected.end());
     fmt::print("known after {:.2f} to {:.2f} s\n", report.detected.front(), report.detected.back());
+    EXPECT_LT(report.detected.back(), 2.5) << "a few look after each suspect beside their round";
     for (const std::string& fault : report.faults) ADD_FAILURE() << "seed " << seed << ": " << fault;
   }
 }
@@ -94,9 +95,20 @@
     EXPECT_TRUE(fleet.core(0).settled(fleet.time_of(0)));
     EXPECT_FALSE(fleet.core(0).smaller_part());
     EXPECT_TRUE(fleet.core(23).smaller_part());
+    auto removed = [&] {
+      std::uint64_t sum = 0;
+      for (int i = 0; i < 24; ++i) sum += fleet.core(i).counters().removed;
+      return sum;
+    };
+    const std::uint64_t before = removed();
+    fleet.keep_notes = true;
     fleet.link = nullptr;
     fleet.settle();
     EXPECT_TRUE(fleet.judge().agreed());
+    EXPECT_EQ(removed(), before) << "what the other side says removes nobody of ours";
+    for (int i = 0; i < 24; ++i)
+      for (const peers::Note& note : fleet.notes_of(i))
+        EXPECT_NE(note.after, peers::State::gone) << note.name;
     judge::Report report = fleet.end();
     for (const std::string& fault : report.faults) ADD_FAILURE() << "seed " << seed << ": " << fault;
     ASSERT_FALSE(report.settled.empty());
@@ -270,7 +282,7 @@
   // Another name where b005 was.
   fleet.kill(5);
   fleet.start(12, 5);
-  fleet.run_for(1s);
+  fleet.run_for(190ms);  // before any probe of b005 can have failed
   bool suspect = false;
   for (const auto& member : fleet.core(0).snapshot(fleet.time_of(0))->members)
     if (member.name == "b005")
@@ -394,6 +406,25 @@
   for (int i = 1; i < 6; ++i) EXPECT_TRUE(records_at(i).empty());
 }
 
+TEST(PeersTest, AShelfThatWouldBeTooLargeIsNotTaken) {
+  peers::Shelf held = {{"a", {std::string(250, 'x'), 1}}};
+  const peers::Shelf before = held;
+  peers::wire::Shelf heard;
+  for (int i = 0; i < 5; ++i) {
+    peers::wire::Record& record = *heard.add_records();
+    record.set_key("k" + std::to_string(i));
+    record.set_value(std::string(200, 'y'));
+    record.set_version(2);
+  }
+  bool changed = false;
+  EXPECT_FALSE(peers::merge_shelf(held, heard, changed));
+  EXPECT_EQ(held, before);
+  heard.mutable_records()->DeleteSubrange(2, 3);
+  EXPECT_TRUE(peers::merge_shelf(held, heard, changed));
+  EXPECT_TRUE(changed);
+  EXPECT_EQ(held.size(), 3u);
+}
+
 TEST(PeersTest, AJoinerThatComesLateLearnsAllRecords) {
   FleetOf fleet(8, 22);
   fleet.settle();
@@ -499,9 +530,20 @@
   news.set_run(fleet.core(1).self().run);
   news.set_incarnation(2);
   news.set_verdict(peers::wire::GONE);
+  peers::wire::News& own = *body.add_news();
+  own.set_name("nobody");
+  own.set_run(5);
+  own.set_incarnation(1);
+  peers::wire::Word word;
+  word.set_host(stranger.host);
+  word.set_port(stranger.port);
+  word.set_phase(peers::wire::ALIVE);
+  word.SerializeToString(own.mutable_word());
+  const std::uint64_t refuted = fleet.core(1).counters().refuted;
   send(peers::Sealer("test").seal(body));
   fleet.run_for(1s);
   EXPECT_EQ(fleet.core(0).in_force(), 4u);
+  EXPECT_EQ(fleet.core(1).counters().refuted, refuted) << "nobody was made a suspect by it";
   // Many at once: no more than the bound are looked at.
   for (int i = 0; i < 2000; ++i) fleet.inject(stranger, 0, good);
   fleet.run_for(10ms);
@@ -512,7 +554,7 @@
 
 TEST(PeersTest, TheBudgetOfBytesIsKept) {
   peers::Options tight = options();
-  tight.bytes_per_s = 16 * 1024;
+  tight.bytes_per_s = 5 * 1024;
   FleetOf fleet(24, 25, tight);
   std::map<int, double> bytes;
   fleet.tap = [&](int from, const pearspar::net::Address&, const std::string& datagram) {
@@ -527,7 +569,7 @@
     fleet.run_for(200ms);
   }
   // One second's worth ahead, one overdrawn by probes and answers.
-  for (const auto& [broker, sent] : bytes) EXPECT_LT(sent, 16 * 1024 * (fleet.now() - from + 2)) << broker;
+  for (const auto& [broker, sent] : bytes) EXPECT_LT(sent, 5 * 1024 * (fleet.now() - from + 2)) << broker;
   for (int k = 1; k < 24; k += 2) EXPECT_EQ(fleet.core(k).in_force(), 12u);
 }
 
