--- /dev/null
+++ b/src/altavia/edge.cpp
@@ -0,0 +1,270 @@
+#include "altavia/edge.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "lavarella/log.h"
+
+namespace pearspar::altavia {
+namespace {
+
+using namespace std::chrono_literals;
+using lavarella::Level;
+using lavarella::log;
+
+constexpr net::Duration leader_silent = 3500ms;  // three pings and a half
+constexpr net::Duration gather_at_most = 1500ms;  // a list that is still being gathered will do after it
+constexpr net::Duration leave_after = 2600ms;     // of an end: by then two checks have missed us
+constexpr net::Duration leave_before = 700ms;     // of the grace
+constexpr std::size_t other_files = 300;          // descriptors that are no client's
+
+std::size_t most_clients(const coldai::Settings& settings) {
+  auto files = static_cast<std::size_t>(settings.files);
+  return files > 2 * other_files ? (files - other_files) / 2 : 100;
+}
+
+std::uint64_t key(net::SlotId id) { return std::uint64_t{id.index} << 32 | id.generation; }
+
+bool one_of(std::string_view name, std::initializer_list<std::string_view> names) {
+  return std::any_of(names.begin(), names.end(),
+                     [&](std::string_view each) { return http::same_word(each, name); });
+}
+
+// What concerns one connection only, or is said anew.
+bool stays_here(std::string_view name) {
+  return one_of(name, {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding",
+                       "Upgrade", "Expect", "Content-Length", "Deadline-Ms", "Addressee"});
+}
+
+void warn(std::string_view what) { log(Level::warning, "front_door", {{"what", what}}); }
+
+}  // namespace
+
+Edge::Edge(net::Loop& loop, const coldai::Settings& settings, std::uint64_t life)
+    : loop_(loop),
+      settings_(settings),
+      life_(life),
+      front_(loop, warn, most_clients(settings), front_user_, {3s, 10s}, {16 * 1024, 256 * 1024}),
+      check_(loop, warn, 64, check_user_, {30s, 5s}),
+      links_(loop, *this),
+      nodes_(loop, [this](pederu::CallId call,
+                          const pederu::CallEnd& end) { desk_.ended(loop_.now(), call, end); }),
+      desk_(nodes_),
+      news_(loop.now()) {
+  pederu::AllowanceRules rules;
+  rules.ratio = settings.retry_ratio;
+  rules.slack = settings.retry_slack;
+  rules.window = net::Duration(settings.retry_window_s);
+  desk_.set_allowance(rules);
+  front_.listen(*net::Address::parse(settings.front_door));
+  if (!settings.ready_check.empty()) check_.listen(*net::Address::parse(settings.ready_check));
+  links_.keep(settings.inner_seeds());
+  each_second();
+}
+
+void Edge::Door::request_arrived(net::SlotId connection, const http::Message& message) {
+  checks_ ? edge_.check(connection, message) : edge_.serve(connection, message);
+}
+
+void Edge::Door::client_left(net::SlotId connection) {
+  if (checks_) return;
+  auto found = edge_.requests_.find(key(connection));
+  if (found == edge_.requests_.end()) return;
+  edge_.desk_.left(found->second);
+  edge_.clients_.erase(key(found->second));
+  edge_.requests_.erase(found);
+}
+
+void Edge::check(net::SlotId connection, const http::Message& message) {
+  clients::Answer answer;
+  if (message.target == "/pearspar/ready") {
+    answer.status = ready() ? 200 : 503;
+    answer.body = ready() ? "{\"ready\":true}" : "{\"ready\":false}";
+  } else if (message.target == "/pearspar/counters") {
+    answer.body = counters();
+  } else {
+    answer.status = 404;
+  }
+  check_.answer(connection, answer);
+}
+
+void Edge::serve(net::SlotId connection, const http::Message& message) {
+  pederu::Arrival arrival;
+  arrival.method = message.method;
+  arrival.target = message.target;
+  arrival.host = message.header("Host").value_or(std::string_view());
+  arrival.id = message.header("Request-Id").value_or(std::string_view());
+  arrival.body = message.body;
+  if (auto deadline = message.header("Deadline-Ms")) {
+    double ms = 0;
+    auto [stop, error] = std::from_chars(deadline->data(), deadline->data() + deadline->size(), ms);
+    if (error == std::errc() && stop == deadline->data() + deadline->size()) arrival.deadline_ms = ms;
+  }
+  std::string_view named = message.header("Connection").value_or(std::string_view());
+  arrival.head = fmt::format("{} {} HTTP/1.1\r\n", message.method, message.target);
+  for (const auto& [name, value] : message.headers) {
+    if (stays_here(name) || (!named.empty() && http::same_word(named, name))) continue;
+    arrival.head.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (message.body.empty() && (message.header("Content-Length") || message.header("Transfer-Encoding")))
+    arrival.head += "Content-Length: 0\r\n";
+  pederu::FinalAnswer final;
+  if (arrival.id.empty()) {
+    final.status = 400;
+    return answer(connection, std::move(final));
+  }
+  pederu::RequestId request = desk_.arrive(loop_.now(), arrival, final);
+  if (!request) return answer(connection, std::move(final));
+  clients_[key(request)] = connection;
+  requests_[key(connection)] = request;
+}
+
+void Edge::answer(net::SlotId connection, pederu::FinalAnswer final) {
+  clients::Answer answer;
+  answer.status = final.status;
+  answer.type = final.type;
+  answer.retry_after_s = final.retry_after_s;
+  answer.headers = std::move(final.headers);
+  answer.body = std::move(final.body);
+  front_.answer(connection, answer);
+}
+
+std::string Edge::hello() const {
+  return fanes::pack(fanes::Hello{life_, fanes::FollowerKind::edge, settings_.node_name, settings_.zone,
+                                  view_.at(), view_.edition()});
+}
+
+void Edge::link_up(puez::LinkId link, const std::string&) {
+  up_.push_back(link);
+  links_.send(link, hello());
+}
+
+void Edge::link_down(puez::LinkId link) { std::erase(up_, link); }
+
+void Edge::link_frame(puez::LinkId link, std::string_view frame) {
+  auto message = fanes::unpack(frame);
+  if (!message) {
+    log(Level::warning, "frame_unread", {{"bytes", frame.size()}});
+    return;
+  }
+  net::Time now = loop_.now();
+  if (const auto* standing = std::get_if<fanes::Standing>(&*message)) {
+    auto taken = view_.apply(now, *standing);
+    if (taken == vazzoler::View::Taken::news) {
+      if (standing->complete) listed_ = true;
+      if (first_nodes_ == net::Time{} && !standing->nodes.empty()) first_nodes_ = now;
+    }
+    take_news(link, taken);
+  } else if (const auto* changes = std::get_if<fanes::Changes>(&*message)) {
+    take_news(link, view_.apply(now, *changes));
+  } else if (const auto* ping = std::get_if<fanes::Ping>(&*message)) {
+    take_news(link, view_.apply(*ping));
+  } else if (const auto* welcome = std::get_if<fanes::Welcome>(&*message)) {
+    if (welcome->cores.empty() || welcome->term < cores_term_) return;
+    cores_term_ = welcome->term;
+    if (cores_ == welcome->cores) return;
+    cores_ = welcome->cores;
+    links_.keep(cores_);
+  }
+}
+
+void Edge::take_news(puez::LinkId link, vazzoler::View::Taken taken) {
+  using Taken = vazzoler::View::Taken;
+  if (taken == Taken::old) return;
+  news_ = loop_.now();
+  if (taken == Taken::behind) {
+    links_.send(link, hello());
+    return;
+  }
+  for (const std::string& id : view_.take_touched()) desk_.nodes().update(id, view_.nodes().find(id));
+  desk_.set_edges(view_.edges());
+  if (first_nodes_ == net::Time{} && !view_.nodes().all().empty()) first_nodes_ = loop_.now();
+  if (view_.edition() != routed_) {
+    routed_ = view_.edition();
+    desk_.set_routes(std::make_shared<const pederu::Routes>(view_.configuration()));
+    const averau::Limits& limits = view_.configuration()->limits;
+    front_.set_bounds({pederu::from_ms(limits.header_wait_ms), 10s}, {limits.header_bytes, limits.body_bytes});
+    log(Level::info, "configuration", {{"edition", routed_}, {"routes", view_.configuration()->routes.size()}});
+  }
+  links_.send(link, fanes::pack(fanes::Ack{life_, view_.at(), view_.edition()}));
+}
+
+// Also renews our lease, and lets dead links be found out: they acknowledge nothing.
+void Edge::each_second() {
+  second_ = loop_.at(loop_.now() + 1s, [this] { each_second(); });
+  net::Time now = loop_.now();
+  bool silent = now - news_ > leader_silent;
+  std::string word = silent ? hello() : fanes::pack(fanes::Ack{life_, view_.at(), view_.edition()});
+  for (puez::LinkId link : std::vector(up_)) links_.send(link, word);
+  if (silent) {
+    std::vector<std::string> wanted = cores_;
+    for (const std::string& seed : settings_.inner_seeds())
+      if (std::find(wanted.begin(), wanted.end(), seed) == wanted.end()) wanted.push_back(seed);
+    links_.keep(wanted);
+  }
+  if (!listed_ && first_nodes_ != net::Time{} && now - first_nodes_ > gather_at_most) listed_ = true;
+  nodes_.sweep();
+  if (view_.configuration())
+    front_.close_idle_since(now - pederu::from_ms(view_.configuration()->limits.idle_ms));
+}
+
+void Edge::after_turn() {
+  net::Time now = loop_.now();
+  desk_.advance(now);
+  for (auto& [request, final] : desk_.take_answers()) {
+    auto found = clients_.find(key(request));
+    if (found == clients_.end()) continue;
+    net::SlotId connection = found->second;
+    clients_.erase(found);
+    requests_.erase(key(connection));
+    answer(connection, std::move(final));
+  }
+  if (stopping_) wind_down();
+  net::Time due = desk_.due();
+  if (stopping_) due = std::min(due, now + net::Duration(0.05));
+  if (due < net::Time::max())
+    due_ = loop_.at(std::max(due, now), [] {});
+  else
+    due_.reset();
+}
+
+void Edge::settings_changed(const coldai::Settings& settings) {
+  settings_.seeds = settings.seeds;
+  if (cores_.empty()) links_.keep(settings_.inner_seeds());
+}
+
+void Edge::stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_at_ = loop_.now() + leave_after;
+  end_at_ = loop_.now() + net::Duration(settings_.grace_s) - leave_before;
+  front_.wind_down();
+  log(Level::info, "edge_stops", {{"open", desk_.open()}});
+}
+
+void Edge::wind_down() {
+  if (loop_.now() < stop_at_) return;
+  front_.stop_listening();
+  front_.close_idle();
+  if (front_.busy() > 0 && loop_.now() < end_at_) return;
+  for (puez::LinkId link : std::vector(up_)) links_.send(link, fanes::pack(fanes::Farewell{life_}));
+  ended_ = true;
+}
+
+std::string Edge::counters() const {
+  const pederu::DeskCounters& desk = desk_.counters();
+  const croda::LinkCounters& links = nodes_.counters();
+  return fmt::format(
+      R"({{"requests":{},"gathered":{},"whole":{},"partial":{},"single":{},"refused":{},"failed":{},"no_route":{},)"
+      R"("calls":{},"second_calls":{},"not_run":{},"misplaced":{},"no_way":{},"broken":{},"late":{},)"
+      R"("opened":{},"reused":{},"spoilt":{},"surplus":{},"unnamed":{},"overdue":{},"coverage":{:.1f},"edition":{},)"
+      R"("nodes":{},"edges":{}}})",
+      desk.requests, desk.gathered, desk.whole, desk.partial, desk.single, desk.refused, desk.failed, desk.no_route,
+      desk.calls, desk.second_calls, desk.not_run, desk.misplaced, desk.no_way, desk.broken, desk.late, links.opened,
+      links.reused, links.spoilt, links.surplus, links.unnamed, links.overdue, desk_.coverage(), view_.edition(),
+      view_.nodes().all().size(), view_.edges());
+}
+
+}  // namespace pearspar::altavia
--- /dev/null
+++ b/src/altavia/edge.h
@@ -0,0 +1,85 @@
+// A process that clients reach: the front door, the check of its readiness, the connections to nodes and the
+// links to the core; it joins pederu (the desk) and vazzoler (the view) with them.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "clients/front.h"
+#include "coldai/settings.h"
+#include "croda/node_links.h"
+#include "net/loop.h"
+#include "pederu/desk.h"
+#include "puez/links.h"
+#include "vazzoler/view.h"
+
+namespace pearspar::altavia {
+
+class Edge : private puez::LinksUser {
+ public:
+  // Throws std::system_error where an address cannot be had.
+  Edge(net::Loop& loop, const coldai::Settings& settings, std::uint64_t life);
+
+  void after_turn();
+  void settings_changed(const coldai::Settings& settings);
+  // No more ready; serves on while clients go elsewhere, then ends.
+  void stop();
+  bool stopped() const { return ended_; }
+  bool ready() const { return !stopping_ && view_.knows_enough() && listed_; }
+
+ private:
+  // The two listening sockets, told apart.
+  class Door : public clients::FrontUser {
+   public:
+    Door(Edge& edge, bool checks) : edge_(edge), checks_(checks) {}
+    void request_arrived(net::SlotId connection, const http::Message& message) override;
+    void client_left(net::SlotId connection) override;
+
+   private:
+    Edge& edge_;
+    bool checks_;
+  };
+
+  void link_up(puez::LinkId link, const std::string& address) override;
+  void link_frame(puez::LinkId link, std::string_view frame) override;
+  void link_down(puez::LinkId link) override;
+
+  void serve(net::SlotId connection, const http::Message& message);
+  void check(net::SlotId connection, const http::Message& message);
+  void answer(net::SlotId connection, pederu::FinalAnswer answer);
+  void take_news(puez::LinkId link, vazzoler::View::Taken taken);
+  void each_second();
+  void wind_down();
+  std::string hello() const;
+  std::string counters() const;
+
+  net::Loop& loop_;
+  coldai::Settings settings_;
+  std::uint64_t life_;
+  Door front_user_{*this, false};
+  Door check_user_{*this, true};
+  clients::Front front_;
+  clients::Front check_;
+  puez::Links links_;
+  vazzoler::View view_;
+  croda::NodeLinks nodes_;
+  pederu::Desk desk_;
+  averau::Edition routed_ = 0;  // edition that the desk routes by
+  bool listed_ = false;         // a list of nodes that was not just being gathered, or old enough
+  std::unordered_map<std::uint64_t, net::SlotId> clients_;  // of open requests
+  std::unordered_map<std::uint64_t, pederu::RequestId> requests_;  // the other way
+  std::vector<puez::LinkId> up_;
+  std::vector<std::string> cores_;
+  lagazuoi::Term cores_term_ = 0;
+  net::Time news_{};  // last heard of a leader
+  net::Time first_nodes_{};
+  net::Timer second_;
+  net::Timer due_;
+  bool stopping_ = false;
+  bool ended_ = false;
+  net::Time stop_at_{};
+  net::Time end_at_{};
+};
+
+}  // namespace pearspar::altavia
--- /dev/null
+++ b/src/altavia/main.cpp
@@ -0,0 +1,175 @@
+// The one program of the system: what it does on a machine follows from the settings that the platform hands to
+// it. It serves clients where it is given a front door, and is a member of the core where it is given a control
+// port and a folder on disk.
+#include <popt.h>
+#include <signal.h>
+#include <sys/stat.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <system_error>
+
+#include "altavia/edge.h"
+#include "altavia/member.h"
+#include "lavarella/log.h"
+#include "net/signals.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace pearspar;
+using lavarella::Level;
+using lavarella::log;
+
+constexpr int bad_input = 2;
+
+// A file as it was when it was last read; a look costs one system call.
+class Watched {
+ public:
+  explicit Watched(std::string path) : path_(std::move(path)) {}
+  bool changed() {
+    struct stat now {};
+    if (::stat(path_.c_str(), &now) != 0) return false;
+    auto same = [&] {
+      return now.st_ino == seen_.st_ino && now.st_size == seen_.st_size &&
+             now.st_mtim.tv_sec == seen_.st_mtim.tv_sec && now.st_mtim.tv_nsec == seen_.st_mtim.tv_nsec;
+    };
+    if (same()) return false;
+    seen_ = now;
+    return true;
+  }
+
+ private:
+  std::string path_;
+  struct stat seen_ {};
+};
+
+std::uint64_t fresh_number() {
+  std::random_device device;
+  return std::uint64_t{device()} << 32 | device();
+}
+
+// What runs here, and what it is told.
+class Process {
+ public:
+  explicit Process(std::string path) : path_(std::move(path)), watched_(path_) {}
+
+  int run() {
+    net::Signals signals({SIGTERM, SIGINT, SIGHUP});
+    net::Loop loop;
+    auto watch = signals.watch(loop, [this](int signal) {
+      if (signal == SIGHUP)
+        look_ = true;
+      else
+        stop_ = true;
+    });
+    net::Timer second;
+    std::function<void()> each_second = [&] {
+      look_ = look_ || watched_.changed();
+      second = loop.at(loop.now() + 1s, each_second);
+    };
+    watched_.changed();
+    look_ = true;
+    each_second();
+    while (true) {
+      if (look_) read(loop);
+      if (stop_ && !(edge_ || member_)) return 0;
+      if (stop_ && edge_) edge_->stop();
+      if (stop_ && member_) member_->stop();
+      loop.turn();
+      if (edge_) edge_->after_turn();
+      if (member_) member_->after_turn();
+      if (stop_ && (!edge_ || edge_->stopped()) && (!member_ || member_->stopped())) {
+        log(Level::info, "ended");
+        return 0;
+      }
+    }
+  }
+
+ private:
+  // Settings that are no good change nothing; at the start they are waited for.
+  void read(net::Loop& loop) {
+    look_ = false;
+    coldai::ReadSettings read = coldai::read_settings(path_);
+    if (!read.fault.empty()) {
+      log(Level::error, "settings_refused", {{"why", read.fault}});
+      if (!edge_ && !member_) again_ = loop.at(loop.now() + 500ms, [this] { look_ = true; });
+      return;
+    }
+    if (edge_) edge_->settings_changed(read.settings);
+    if (member_) member_->settings_changed(read.settings);
+    if (edge_ || member_) {
+      log(Level::info, "settings_read", {{"seeds", read.settings.seeds.size()}});
+      return;
+    }
+    lavarella::open_log(read.settings.node_name, Level::info);
+    try {
+      if (!read.settings.front_door.empty())
+        edge_ = std::make_unique<altavia::Edge>(loop, read.settings, fresh_number());
+      if (!read.settings.control_port.empty() && !read.settings.data_dir.empty())
+        member_ = std::make_unique<altavia::Member>(loop, read.settings, fresh_number());
+    } catch (const std::system_error& error) {
+      log(Level::error, "start_failed", {{"why", error.what()}});
+      edge_.reset();
+      member_.reset();
+    }
+    if (!edge_ && !member_) again_ = loop.at(loop.now() + 500ms, [this] { look_ = true; });
+    log(Level::info, "started", {{"edge", edge_ != nullptr}, {"member", member_ != nullptr}});
+  }
+
+  std::string path_;
+  Watched watched_;
+  std::unique_ptr<altavia::Edge> edge_;
+  std::unique_ptr<altavia::Member> member_;
+  net::Timer again_;
+  bool look_ = false;
+  bool stop_ = false;
+};
+
+int check_settings(const std::string& path) {
+  coldai::ReadSettings read = coldai::read_settings(path);
+  if (!read.fault.empty()) {
+    std::fprintf(stderr, "%s\n", read.fault.c_str());
+    return bad_input;
+  }
+  std::printf("%s: good (%s)\n", path.c_str(), read.settings.node_name.c_str());
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  char* settings = nullptr;
+  const poptOption options[] = {{"settings", 's', POPT_ARG_STRING, &settings, 0,
+                                 "the platform's settings file (else PEARSPAR_CONFIG in the environment)", "FILE"},
+                                POPT_AUTOHELP POPT_TABLEEND};
+  std::unique_ptr<std::remove_pointer_t<poptContext>, void (*)(poptContext)> context(
+      poptGetContext("altavia", argc, argv, options, 0), [](poptContext c) { poptFreeContext(c); });
+  poptSetOtherOptionHelp(context.get(), "[--settings FILE] serve | check-settings");
+  int result = 0;
+  while ((result = poptGetNextOpt(context.get())) >= 0) {
+  }
+  if (result < -1) {
+    std::fprintf(stderr, "altavia: %s: %s\n", poptBadOption(context.get(), 0), poptStrerror(result));
+    return bad_input;
+  }
+  const char* command = poptGetArg(context.get());
+  const char* from = settings ? settings : std::getenv("PEARSPAR_CONFIG");
+  std::string path = from ? from : "";
+  std::free(settings);
+  if (!command || (std::string_view(command) != "serve" && std::string_view(command) != "check-settings")) {
+    poptPrintUsage(context.get(), stderr, 0);
+    return bad_input;
+  }
+  if (path.empty()) {
+    std::fprintf(stderr, "altavia: no settings file is named\n");
+    return bad_input;
+  }
+  if (std::string_view(command) == "check-settings") return check_settings(path);
+  lavarella::open_log("altavia", Level::info);
+  return Process(path).run();
+}
--- /dev/null
+++ b/src/altavia/member.cpp
@@ -0,0 +1,172 @@
+#include "altavia/member.h"
+
+#include <algorithm>
+
+#include "lavarella/log.h"
+
+namespace pearspar::altavia {
+namespace {
+
+using namespace std::chrono_literals;
+using lavarella::Level;
+using lavarella::log;
+
+constexpr std::size_t most_connections = 1024;
+constexpr std::size_t most_body = 1 << 20;
+constexpr net::Duration start_pause = 300ms;
+constexpr net::Duration stop_within = 400ms;
+constexpr net::Duration least_wait = 2ms;
+
+lagazuoi::Options core_options(const coldai::Settings& settings, std::uint64_t seed) {
+  lagazuoi::Options options;
+  options.address = settings.inner_address();
+  options.founders = settings.inner_seeds();
+  options.seeds = settings.inner_seeds();
+  options.first_start = settings.first_start;
+  options.fresh_id = seed | 1;
+  options.seed = seed;
+  return options;
+}
+
+sennes::OfficeOptions office_options(const coldai::Settings& settings, std::uint64_t seed) {
+  sennes::OfficeOptions options;
+  options.inner_address = settings.inner_address();
+  options.control_address = settings.control_port;
+  options.life = seed;
+  options.name = settings.node_name;
+  options.zone = settings.zone;
+  options.beat = sennes::Duration(settings.beat_ms / 1000);
+  return options;
+}
+
+sennes::Asker asker_of(net::SlotId id) { return std::uint64_t{id.index} << 32 | id.generation; }
+net::SlotId connection_of(sennes::Asker asker) {
+  return {static_cast<std::uint32_t>(asker >> 32), static_cast<std::uint32_t>(asker)};
+}
+
+}  // namespace
+
+Member::Member(net::Loop& loop, const coldai::Settings& settings, std::uint64_t seed)
+    : loop_(loop),
+      settings_(settings),
+      front_(
+          loop, [](std::string_view what) { log(Level::warning, "control_port", {{"what", what}}); },
+          most_connections, *this, {net::Duration(10), net::Duration(5)}, {16 * 1024, most_body}),
+      links_(loop, *this),
+      store_(settings.data_dir),
+      core_(store_, state_, core_options(settings, seed)),
+      office_(office_options(settings, seed), core_, state_) {
+  links_.listen(*net::Address::parse(settings.inner_address()));
+  front_.listen(*net::Address::parse(settings.control_port));
+  start_core();
+}
+
+Member::~Member() = default;
+
+// A disk that takes nothing is met by trying again; until then every call is refused.
+void Member::start_core() {
+  auto error = core_.start(loop_.read_clock());
+  start_again_ = loop_.now() + start_pause;
+  if (error) {
+    log(Level::error, "store_refused", {{"folder", settings_.data_dir}, {"why", error.message()}});
+    return;
+  }
+  started_ = true;
+  log(Level::info, "member_started",
+      {{"id", core_.self()},
+       {"term", core_.term()},
+       {"last", core_.log().last()},
+       {"edition", state_.edition()},
+       {"voter", core_.log().membership().has(core_.self())}});
+  keep_links();
+}
+
+void Member::settings_changed(const coldai::Settings& settings) {
+  settings_.seeds = settings.seeds;
+  core_.set_seeds(settings_.inner_seeds());
+}
+
+void Member::keep_links() {
+  std::vector<std::string> wanted = core_.addresses();
+  std::erase(wanted, settings_.inner_address());
+  if (wanted == kept_) return;
+  kept_ = wanted;
+  links_.keep(wanted);
+}
+
+void Member::request_arrived(net::SlotId connection, const http::Message& message) {
+  if (!started_ || stopping_) {
+    clients::Answer answer;
+    answer.status = 503;
+    return front_.answer(connection, answer);
+  }
+  office_.call(loop_.read_clock(), asker_of(connection), message.method, message.target,
+               message.header("If-Match").value_or(std::string_view()), message.body);
+}
+
+void Member::client_left(net::SlotId) {}  // its change may be under way; the answer finds nobody
+
+void Member::link_up(puez::LinkId link, const std::string&) {
+  if (started_) links_.send(link, fanes::pack(office_.hello()));
+}
+
+void Member::link_frame(puez::LinkId link, std::string_view frame) {
+  if (!started_) return;
+  auto message = fanes::unpack(frame);
+  if (!message) {
+    log(Level::warning, "frame_unread", {{"bytes", frame.size()}});
+    return;
+  }
+  office_.message(loop_.read_clock(), link, *message);
+}
+
+void Member::link_down(puez::LinkId link) { office_.link_closed(link); }
+
+void Member::flush() {
+  for (auto& out : core_.take_out()) links_.send_to(out.address, fanes::pack(std::move(out.message)));
+  for (auto& out : office_.take_messages()) links_.send_to(out.address, fanes::pack(out.message));
+  for (auto& out : office_.take_news(loop_.read_clock())) links_.send(out.link, out.bytes);
+  for (auto& reply : office_.take_replies()) {
+    clients::Answer answer;
+    answer.status = reply.status;
+    answer.body = std::move(reply.body);
+    front_.answer(connection_of(reply.asker), answer);
+  }
+}
+
+void Member::tell_role() {
+  bool leads = office_.in_office();
+  if (leads == led_ && core_.term() == told_term_) return;
+  if (leads != led_)
+    log(Level::info, leads ? "leads" : "leads_no_more",
+        {{"term", core_.term()}, {"edition", state_.edition()}, {"nodes", office_.view().nodes().all().size()}});
+  led_ = leads;
+  told_term_ = core_.term();
+}
+
+void Member::after_turn() {
+  net::Time now = loop_.read_clock();
+  if (!started_) {
+    if (now >= start_again_) start_core();
+    if (!started_) timer_ = loop_.at(start_again_, [] {});
+    if (!started_) return;
+  }
+  core_.tick(now);
+  office_.advance(now);
+  flush();
+  keep_links();
+  tell_role();
+  net::Time due = std::min(core_.due(), office_.due());
+  timer_ = loop_.at(std::max(due, now + least_wait), [] {});
+}
+
+void Member::stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_at_ = loop_.now() + stop_within;
+  if (!started_) return;
+  core_.hand_over(loop_.read_clock());
+  log(Level::info, "member_stops", {{"term", core_.term()}});
+}
+
+}  // namespace pearspar::altavia
--- /dev/null
+++ b/src/altavia/member.h
@@ -0,0 +1,61 @@
+// A process of the core: the control port, the links to other members and to those that follow, the store; it
+// joins sennes (the office) and lagazuoi (agreement) with them.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "clients/front.h"
+#include "coldai/settings.h"
+#include "lagazuoi/core.h"
+#include "net/loop.h"
+#include "puez/links.h"
+#include "sennes/office.h"
+#include "tissi/lmdb_store.h"
+
+namespace pearspar::altavia {
+
+class Member : private clients::FrontUser, private puez::LinksUser {
+ public:
+  // Throws std::system_error where an address cannot be had.
+  Member(net::Loop& loop, const coldai::Settings& settings, std::uint64_t seed);
+  ~Member() override;
+
+  // After each turn of the loop.
+  void after_turn();
+  void settings_changed(const coldai::Settings& settings);
+  // Hands over what it leads, and answers what it still can.
+  void stop();
+  bool stopped() const { return stopping_ && loop_.now() >= stop_at_; }
+
+ private:
+  void request_arrived(net::SlotId connection, const http::Message& message) override;
+  void client_left(net::SlotId connection) override;
+  void link_up(puez::LinkId link, const std::string& address) override;
+  void link_frame(puez::LinkId link, std::string_view frame) override;
+  void link_down(puez::LinkId link) override;
+
+  void start_core();
+  void flush();
+  void keep_links();
+  void tell_role();
+
+  net::Loop& loop_;
+  coldai::Settings settings_;
+  clients::Front front_;
+  puez::Links links_;
+  tissi::LmdbStore store_;
+  sennes::State state_;
+  lagazuoi::Core core_;
+  sennes::Office office_;
+  bool started_ = false;
+  net::Time start_again_{};
+  net::Timer timer_;
+  bool led_ = false;
+  lagazuoi::Term told_term_ = 0;
+  std::vector<std::string> kept_;
+  bool stopping_ = false;
+  net::Time stop_at_{};
+};
+
+}  // namespace pearspar::altavia
--- /dev/null
+++ b/src/averau/config.cpp
@@ -0,0 +1,108 @@
+#include "averau/config.h"
+
+#include <map>
+#include <set>
+
+namespace pearspar::averau {
+namespace {
+
+constexpr double day_ms = 86'400'000;
+constexpr double most_bytes = 64 << 20;
+
+void read_targets(JsonReader& in, Route& route, const std::set<std::string>& known) {
+  auto check = [&](const char* key, const std::string& depot) {
+    if (!known.count(depot)) in.fail(key, "names no depot of this configuration: '" + depot + "'");
+  };
+  int forms = in.has("depot") + in.has("splitList") + in.has("gatherFrom");
+  if (forms != 1) return in.fail("depot", "one of depot, splitList and gatherFrom is wanted");
+  if (in.has("depot")) {
+    route.depots.push_back({in.text("depot"), 1});
+    check("depot", route.depots[0].depot);
+  } else if (in.has("splitList")) {
+    double sum = 0;
+    for (JsonReader& part : in.objects("splitList")) {
+      route.depots.push_back({part.text("depot"), part.number("share", 0, 1e9)});
+      check("splitList", route.depots.back().depot);
+      sum += route.depots.back().weight;
+    }
+    if (!(sum > 0)) in.fail("splitList", "the shares add up to 0");
+  } else {
+    route.shards = in.texts("gatherFrom");
+    if (route.shards.empty()) in.fail("gatherFrom", "names no shard");
+    std::set<std::string> once;
+    for (const std::string& shard : route.shards) {
+      check("gatherFrom", shard);
+      if (!once.insert(shard).second) in.fail("gatherFrom", "names '" + shard + "' twice");
+    }
+    route.top = static_cast<int>(in.number_or("topN", 0, 0, 1e6));
+    route.least_share = in.number_or("minShare", 0, 0, 1);
+  }
+}
+
+Route read_route(JsonReader& in, const std::set<std::string>& known) {
+  Route route;
+  route.name = in.text_or("name", {});
+  route.host = in.text("hostName");
+  route.prefix = in.text("pathPrefix");
+  if (in.good() && (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/'))
+    in.fail("pathPrefix", "does not begin and end with a slash");
+  std::string kind = in.text("lineKind");
+  if (in.good() && kind != "safe" && kind != "unsafe") in.fail("lineKind", "is neither safe nor unsafe");
+  route.safe = kind == "safe";
+  route.deadline_ms = in.number("deadlineMs", 0, day_ms);
+  if (in.good() && !(route.deadline_ms > 0)) in.fail("deadlineMs", "is 0");
+  route.target_ms = in.number_or("targetMs", 0, 0, day_ms);
+  route.precedence = static_cast<int>(in.number_or("precedence", 0, 0, 1e6));
+  route.tries = static_cast<int>(in.number_or("tries", 1, 0, 1000));
+  if (route.tries < 1) route.tries = 1;
+  read_targets(in, route, known);
+  return route;
+}
+
+}  // namespace
+
+ConfigurationPtr read_configuration(std::string_view text, Fault& fault) {
+  fault = {};
+  Json json = parse_json(text, fault);
+  if (!json) return nullptr;
+  if (!cJSON_IsObject(json.get())) {
+    fault = {{}, "is no object"};
+    return nullptr;
+  }
+  JsonReader in(json.get(), {}, fault);
+  auto read = std::make_shared<Configuration>();
+  read->edition = static_cast<Edition>(in.number("edition", 1, 9e15));
+  std::set<std::string> known;
+  if (!in.has("depots")) in.fail("depots", "is missing");
+  if (!in.has("postalRoutes")) in.fail("postalRoutes", "is missing");
+  for (JsonReader& each : in.objects("depots")) {
+    Depot depot;
+    depot.name = each.text("name");
+    depot.health_path = each.text_or("healthPath", {});
+    depot.connections = static_cast<int>(each.number_or("connLimit", 0, 0, 1e6));
+    if (!known.insert(depot.name).second) each.fail("name", "stands twice");
+    read->depots.push_back(std::move(depot));
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (JsonReader& each : in.objects("postalRoutes")) {
+    read->routes.push_back(read_route(each, known));
+    const Route& route = read->routes.back();
+    if (!places.emplace(route.host, route.prefix).second)
+      each.fail("pathPrefix", "stands twice for this host");
+    if (!in.good()) break;
+  }
+  if (auto limits = in.object("limits")) {
+    Limits& to = read->limits;
+    to.header_bytes = static_cast<std::size_t>(
+        limits->number_or("maxHeaderBytes", static_cast<double>(to.header_bytes), 256, most_bytes));
+    to.body_bytes = static_cast<std::size_t>(
+        limits->number_or("maxBodyBytes", static_cast<double>(to.body_bytes), 0, most_bytes));
+    to.header_wait_ms = limits->number_or("headerWaitMs", to.header_wait_ms, 1, day_ms);
+    to.idle_ms = limits->number_or("idleLimitMs", to.idle_ms, 1, day_ms);
+  }
+  if (!in.good()) return nullptr;
+  read->text = text;
+  return read;
+}
+
+}  // namespace pearspar::averau
--- /dev/null
+++ b/src/averau/config.h
@@ -0,0 +1,62 @@
+// The operators' configuration: its shape, and the one place where it is read and checked.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "averau/json.h"
+
+namespace pearspar::averau {
+
+using Edition = std::uint64_t;  // of a configuration; rises in uneven steps, 0 = none yet
+
+struct Share {
+  std::string depot;
+  double weight = 1;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string prefix;  // begins and ends with a slash
+  bool safe = false;   // may run more than once
+  double deadline_ms = 0;
+  double target_ms = 0;  // an answer within it earns its full worth; 0 = not told
+  int precedence = 0;    // 0 is highest
+  int tries = 1;         // servers that one request may be sent to (of each shard)
+  std::vector<Share> depots;        // one, or several by weight; empty where it gathers
+  std::vector<std::string> shards;  // empty where it does not
+  int top = 0;                      // records of a gathered answer
+  double least_share = 0;           // of the shards, for a success
+  bool gathers() const { return !shards.empty(); }
+};
+
+struct Depot {
+  std::string name;
+  std::string health_path;
+  int connections = 0;  // that one server accepts from all callers together; 0 = not told
+};
+
+struct Limits {
+  std::size_t header_bytes = 16384;
+  std::size_t body_bytes = 262144;
+  double header_wait_ms = 3000;
+  double idle_ms = 15000;
+};
+
+struct Configuration {
+  Edition edition = 0;
+  std::vector<Route> routes;
+  std::vector<Depot> depots;
+  Limits limits;
+  std::string text;  // as it was sent
+};
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
+// Nothing, with the fault, where the text is no valid configuration by itself.
+ConfigurationPtr read_configuration(std::string_view text, Fault& fault);
+
+}  // namespace pearspar::averau
--- /dev/null
+++ b/src/averau/json.cpp
@@ -0,0 +1,134 @@
+#include "averau/json.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pearspar::averau {
+namespace {
+
+constexpr int max_depth = 32;
+
+// Looked at before cJSON recurses into it.
+bool too_deep(std::string_view text) {
+  int depth = 0;
+  bool quoted = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    char c = text[i];
+    if (quoted) {
+      if (c == '\\')
+        ++i;
+      else if (c == '"')
+        quoted = false;
+    } else if (c == '"') {
+      quoted = true;
+    } else if (c == '{' || c == '[') {
+      if (++depth > max_depth) return true;
+    } else if (c == '}' || c == ']') {
+      --depth;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+Json parse_json(std::string_view text, Fault& fault) {
+  if (too_deep(text)) {
+    fault = {{}, "nested too deeply"};
+    return nullptr;
+  }
+  const char* stop = nullptr;
+  Json json(cJSON_ParseWithLengthOpts(text.data(), text.size(), &stop, 0));
+  std::size_t at = stop ? static_cast<std::size_t>(stop - text.data()) : 0;
+  std::size_t rest = json ? text.find_first_not_of(" \t\r\n", at) : at;
+  if (json && rest == text.npos) return json;
+  at = std::min(json ? rest : at, text.size());
+  auto before = text.substr(0, at);
+  auto line = std::count(before.begin(), before.end(), '\n') + 1;
+  std::size_t start = before.rfind('\n');
+  fault = {{}, "no JSON at line " + std::to_string(line) + ", column " +
+                   std::to_string(start == before.npos ? at + 1 : at - start)};
+  return nullptr;
+}
+
+const cJSON* JsonReader::item(const char* key) const { return cJSON_GetObjectItemCaseSensitive(object_, key); }
+std::string JsonReader::at(const char* key) const { return path_.empty() ? key : path_ + "." + key; }
+bool JsonReader::has(const char* key) const { return item(key) != nullptr; }
+
+void JsonReader::fail(const char* key, std::string what) {
+  if (good()) fault_ = {at(key), std::move(what)};
+}
+
+std::string JsonReader::text(const char* key) {
+  const cJSON* found = item(key);
+  if (cJSON_IsString(found)) return found->valuestring;
+  fail(key, found ? "is no text" : "is missing");
+  return {};
+}
+
+std::string JsonReader::text_or(const char* key, std::string fallback) {
+  return has(key) ? text(key) : std::move(fallback);
+}
+
+double JsonReader::number(const char* key, double least, double most) {
+  const cJSON* found = item(key);
+  if (!cJSON_IsNumber(found)) {
+    fail(key, found ? "is no number" : "is missing");
+    return least;
+  }
+  double value = found->valuedouble;
+  if (std::isfinite(value) && value >= least && value <= most) return value;
+  fail(key, "is out of range");
+  return least;
+}
+
+double JsonReader::number_or(const char* key, double fallback, double least, double most) {
+  return has(key) ? number(key, least, most) : fallback;
+}
+
+std::vector<JsonReader> JsonReader::objects(const char* key) {
+  std::vector<JsonReader> found;
+  const cJSON* array = item(key);
+  if (!array) return found;
+  if (!cJSON_IsArray(array)) {
+    fail(key, "is no list");
+    return found;
+  }
+  int i = 0;
+  for (const cJSON* element = array->child; element; element = element->next, ++i) {
+    std::string path = at(key) + "[" + std::to_string(i) + "]";
+    if (!cJSON_IsObject(element)) {
+      if (good()) fault_ = {path, "is no object"};
+      return {};
+    }
+    found.emplace_back(element, std::move(path), fault_);
+  }
+  return found;
+}
+
+std::optional<JsonReader> JsonReader::object(const char* key) {
+  const cJSON* found = item(key);
+  if (!found) return std::nullopt;
+  if (cJSON_IsObject(found)) return JsonReader(found, at(key), fault_);
+  fail(key, "is no object");
+  return std::nullopt;
+}
+
+std::vector<std::string> JsonReader::texts(const char* key) {
+  std::vector<std::string> found;
+  const cJSON* array = item(key);
+  if (!cJSON_IsArray(array)) {
+    fail(key, array ? "is no list" : "is missing");
+    return found;
+  }
+  for (const cJSON* element = array->child; element; element = element->next) {
+    if (!cJSON_IsString(element)) {
+      fail(key, "holds something that is no text");
+      return {};
+    }
+    found.emplace_back(element->valuestring);
+  }
+  return found;
+}
+
+}  // namespace pearspar::averau
--- /dev/null
+++ b/src/averau/nodes.cpp
@@ -0,0 +1,82 @@
+#include "averau/nodes.h"
+
+namespace pearspar::averau {
+
+std::optional<Node> read_beat(std::string_view id, std::string_view body, Time now, Fault& fault) {
+  fault = {};
+  Json json = parse_json(body, fault);
+  if (!json) return std::nullopt;
+  if (!cJSON_IsObject(json.get())) {
+    fault = {{}, "is no object"};
+    return std::nullopt;
+  }
+  JsonReader in(json.get(), {}, fault);
+  Node node;
+  node.id = id;
+  node.depot = in.text("depot");
+  node.address = in.text("address");
+  node.zone = in.text_or("zoneName", {});
+  node.edition = in.text_or("edition", {});
+  node.slots = static_cast<int>(in.number_or("slotCount", 1, 0, 1e6));
+  std::string state = in.text("nodeState");
+  if (in.good() && state != "at_post" && state != "closing_out")
+    in.fail("nodeState", "is neither at_post nor closing_out");
+  node.closing = state == "closing_out";
+  node.call = static_cast<std::uint64_t>(in.number("callSeq", 0, 9e15));
+  node.cold_until = now + Duration(in.number_or("coldLeftMs", 0, 0, 86'400'000) / 1000);
+  if (id.empty()) in.fail("id", "is empty");
+  if (!in.good()) return std::nullopt;
+  return node;
+}
+
+NodeList::Taken NodeList::put(const Node& node, std::string* displaced) {
+  if (is_gone(node.id)) return Taken::stale;
+  auto found = nodes_.find(node.id);
+  if (found != nodes_.end() && node.call < found->second.call) return Taken::stale;
+  if (found != nodes_.end() && found->second.closing && !node.closing) return Taken::stale;
+  if (found != nodes_.end() && found->second.says_the_same(node)) {
+    found->second.call = node.call;
+    found->second.cold_until = node.cold_until;
+    return Taken::same;
+  }
+  if (auto other = by_address_.find(node.address); other != by_address_.end() && other->second != node.id) {
+    std::string before = other->second;
+    lose(before);
+    if (displaced) *displaced = before;
+  }
+  if (found != nodes_.end()) by_address_.erase(found->second.address);
+  by_address_[node.address] = node.id;
+  nodes_[node.id] = node;
+  return Taken::news;
+}
+
+bool NodeList::lose(std::string_view id) {
+  auto found = nodes_.find(id);
+  if (found == nodes_.end()) return false;
+  by_address_.erase(found->second.address);
+  nodes_.erase(found);
+  return true;
+}
+
+void NodeList::bury(const std::string& id) {
+  if (!gone_.insert(id).second) return;
+  gone_order_.push_back(id);
+  if (gone_order_.size() <= most_gone) return;
+  gone_.erase(gone_order_.front());
+  gone_order_.pop_front();
+}
+
+bool NodeList::gone(std::string_view id) {
+  std::string name(id);
+  bool fresh = !is_gone(name);
+  bury(name);
+  lose(id);
+  return fresh;
+}
+
+const Node* NodeList::find(std::string_view id) const {
+  auto found = nodes_.find(id);
+  return found == nodes_.end() ? nullptr : &found->second;
+}
+
+}  // namespace pearspar::averau
--- a/src/clients/front.cpp
+++ b/src/clients/front.cpp
@@ -1,5 +1,6 @@
 #include "clients/front.h"
 
+#include <fmt/format.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -48,7 +49,7 @@
         ++counters_.accept_failures;
         if (close_one_idle()) continue;
         // Its readiness would spin the loop while nothing can be done about it.
-        log_.warning("no descriptor for a client");
+        warn_("no descriptor for a client");
         listener_watch_.want(0);
         accept_again_ = loop_.at(loop_.now() + accept_pause, [this] {
           listener_watch_.want(POLLIN);
@@ -59,7 +60,7 @@
         break;
     }
     ++counters_.accepted;
-    net::SlotId id = connections_.add();
+    net::SlotId id = connections_.add(limits_);
     Connection& connection = *connections_.find(id);
     connection.fd = std::move(fd);
     connection.last_used = loop_.now();
@@ -89,6 +90,12 @@
   });
 }
 
+void Front::close_idle_since(net::Time before) {
+  connections_.each([&](net::SlotId id, Connection& connection) {
+    if (connection.last_used < before && idle(connection)) close(id);
+  });
+}
+
 std::size_t Front::busy() {
   std::size_t count = 0;
   connections_.each([&](net::SlotId, Connection& connection) {
@@ -189,9 +196,11 @@
   connection.close_after = close_after;
   connection.written = 0;
   std::string& out = connection.out;
-  out = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n", answer.status,
-                    http::reason(answer.status), answer.type, answer.body.size());
+  out = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, http::reason(answer.status));
+  if (!answer.type.empty()) out += fmt::format("Content-Type: {}\r\n", answer.type);
+  out += fmt::format("Content-Length: {}\r\n", answer.body.size());
   if (answer.retry_after_s > 0) out += fmt::format("Retry-After: {:.3f}\r\n", answer.retry_after_s);
+  out += answer.headers;
   if (!answer.allow.empty()) out += fmt::format("Allow: {}\r\n", answer.allow);
   if (close_after) out += "Connection: close\r\n";
   out += "\r\n";
--- a/src/clients/front.h
+++ b/src/clients/front.h
@@ -3,12 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "http/message.h"
-#include "log/log.h"
 #include "net/loop.h"
 #include "net/slots.h"
 #include "net/socket.h"
@@ -29,9 +30,10 @@
 struct Answer {
   int status = 200;
   std::string body;
-  std::string_view type = "application/json";
+  std::string_view type = "application/json";  // empty = none is named
   std::string_view allow;    // of a 405
   double retry_after_s = 0;  // 0 = none
+  std::string headers = {};  // further lines, each with its end
 };
 
 class FrontUser {
@@ -52,9 +54,15 @@
 
 class Front {
  public:
-  Front(net::Loop& loop, log::Logger& log, std::size_t most_connections, FrontUser& user,
-        Patience patience = {})
-      : loop_(loop), log_(log), most_(most_connections), user_(user), patience_(patience) {}
+  using Warn = std::function<void(std::string_view what)>;
+  Front(net::Loop& loop, Warn warn, std::size_t most_connections, FrontUser& user, Patience patience = {},
+        http::MessageLimits limits = {})
+      : loop_(loop),
+        warn_(std::move(warn)),
+        most_(most_connections),
+        user_(user),
+        patience_(patience),
+        limits_(limits) {}
 
   void listen(const net::Address& address);
   net::Address address() const { return net::local_address(listener_); }
@@ -63,6 +71,13 @@
 
   // From here on each answer ends its connection.
   void wind_down() { winding_down_ = true; }
+  // For connections that come from here on, and for requests that begin from here on.
+  void set_bounds(Patience patience, http::MessageLimits limits) {
+    patience_ = patience;
+    limits_ = limits;
+  }
+  // Closes connections that have carried nothing for so long.
+  void close_idle_since(net::Time before);
   // Takes what the kernel has accepted, and nothing after it.
   void stop_listening();
   void close_idle();
@@ -78,13 +93,14 @@
  private:
   enum class State { reading, waiting, writing };
   struct Connection {
+    explicit Connection(http::MessageLimits limits) : reader(http::MessageKind::request, limits) {}
     net::Fd fd;
     net::Watch watch;
     net::Timer timer;    // for a request to be whole, or for an answer to be taken
     bool asked = false;  // has begun a request once
     State state = State::reading;
     net::Buffer in;
-    http::MessageReader reader{http::MessageKind::request};
+    http::MessageReader reader;
     std::string out;
     std::size_t written = 0;
     bool close_after = false;
@@ -107,10 +123,11 @@
   void close(net::SlotId id);
 
   net::Loop& loop_;
-  log::Logger& log_;
+  Warn warn_;
   std::size_t most_;
   FrontUser& user_;
   Patience patience_;
+  http::MessageLimits limits_;
   net::Fd listener_;
   net::Watch listener_watch_;
   net::Timer accept_again_;
--- /dev/null
+++ b/src/croda/node_links.cpp
@@ -0,0 +1,235 @@
+#include "croda/node_links.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pearspar::croda {
+namespace {
+
+using namespace std::chrono_literals;
+using pederu::CallEnd;
+using pederu::Ending;
+
+constexpr std::size_t read_step = 16 * 1024;
+constexpr int reads_at_once = 8;
+constexpr net::Duration connect_within = 700ms;
+constexpr int silence_ms = 1500;
+constexpr net::Duration idle_for = 4s;       // where the node does not tell how long it keeps one
+constexpr net::Duration idle_margin = 400ms;  // we close first
+constexpr net::Duration grace = 300ms;       // past the request's end, for the node's own 504
+
+constexpr std::string_view id_header = "Request-Id";
+
+// The id as it stands in a request's text.
+std::string id_of(std::string_view request) {
+  constexpr std::string_view mark = "\r\nRequest-Id: ";
+  std::size_t at = request.find(mark);
+  if (at == request.npos) return {};
+  at += mark.size();
+  return std::string(request.substr(at, request.find("\r\n", at) - at));
+}
+
+net::Duration kept_for(const http::Message& message) {
+  auto header = message.header("Keep-Alive");
+  if (!header) return idle_for;
+  std::size_t at = header->find("timeout=");
+  if (at == header->npos) return idle_for;
+  double seconds = 0;
+  const char* begin = header->data() + at + 8;
+  auto [stop, error] = std::from_chars(begin, header->data() + header->size(), seconds);
+  return error == std::errc() && stop != begin ? net::Duration(seconds) : idle_for;
+}
+
+}  // namespace
+
+bool NodeLinks::start(pederu::CallId call, const pederu::KnownNode& node, int most, std::string request,
+                      pederu::Time end) {
+  Pool& pool = pools_[node.address];
+  while (!pool.idle.empty()) {
+    net::SlotId id = pool.idle.back();
+    pool.idle.pop_back();
+    Connection* connection = connections_.find(id);
+    if (!connection || connection->busy) continue;
+    if (connection->idle_until <= loop_.now()) {
+      close(id, Ending::no_way);
+      continue;
+    }
+    ++counters_.reused;
+    begin(id, call, std::move(request), end);
+    write(id);
+    return true;
+  }
+  if (pool.connections >= most) return false;
+  auto address = net::Address::parse(node.address);
+  if (!address) return false;
+  int error = 0;
+  net::Fd fd = net::start_connect(*address, error);
+  if (!fd) return false;
+  net::bound_silence(fd, silence_ms);
+  ++counters_.opened;
+  net::SlotId id = connections_.add();
+  Connection& connection = *connections_.find(id);
+  connection.fd = std::move(fd);
+  connection.address = node.address;
+  ++pool.connections;
+  connection.watch =
+      loop_.watch(connection.fd.get(), POLLOUT, [this, id](short events) { on_ready(id, events); });
+  begin(id, call, std::move(request), end);
+  connection.timer =
+      loop_.at(std::min(end, loop_.now() + connect_within), [this, id] { due(id); });
+  return true;
+}
+
+void NodeLinks::begin(net::SlotId id, pederu::CallId call, std::string request, net::Time end) {
+  Connection& connection = *connections_.find(id);
+  connection.busy = true;
+  connection.call = call;
+  connection.id = id_of(request);
+  connection.end = end;
+  connection.out = std::move(request);
+  connection.written = 0;
+  connection.timer = loop_.at(end + grace, [this, id] { due(id); });
+}
+
+void NodeLinks::due(net::SlotId id) {
+  Connection* connection = connections_.find(id);
+  if (!connection) return;
+  if (connection->up) ++counters_.overdue;
+  close(id, connection->up ? Ending::broken : Ending::no_way);
+}
+
+void NodeLinks::on_ready(net::SlotId id, short events) {
+  Connection* connection = connections_.find(id);
+  if (!connection) return;
+  if (!connection->up) {
+    if (net::connect_error(connection->fd) != 0) return close(id, Ending::no_way);
+    connection->up = true;
+    connection->timer = loop_.at(connection->end + grace, [this, id] { due(id); });
+    return write(id);
+  }
+  if ((events & (POLLIN | POLLHUP | POLLERR)) != 0) {
+    read(id);
+    connection = connections_.find(id);
+  }
+  if (connection && connection->busy && (events & POLLOUT) != 0) write(id);
+}
+
+void NodeLinks::write(net::SlotId id) {
+  Connection& connection = *connections_.find(id);
+  while (connection.written < connection.out.size()) {
+    std::size_t written = 0;
+    auto result = net::write_from(connection.fd,
+                                  std::string_view(connection.out).substr(connection.written), written);
+    if (result == net::IoResult::failed) {
+      // Not from within start(): the end is told in the loop's next turn.
+      connection.timer = loop_.at(loop_.now(), [this, id] { close(id, Ending::broken); });
+      return connection.watch.want(0);
+    }
+    if (result == net::IoResult::none) break;
+    connection.written += written;
+  }
+  bool rest = connection.written < connection.out.size();
+  connection.watch.want(static_cast<short>(rest ? POLLIN | POLLOUT : POLLIN));
+}
+
+void NodeLinks::read(net::SlotId id) {
+  for (int i = 0; i < reads_at_once; ++i) {
+    Connection& connection = *connections_.find(id);
+    auto result = net::read_into(connection.fd, connection.in, read_step);
+    if (result == net::IoResult::none) break;
+    if (result != net::IoResult::some) {
+      // What has come before the end may be a whole answer.
+      if (connection.busy && connection.reader.advance(connection.in) == http::Progress::done) answered(id);
+      return close(id, Ending::broken);
+    }
+    if (connection.in.size() < read_step) break;
+  }
+  Connection& connection = *connections_.find(id);
+  if (!connection.busy) {
+    ++counters_.surplus;
+    return close(id, Ending::broken);
+  }
+  switch (connection.reader.advance(connection.in)) {
+    case http::Progress::more:
+      return;
+    case http::Progress::failed:
+      ++counters_.spoilt;
+      return close(id, Ending::broken);
+    case http::Progress::done:
+      return answered(id);
+  }
+}
+
+void NodeLinks::answered(net::SlotId id) {
+  Connection& connection = *connections_.find(id);
+  const http::Message& message = connection.reader.message();
+  if (message.status < 200) {
+    connection.reader.next(connection.in);
+    return;
+  }
+  auto echoed = message.header(id_header);
+  if (!echoed) ++counters_.unnamed;
+  // An answer to something else, late in the place of ours; or one that somebody on the way has changed.
+  if ((echoed && *echoed != connection.id) || message.header("Content-Encoding")) {
+    ++counters_.spoilt;
+    return close(id, Ending::broken);
+  }
+  CallEnd end;
+  end.status = message.status;
+  end.stamp = message.header("Postmark").value_or(std::string_view());
+  end.type = message.header("Content-Type").value_or(std::string_view());
+  end.body = message.body;
+  if (message.status == 421)
+    end.ending = Ending::misplaced;
+  else if (message.header("Not-Run"))
+    end.ending = Ending::not_run;
+  else
+    end.ending = Ending::answered;
+  bool keep = message.keep_alive && connection.written == connection.out.size();
+  connection.idle_until = loop_.now() + kept_for(message) - idle_margin;
+  pederu::CallId call = connection.call;
+  connection.busy = false;
+  connection.timer.reset();
+  // The slices hold until the reader moves on; on_end may start another call, never on this connection.
+  on_end_(call, end);
+  if (!connections_.find(id)) return;
+  connection.reader.next(connection.in);
+  if (connection.in.size() > 0) ++counters_.surplus;
+  if (!keep || connection.in.size() > 0) return close(id, Ending::no_way);
+  rest(id);
+}
+
+void NodeLinks::rest(net::SlotId id) {
+  Connection& connection = *connections_.find(id);
+  std::string().swap(connection.out);
+  connection.written = 0;
+  connection.watch.want(POLLIN);
+  pools_[connection.address].idle.push_back(id);
+}
+
+void NodeLinks::sweep() {
+  std::vector<net::SlotId> old;
+  connections_.each([&](net::SlotId id, Connection& connection) {
+    if (connection.up && !connection.busy && connection.idle_until <= loop_.now()) old.push_back(id);
+  });
+  for (net::SlotId id : old) close(id, Ending::no_way);
+}
+
+void NodeLinks::close(net::SlotId id, Ending ending) {
+  Connection* connection = connections_.find(id);
+  if (!connection) return;
+  bool busy = connection->busy;
+  pederu::CallId call = connection->call;
+  auto pool = pools_.find(connection->address);
+  if (pool != pools_.end()) {
+    std::erase(pool->second.idle, id);
+    if (--pool->second.connections <= 0) pools_.erase(pool);
+  }
+  connections_.release(id);
+  if (!busy) return;
+  CallEnd end;
+  end.ending = ending;
+  on_end_(call, end);
+}
+
+}  // namespace pearspar::croda
--- /dev/null
+++ b/src/croda/node_links.h
@@ -0,0 +1,80 @@
+// The connections to nodes: one request at a time on each, answers read whole, what does not belong to its
+// request found out. HTTP/1.1; the words of this wire stand in node_links.cpp alone.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "http/message.h"
+#include "net/loop.h"
+#include "net/slots.h"
+#include "net/socket.h"
+#include "pederu/desk.h"
+
+namespace pearspar::croda {
+
+struct LinkCounters {
+  std::uint64_t opened = 0;
+  std::uint64_t reused = 0;
+  std::uint64_t spoilt = 0;      // what came was no answer to what was asked
+  std::uint64_t surplus = 0;     // bytes behind a whole answer
+  std::uint64_t unnamed = 0;     // answers that did not echo the id
+  std::uint64_t overdue = 0;     // no answer by the end of the request
+};
+
+class NodeLinks : public pederu::Calls {
+ public:
+  using OnEnd = std::function<void(pederu::CallId, const pederu::CallEnd&)>;
+  NodeLinks(net::Loop& loop, OnEnd on_end) : loop_(loop), on_end_(std::move(on_end)) {}
+
+  bool start(pederu::CallId call, const pederu::KnownNode& node, int most_connections, std::string request,
+             pederu::Time end) override;
+  // Connections that have been idle past their time; to be called every second or so.
+  void sweep();
+  std::size_t connections() const { return connections_.size(); }
+  const LinkCounters& counters() const { return counters_; }
+
+ private:
+  struct Connection {
+    net::Fd fd;
+    net::Watch watch;
+    net::Timer timer;
+    std::string address;
+    bool up = false;
+    bool busy = false;
+    pederu::CallId call;
+    std::string id;  // of the request that is out
+    net::Time end{};
+    std::string out;
+    std::size_t written = 0;
+    net::Buffer in;
+    http::MessageReader reader{http::MessageKind::reply, {16 * 1024, std::size_t{4} << 20}};
+    net::Time idle_until{};
+  };
+  struct Pool {
+    std::vector<net::SlotId> idle;  // the one used last at the back
+    int connections = 0;
+  };
+
+  void begin(net::SlotId id, pederu::CallId call, std::string request, net::Time end);
+  void on_ready(net::SlotId id, short events);
+  void write(net::SlotId id);
+  void read(net::SlotId id);
+  void answered(net::SlotId id);
+  void rest(net::SlotId id);
+  void due(net::SlotId id);
+  // Ends the connection, and with it what is out on it.
+  void close(net::SlotId id, pederu::Ending ending);
+
+  net::Loop& loop_;
+  OnEnd on_end_;
+  net::SlotTable<Connection> connections_;
+  std::unordered_map<std::string, Pool> pools_;  // by address
+  LinkCounters counters_;
+};
+
+}  // namespace pearspar::croda
--- /dev/null
+++ b/src/fanes/agreement.cpp
@@ -0,0 +1,163 @@
+#include "fanes/agreement.h"
+
+namespace pearspar::fanes {
+namespace {
+
+using namespace lagazuoi;
+
+constexpr std::size_t most_members = 64;
+constexpr std::size_t most_entries = 4096;
+
+void put(Packer& packer, const Membership& membership) {
+  packer.array(2);
+  packer.number(membership.wanted);
+  packer.array(membership.voters.size());
+  for (const Member& voter : membership.voters) {
+    packer.array(2);
+    packer.number(voter.id);
+    packer.text(voter.address);
+  }
+}
+
+Membership get_membership(Unpacker& unpacker) {
+  Membership membership;
+  unpacker.enter(16);
+  membership.wanted = static_cast<std::uint32_t>(unpacker.number());
+  std::size_t count = unpacker.enter(most_members);
+  for (std::size_t i = 0; i < count && unpacker.good(); ++i) {
+    unpacker.enter(16);
+    Member member;
+    member.id = unpacker.number();
+    member.address = unpacker.text();
+    membership.voters.push_back(std::move(member));
+    unpacker.leave();
+  }
+  unpacker.leave();
+  unpacker.leave();
+  return membership;
+}
+
+void put(Packer& packer, const Entry& entry) {
+  packer.array(5);
+  packer.number(entry.index);
+  packer.number(entry.term);
+  packer.number(static_cast<std::uint64_t>(entry.kind));
+  packer.text(entry.data);
+  put(packer, entry.membership);
+}
+
+Entry get_entry(Unpacker& unpacker) {
+  Entry entry;
+  unpacker.enter(16);
+  entry.index = unpacker.number();
+  entry.term = unpacker.number();
+  entry.kind = static_cast<EntryKind>(unpacker.number());
+  entry.data = unpacker.text();
+  entry.membership = get_membership(unpacker);
+  unpacker.leave();
+  return entry;
+}
+
+void put(Packer& packer, const Snapshot& snapshot) {
+  packer.array(4);
+  packer.number(snapshot.index);
+  packer.number(snapshot.term);
+  put(packer, snapshot.membership);
+  packer.text(snapshot.state);
+}
+
+Snapshot get_snapshot(Unpacker& unpacker) {
+  Snapshot snapshot;
+  unpacker.enter(16);
+  snapshot.index = unpacker.number();
+  snapshot.term = unpacker.number();
+  snapshot.membership = get_membership(unpacker);
+  snapshot.state = unpacker.text();
+  unpacker.leave();
+  return snapshot;
+}
+
+template <typename T>
+std::string packed(const T& value) {
+  Packer packer;
+  packer.array(1);
+  put(packer, value);
+  return std::string(packer.view());
+}
+
+}  // namespace
+
+void pack(Packer& packer, const Message& message) {
+  packer.array(12);
+  packer.number(static_cast<std::uint64_t>(message.kind));
+  packer.number(message.from);
+  packer.number(message.to);
+  packer.text(message.from_address);
+  packer.number(message.term);
+  packer.number(message.index);
+  packer.number(message.log_term);
+  packer.number(message.commit);
+  packer.number(message.round);
+  packer.flag(message.yes);
+  packer.array(message.entries.size());
+  for (const Entry& entry : message.entries) put(packer, entry);
+  bool has_snapshot = message.kind == MessageKind::install;
+  packer.array(has_snapshot ? 1 : 0);
+  if (has_snapshot) put(packer, message.snapshot);
+}
+
+bool unpack(Unpacker& unpacker, Message& message) {
+  unpacker.enter(32);
+  std::uint64_t kind = unpacker.number();
+  if (kind > static_cast<std::uint64_t>(MessageKind::take_over)) return false;
+  message.kind = static_cast<MessageKind>(kind);
+  message.from = unpacker.number();
+  message.to = unpacker.number();
+  message.from_address = unpacker.text();
+  message.term = unpacker.number();
+  message.index = unpacker.number();
+  message.log_term = unpacker.number();
+  message.commit = unpacker.number();
+  message.round = unpacker.number();
+  message.yes = unpacker.flag();
+  std::size_t count = unpacker.enter(most_entries);
+  for (std::size_t i = 0; i < count && unpacker.good(); ++i) message.entries.push_back(get_entry(unpacker));
+  unpacker.leave();
+  if (unpacker.enter(1) == 1) message.snapshot = get_snapshot(unpacker);
+  unpacker.leave();
+  unpacker.leave();
+  return unpacker.good();
+}
+
+std::string pack_entry(const Entry& entry) { return packed(entry); }
+std::string pack_snapshot(const Snapshot& snapshot) { return packed(snapshot); }
+
+std::optional<Entry> unpack_entry(std::string_view bytes) {
+  Unpacker unpacker(bytes);
+  Entry entry = get_entry(unpacker);
+  return unpacker.whole() ? std::optional(std::move(entry)) : std::nullopt;
+}
+
+std::optional<Snapshot> unpack_snapshot(std::string_view bytes) {
+  Unpacker unpacker(bytes);
+  Snapshot snapshot = get_snapshot(unpacker);
+  return unpacker.whole() ? std::optional(std::move(snapshot)) : std::nullopt;
+}
+
+std::string pack_vote(const Vote& vote) {
+  Packer packer;
+  packer.array(2);
+  packer.number(vote.term);
+  packer.number(vote.given_to);
+  return std::string(packer.view());
+}
+
+std::optional<Vote> unpack_vote(std::string_view bytes) {
+  Unpacker unpacker(bytes);
+  Vote vote;
+  vote.term = unpacker.number();
+  vote.given_to = unpacker.number();
+  return unpacker.whole() ? std::optional(vote) : std::nullopt;
+}
+
+}  // namespace pearspar::fanes
--- /dev/null
+++ b/src/fanes/messages.cpp
@@ -0,0 +1,280 @@
+#include "fanes/messages.h"
+
+#include "fanes/agreement.h"
+#include "fanes/pack.h"
+
+namespace pearspar::fanes {
+namespace {
+
+// The first field of each message.
+enum class Tag : std::uint64_t {
+  agreement = 1,
+  hello,
+  welcome,
+  standing,
+  changes,
+  ping,
+  ack,
+  farewell,
+  call,
+  call_answer
+};
+
+constexpr std::size_t most_fields = 32;
+constexpr std::size_t most_nodes = 65536;
+constexpr std::size_t most_changes = 65536;
+
+void begin(Packer& packer, Tag tag, std::size_t fields) {
+  packer.array(fields + 1);
+  packer.number(static_cast<std::uint64_t>(tag));
+}
+
+void put(Packer& packer, const Position& position) {
+  packer.number(position.term);
+  packer.number(position.number);
+}
+Position get_position(Unpacker& in) {
+  Position position;
+  position.term = in.number();
+  position.number = in.number();
+  return position;
+}
+
+void put(Packer& packer, const NodeNews& news) {
+  const averau::Node& node = news.node;
+  packer.array(9);
+  packer.text(node.id);
+  packer.text(node.depot);
+  packer.text(node.address);
+  packer.text(node.zone);
+  packer.text(node.edition);
+  packer.number(static_cast<std::uint64_t>(node.slots));
+  packer.flag(node.closing);
+  packer.number(node.call);
+  packer.number(news.cold_ms);
+}
+NodeNews get_news(Unpacker& in) {
+  NodeNews news;
+  averau::Node& node = news.node;
+  in.enter(most_fields);
+  node.id = in.text();
+  node.depot = in.text();
+  node.address = in.text();
+  node.zone = in.text();
+  node.edition = in.text();
+  node.slots = static_cast<int>(in.number());
+  node.closing = in.flag();
+  node.call = in.number();
+  news.cold_ms = static_cast<std::uint32_t>(in.number());
+  in.leave();
+  return news;
+}
+
+void put(Packer& packer, const std::vector<std::string>& texts) {
+  packer.array(texts.size());
+  for (const std::string& text : texts) packer.text(text);
+}
+std::vector<std::string> get_texts(Unpacker& in, std::size_t most) {
+  std::vector<std::string> texts;
+  std::size_t count = in.enter(most);
+  for (std::size_t i = 0; i < count && in.good(); ++i) texts.push_back(in.text());
+  in.leave();
+  return texts;
+}
+
+struct Put {
+  Packer& packer;
+  void operator()(const lagazuoi::Message& message) const {
+    begin(packer, Tag::agreement, 1);
+    pack(packer, message);
+  }
+  void operator()(const Hello& hello) const {
+    begin(packer, Tag::hello, 7);
+    packer.number(hello.life);
+    packer.number(static_cast<std::uint64_t>(hello.kind));
+    packer.text(hello.name);
+    packer.text(hello.zone);
+    put(packer, hello.have);
+    packer.number(hello.edition);
+  }
+  void operator()(const Welcome& welcome) const {
+    begin(packer, Tag::welcome, 3);
+    packer.number(welcome.term);
+    packer.flag(welcome.leads);
+    put(packer, welcome.cores);
+  }
+  void operator()(const Standing& standing) const {
+    begin(packer, Tag::standing, 8);
+    put(packer, standing.at);
+    packer.flag(standing.complete);
+    packer.number(standing.edges);
+    packer.number(standing.edition);
+    packer.text(standing.configuration);
+    packer.array(standing.nodes.size());
+    for (const NodeNews& news : standing.nodes) put(packer, news);
+    put(packer, standing.ended);
+  }
+  void operator()(const Changes& changes) const {
+    begin(packer, Tag::changes, 3);
+    put(packer, changes.after);
+    packer.array(changes.changes.size());
+    for (const Change& change : changes.changes) {
+      packer.array(4);
+      packer.number(static_cast<std::uint64_t>(change.kind));
+      packer.number(change.edition);
+      packer.text(change.text);
+      put(packer, change.news);
+    }
+  }
+  void operator()(const Ping& ping) const {
+    begin(packer, Tag::ping, 3);
+    put(packer, ping.at);
+    packer.number(ping.edges);
+  }
+  void operator()(const Ack& ack) const {
+    begin(packer, Tag::ack, 4);
+    packer.number(ack.life);
+    put(packer, ack.at);
+    packer.number(ack.edition);
+  }
+  void operator()(const Farewell& farewell) const {
+    begin(packer, Tag::farewell, 1);
+    packer.number(farewell.life);
+  }
+  void operator()(const Call& call) const {
+    begin(packer, Tag::call, 6);
+    packer.number(call.number);
+    packer.text(call.from);
+    packer.text(call.method);
+    packer.text(call.path);
+    packer.text(call.if_match);
+    packer.text(call.body);
+  }
+  void operator()(const CallAnswer& answer) const {
+    begin(packer, Tag::call_answer, 3);
+    packer.number(answer.number);
+    packer.number(answer.status);
+    packer.text(answer.body);
+  }
+};
+
+Hello get_hello(Unpacker& in) {
+  Hello hello;
+  hello.life = in.number();
+  hello.kind = in.number() == 0 ? FollowerKind::edge : FollowerKind::core;
+  hello.name = in.text();
+  hello.zone = in.text();
+  hello.have = get_position(in);
+  hello.edition = in.number();
+  return hello;
+}
+
+Standing get_standing(Unpacker& in) {
+  Standing standing;
+  standing.at = get_position(in);
+  standing.complete = in.flag();
+  standing.edges = static_cast<std::uint32_t>(in.number());
+  standing.edition = in.number();
+  standing.configuration = in.text();
+  std::size_t count = in.enter(most_nodes);
+  for (std::size_t i = 0; i < count && in.good(); ++i) standing.nodes.push_back(get_news(in));
+  in.leave();
+  standing.ended = get_texts(in, most_nodes);
+  return standing;
+}
+
+Changes get_changes(Unpacker& in) {
+  Changes changes;
+  changes.after = get_position(in);
+  std::size_t count = in.enter(most_changes);
+  for (std::size_t i = 0; i < count && in.good(); ++i) {
+    Change change;
+    in.enter(most_fields);
+    std::uint64_t kind = in.number();
+    change.kind = static_cast<ChangeKind>(kind);
+    change.edition = in.number();
+    change.text = in.text();
+    change.news = get_news(in);
+    in.leave();
+    // One that a newer program has put here is counted and passed over.
+    if (kind <= static_cast<std::uint64_t>(ChangeKind::complete)) changes.changes.push_back(std::move(change));
+  }
+  in.leave();
+  return changes;
+}
+
+Call get_call(Unpacker& in) {
+  Call call;
+  call.number = in.number();
+  call.from = in.text();
+  call.method = in.text();
+  call.path = in.text();
+  call.if_match = in.text();
+  call.body = in.text();
+  return call;
+}
+
+std::optional<Message> get(Unpacker& in) {
+  switch (static_cast<Tag>(in.number())) {
+    case Tag::agreement: {
+      lagazuoi::Message message;
+      if (!unpack(in, message)) return std::nullopt;
+      return message;
+    }
+    case Tag::hello:
+      return get_hello(in);
+    case Tag::welcome: {
+      Welcome welcome;
+      welcome.term = in.number();
+      welcome.leads = in.flag();
+      welcome.cores = get_texts(in, 64);
+      return welcome;
+    }
+    case Tag::standing:
+      return get_standing(in);
+    case Tag::changes:
+      return get_changes(in);
+    case Tag::ping: {
+      Ping ping;
+      ping.at = get_position(in);
+      ping.edges = static_cast<std::uint32_t>(in.number());
+      return ping;
+    }
+    case Tag::ack: {
+      Ack ack;
+      ack.life = in.number();
+      ack.at = get_position(in);
+      ack.edition = in.number();
+      return ack;
+    }
+    case Tag::farewell:
+      return Farewell{in.number()};
+    case Tag::call:
+      return get_call(in);
+    case Tag::call_answer: {
+      CallAnswer answer;
+      answer.number = in.number();
+      answer.status = static_cast<std::uint32_t>(in.number());
+      answer.body = in.text();
+      return answer;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string pack(const Message& message) {
+  Packer packer;
+  std::visit(Put{packer}, message);
+  return std::string(packer.view());
+}
+
+std::optional<Message> unpack(std::string_view bytes) {
+  Unpacker in(bytes);
+  std::optional<Message> message = get(in);
+  if (!in.good()) return std::nullopt;
+  return message;
+}
+
+}  // namespace pearspar::fanes
--- /dev/null
+++ b/src/fanes/messages.h
@@ -0,0 +1,122 @@
+// What the system's own processes say to each other, beside the agreement: calls passed on, and the news that
+// a leader pushes to those who follow it (edges, and the other members of the core).
+//
+// News are numbered within a term: (term, number). A follower that is behind gets a snapshot, then changes.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "averau/config.h"
+#include "averau/nodes.h"
+#include "lagazuoi/types.h"
+
+namespace pearspar::fanes {
+
+// A process's life; drawn at its start.
+using Life = std::uint64_t;
+
+enum class FollowerKind : std::uint8_t { edge, core };
+
+struct Position {
+  lagazuoi::Term term = 0;
+  std::uint64_t number = 0;
+  auto operator<=>(const Position&) const = default;
+};
+
+// Follower to any member, first on each connection, and again when it finds a gap.
+struct Hello {
+  Life life = 0;
+  FollowerKind kind = FollowerKind::edge;
+  std::string name;
+  std::string zone;
+  Position have;
+  averau::Edition edition = 0;
+};
+
+// Member to follower: who leads, and where all members are.
+struct Welcome {
+  lagazuoi::Term term = 0;
+  bool leads = false;  // who says this
+  std::vector<std::string> cores;
+};
+
+struct NodeNews {
+  averau::Node node;
+  std::uint32_t cold_ms = 0;  // what is left of it
+};
+
+// Everything that stands at `at`. Where `complete` is false the list of nodes is still being gathered: nodes
+// that it lacks stay as they were.
+struct Standing {
+  Position at;
+  bool complete = true;
+  std::uint32_t edges = 0;          // that hold a lease
+  averau::Edition edition = 0;      // of the newest configuration
+  std::string configuration;        // empty where the follower has that edition
+  std::vector<NodeNews> nodes;
+  std::vector<std::string> ended;  // ids of nodes that are gone for good
+};
+
+enum class ChangeKind : std::uint8_t { configuration, node, gone, lost, complete };
+
+struct Change {
+  ChangeKind kind = ChangeKind::complete;
+  averau::Edition edition = 0;
+  std::string text;  // the configuration, or a node's id
+  NodeNews news;
+};
+
+// Those with the numbers after `after`.
+struct Changes {
+  Position after;
+  std::vector<Change> changes;
+};
+
+// Leader to follower, at times: renews the lease of both.
+struct Ping {
+  Position at;
+  std::uint32_t edges = 0;
+};
+
+// Follower to leader: all up to `at` is in force here.
+struct Ack {
+  Life life = 0;
+  Position at;
+  averau::Edition edition = 0;
+};
+
+// Follower to leader: this life ends by itself.
+struct Farewell {
+  Life life = 0;
+};
+
+// A control call passed on to the member that can settle it, and the answer.
+struct Call {
+  std::uint64_t number = 0;
+  std::string from;  // where the answer goes
+  std::string method;
+  std::string path;
+  std::string if_match;
+  std::string body;
+};
+struct CallAnswer {
+  std::uint64_t number = 0;
+  std::uint32_t status = 0;
+  std::string body;
+};
+
+using Message = std::variant<lagazuoi::Message, Hello, Welcome, Standing, Changes, Ping, Ack, Farewell, Call,
+                             CallAnswer>;
+
+std::string pack(const Message& message);
+// Nothing where the bytes are no message that this program knows.
+std::optional<Message> unpack(std::string_view bytes);
+
+inline constexpr std::size_t most_frame = 4 << 20;  // bytes of one message
+
+}  // namespace pearspar::fanes
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -87,7 +87,7 @@
 
 void MessageReader::next(net::Buffer& buffer) {
   buffer.consume(chunked_ ? at_ : head_size_ + body_size_);
-  *this = MessageReader(kind_);
+  *this = MessageReader(kind_, limits_);
 }
 
 Progress MessageReader::read_head(net::Buffer& buffer) {
@@ -95,10 +95,10 @@
   while (scanned_ == 0 && buffer.size() >= 2 && buffer.view().substr(0, 2) == "\r\n") buffer.consume(2);
   std::string_view view = buffer.view();
   std::size_t from = scanned_ > 3 ? scanned_ - 3 : 0;
-  std::size_t end = view.substr(0, max_head).find("\r\n\r\n", from);
+  std::size_t end = view.substr(0, limits_.head).find("\r\n\r\n", from);
   if (end == view.npos) {
-    scanned_ = std::min(view.size(), max_head);
-    return view.size() < max_head ? Progress::more : fail(431, "the head is too large");
+    scanned_ = std::min(view.size(), limits_.head);
+    return view.size() < limits_.head ? Progress::more : fail(431, "the head is too large");
   }
   head_size_ = end + 4;
   if (!parse_head(view.substr(0, end)) || !settle_framing()) return Progress::failed;
@@ -180,7 +180,7 @@
   }
   if (chunked_ && has_length) return refuse(400, "both Content-Length and Transfer-Encoding");
   message_.keep_alive = !closes && (minor_version_ == 1 || keeps);
-  if (body_size_ > max_body) return refuse(413, "the body is too large");
+  if (body_size_ > limits_.body) return refuse(413, "the body is too large");
   if (kind_ == MessageKind::request && !chunked_ && !has_length &&
       (message_.method == "POST" || message_.method == "PUT" || message_.method == "PATCH"))
     return refuse(411, "neither Content-Length nor chunks");
@@ -234,7 +234,7 @@
       auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), chunk_left_, 16);
       if (digits.empty() || error != std::errc() || stop != digits.data() + digits.size())
         return fail(400, "a chunk's size is not a number");
-      if (chunk_left_ > max_body - body_size_) return fail(413, "the body is too large");
+      if (chunk_left_ > limits_.body - body_size_) return fail(413, "the body is too large");
       stage_ = chunk_left_ == 0 ? Stage::trailer : Stage::chunk;
     }
   }
@@ -256,6 +256,10 @@
   switch (status) {
     case 200:
       return "OK";
+    case 204:
+      return "No Content";
+    case 307:
+      return "Temporary Redirect";
     case 400:
       return "Bad Request";
     case 404:
@@ -268,16 +272,24 @@
       return "Conflict";
     case 411:
       return "Length Required";
+    case 412:
+      return "Precondition Failed";
     case 413:
       return "Content Too Large";
     case 417:
       return "Expectation Failed";
+    case 421:
+      return "Misdirected Request";
+    case 429:
+      return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
     case 500:
       return "Internal Server Error";
     case 501:
       return "Not Implemented";
+    case 502:
+      return "Bad Gateway";
     case 503:
       return "Service Unavailable";
     case 504:
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -18,6 +18,12 @@
 inline constexpr std::size_t max_headers = 100;
 inline constexpr std::size_t max_framing = 512 * 1024;  // bytes of chunk sizes and trailers in one message
 
+// How much of a message is taken; what is larger is refused before it is read.
+struct MessageLimits {
+  std::size_t head = max_head;
+  std::size_t body = max_body;
+};
+
 enum class MessageKind { request, reply };
 enum class Progress { more, done, failed };
 
@@ -39,7 +45,7 @@
 // Reads one message after the other from the front of a buffer. The slices of message() hold until next().
 class MessageReader {
  public:
-  explicit MessageReader(MessageKind kind) : kind_(kind) {}
+  explicit MessageReader(MessageKind kind, MessageLimits limits = {}) : kind_(kind), limits_(limits) {}
 
   // To be called whenever the buffer has grown; looks at no byte of a head or a chunk twice.
   Progress advance(net::Buffer& buffer);
@@ -70,6 +76,7 @@
   Progress finish(net::Buffer& buffer);
 
   MessageKind kind_;
+  MessageLimits limits_;
   Stage stage_ = Stage::head;
   std::size_t scanned_ = 0;    // bytes in which no end of the head was found
   std::size_t head_size_ = 0;  // its empty line included
--- /dev/null
+++ b/src/lagazuoi/core.h
@@ -0,0 +1,160 @@
+// One member of the core: votes, the log's replication, the lease, who is taken in and who leaves the count.
+// Free of I/O: messages and time come in, messages go out, the store is asked in between.
+//
+// Always true between calls: a term and a vote are on disk before they are told; an entry is on disk before it
+// is acknowledged; `commit` never falls; a member with an empty disk has another id than any before it.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+#include "lagazuoi/log.h"
+
+namespace pearspar::lagazuoi {
+
+struct Timing {
+  Duration heartbeat = std::chrono::milliseconds(120);
+  // Without a word of the leader for so long (drawn anew each time) a member stands for election; a vote for
+  // another leader is refused for the least of it.
+  Duration least_silence = std::chrono::milliseconds(650);
+  Duration most_silence = std::chrono::milliseconds(1100);
+  // From the sending of a round that a majority has answered; under least_silence, so that it ends before
+  // anybody else can be elected.
+  Duration lease = std::chrono::milliseconds(500);
+  Duration join_every = std::chrono::milliseconds(250);
+  // With more voters than wanted, who is silent for so long leaves the count. Wrongly removed, a member asks
+  // to be taken in again.
+  Duration gone_after = std::chrono::milliseconds(1500);
+};
+
+struct Options {
+  std::string address;               // ours, for the other members
+  std::vector<std::string> founders;  // on the first start of all: the first voters, the same list everywhere
+  std::vector<std::string> seeds;     // whom to ask to be taken in
+  bool first_start = false;
+  MemberId fresh_id = 0;  // for a start with an empty disk
+  std::uint64_t seed = 0;
+  Timing timing = {};
+};
+
+// What is agreed on.
+class StateMachine {
+ public:
+  virtual ~StateMachine() = default;
+  virtual void apply(const Entry& change) = 0;
+  virtual std::string fold() const = 0;
+  virtual void restore(const std::string& state) = 0;
+};
+
+struct Outgoing {
+  std::string address;
+  Message message;
+};
+
+// The id of a founder, which all can work out for themselves.
+MemberId founder_id(const std::string& address);
+
+class Core {
+ public:
+  enum class Role { follower, pre_candidate, candidate, leader };
+
+  Core(Store& store, StateMachine& machine, Options options);
+
+  std::error_code start(Time now);
+  void tick(Time now);
+  Time due() const;
+  void step(Time now, const Message& message);
+  std::vector<Outgoing> take_out() { return std::exchange(out_, {}); }
+
+  // Where the change will stand in the log; nothing where we do not lead or the disk refuses.
+  std::optional<Index> propose(Time now, std::string data);
+  // Before an end that was asked for: somebody else is to lead.
+  void hand_over(Time now);
+  void set_seeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
+
+  Role role() const { return role_; }
+  // Leads, has applied all that was committed before its term, and nobody else can lead yet.
+  bool may_speak(Time now) const;
+  Term term() const { return vote_.term; }
+  MemberId self() const { return self_; }
+  Index commit() const { return commit_; }
+  Index applied() const { return applied_; }
+  const Log& log() const { return log_; }
+  // Empty where none is known.
+  const std::string& leader_address() const { return leader_address_; }
+  // Known members' addresses; before any is known, the seeds.
+  std::vector<std::string> addresses() const;
+  bool ill() const { return ill_; }
+
+ private:
+  struct Peer {
+    std::string address;
+    bool voter = false;
+    bool first_start = false;  // of a learner
+    Index next = 1;
+    Index match = 0;
+    bool waiting = false;  // for an answer to entries
+    Time heard{};
+    Time round_sent{};  // of the newest round that it answered
+  };
+
+  bool save_term(Term term, MemberId vote);
+  void follow(Time now, Term term, MemberId leader, const std::string& address);
+  void stand(Time now, bool handed_over);
+  void ask_for_votes(Time now, bool handed_over);
+  void lead(Time now);
+  void step_down(Time now);
+  void draw_silence(Time now);
+  void draw_patience(Time now);
+  bool up_to_date(const Message& ask) const;
+  bool leader_lives(Time now) const;
+
+  void on_ask(Time now, const Message& ask);
+  void on_vote(Time now, const Message& vote);
+  void on_append(Time now, const Message& append);
+  void on_install(Time now, const Message& install);
+  void on_appended(Time now, const Message& answer);
+  void on_join(Time now, const Message& join);
+
+  void broadcast(Time now);
+  void send_to(Time now, MemberId id, Peer& peer, bool heartbeat);
+  void send(const std::string& address, Message message);
+  void ask_to_join();
+  void sync_peers(Time now);
+  void advance_commit(Time now);
+  void apply_committed();
+  void change_membership(Time now);
+  bool append_own(Entry entry);
+  Time majority_heard(Time now, bool rounds) const;
+  void fail(const std::error_code& error) { ill_ = static_cast<bool>(error); }
+
+  Store& store_;
+  StateMachine& machine_;
+  Options options_;
+  std::mt19937_64 random_;
+  Log log_;
+  Vote vote_;
+  MemberId self_ = 0;
+  Role role_ = Role::follower;
+  MemberId leader_ = 0;
+  std::string leader_address_;
+  Index commit_ = 0;
+  Index applied_ = 0;
+  Time heard_leader_{};  // also the start of the process: what was promised before it is kept
+  Time due_{};           // of the next step of our role
+  Time join_due_{};
+  std::map<MemberId, bool> votes_;
+  std::map<MemberId, Peer> peers_;  // of a leader: voters but us, and newcomers
+  Index term_start_ = 0;            // of a leader: its first entry
+  std::uint64_t round_ = 0;
+  std::map<std::uint64_t, Time> rounds_;  // when each was sent
+  bool ill_ = false;
+  std::vector<Outgoing> out_;
+};
+
+}  // namespace pearspar::lagazuoi
--- /dev/null
+++ b/src/lavarella/log.cpp
@@ -0,0 +1,88 @@
+#include "lavarella/log.h"
+
+#include <easylogging++.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace pearspar::lavarella {
+namespace {
+
+constexpr double lines_per_s = 20;
+constexpr double most_lines = 200;
+
+struct State {
+  std::string node;
+  Level least = Level::info;
+  std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+  double lines = most_lines;
+  double counted_at = 0;
+  std::uint64_t dropped = 0;
+};
+
+State& state() {
+  static State state;
+  return state;
+}
+
+constexpr std::string_view names[] = {"error", "warning", "info", "debug"};
+
+std::string quoted(std::string_view text) {
+  std::string out = "\"";
+  for (char c : text) {
+    if (c == '"' || c == '\\')
+      (out += '\\') += c;
+    else if (static_cast<unsigned char>(c) < 0x20)
+      out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
+    else
+      out += c;
+  }
+  return out += '"';
+}
+
+}  // namespace
+
+Value::Value(std::string_view text) : text_(quoted(text)) {}
+Value::Value(double number) : text_(fmt::format("{:.4g}", number)) {}
+
+bool parse_level(std::string_view text, Level& level) {
+  for (int i = 0; i < 4; ++i)
+    if (names[i] == text) return level = static_cast<Level>(i), true;
+  return false;
+}
+
+void open_log(std::string_view node, Level least) {
+  state().node = node;
+  state().least = least;
+  el::Configurations form;
+  form.setToDefault();
+  form.setGlobally(el::ConfigurationType::Format, "%msg");
+  form.setGlobally(el::ConfigurationType::ToFile, "false");
+  form.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  el::Loggers::reconfigureAllLoggers(form);
+}
+
+void log(Level level, std::string_view event,
+         std::initializer_list<std::pair<std::string_view, Value>> fields) {
+  State& to = state();
+  if (level > to.least) return;
+  double now = std::chrono::duration<double>(std::chrono::steady_clock::now() - to.start).count();
+  to.lines = std::min(most_lines, to.lines + (now - to.counted_at) * lines_per_s);
+  to.counted_at = now;
+  if (to.lines < 1) {
+    ++to.dropped;
+    return;
+  }
+  to.lines -= 1;
+  std::string line = fmt::format(R"({{"t":{:.3f},"level":"{}","node":{},"event":{})", now,
+                                 names[static_cast<int>(level)], quoted(to.node), quoted(event));
+  if (to.dropped > 0) line += fmt::format(",\"dropped\":{}", std::exchange(to.dropped, 0));
+  for (const auto& [key, value] : fields) line += fmt::format(",{}:{}", quoted(key), value.text());
+  line += '}';
+  LOG(INFO) << line;
+}
+
+}  // namespace pearspar::lavarella
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -112,6 +112,11 @@
   return fd;
 }
 
+void bound_silence(const Fd& fd, int ms) {
+  unsigned most = static_cast<unsigned>(ms);
+  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &most, sizeof most);
+}
+
 int connect_error(const Fd& fd) {
   int error = 0;
   socklen_t size = sizeof error;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -53,6 +53,8 @@
 
 // A connection on its way; empty with `error` set where it failed at once.
 Fd start_connect(const Address& address, int& error);
+// Ends the connection when what was sent is not acknowledged for so long: behind a cut nobody says anything.
+void bound_silence(const Fd& fd, int ms);
 // After the socket has become writable: 0, or why it did not come up.
 int connect_error(const Fd& fd);
 
--- /dev/null
+++ b/src/pederu/allowance.h
@@ -0,0 +1,52 @@
+// What may be sent a second time: over all edges, a service gets no more arrivals past the first of each request
+// than `ratio` of the requests for it and `slack` besides, in any window. Each edge spends its own part: the
+// ratio of its own requests, and the slack by the number of edges.
+#pragma once
+
+#include <array>
+#include <string>
+#include <unordered_map>
+
+#include "pederu/types.h"
+
+namespace pearspar::pederu {
+
+struct AllowanceRules {
+  double ratio = 0;
+  double slack = 0;
+  Duration window = std::chrono::seconds(10);
+};
+
+class Allowance {
+ public:
+  void set(const AllowanceRules& rules) { rules_ = rules; }
+  void set_edges(std::uint32_t edges) { edges_ = edges > 0 ? edges : 1; }
+
+  void request(Time now, const std::string& depot) { account(now, depot).buckets[at_].requests += 1; }
+  // Whether one more may be sent; if so it is counted.
+  bool spend(Time now, const std::string& depot);
+
+ private:
+  static constexpr int bucket_count = 20;  // a window
+  // Of what the rule allows: an edge that starts anew has forgotten what its last life spent, and the windows
+  // of requests and of arrivals are not cut alike.
+  static constexpr double of_ratio = 0.7;
+  static constexpr double of_slack = 0.4;
+
+  struct Bucket {
+    double requests = 0;
+    double extra = 0;
+  };
+  struct Account {
+    std::array<Bucket, bucket_count + 1> buckets{};
+    std::int64_t turn = 0;  // of the newest bucket
+  };
+  Account& account(Time now, const std::string& depot);
+
+  AllowanceRules rules_;
+  std::uint32_t edges_ = 1;
+  std::unordered_map<std::string, Account> accounts_;
+  std::size_t at_ = 0;  // the newest bucket of the account last asked for
+};
+
+}  // namespace pearspar::pederu
--- /dev/null
+++ b/src/pederu/coverage.cpp
@@ -0,0 +1,25 @@
+#include "pederu/coverage.h"
+
+#include <algorithm>
+
+namespace pearspar::pederu {
+
+void Coverage::close_window(Time now) {
+  if (outcomes_ >= least_outcomes) {
+    double bad = static_cast<double>(bad_) / outcomes_;
+    if (bad > strain)
+      share_ = std::max(step, share_ - step);
+    else if (bad < strain / 2)
+      share_ = std::min(1.0, share_ + step);
+  }
+  window_start_ = now;
+  outcomes_ = bad_ = 0;
+}
+
+void Coverage::outcome(Time now, bool refused_or_late) {
+  if (now - window_start_ >= window) close_window(now);
+  ++outcomes_;
+  if (refused_or_late) ++bad_;
+}
+
+}  // namespace pearspar::pederu
--- /dev/null
+++ b/src/pederu/request.h
@@ -0,0 +1,71 @@
+// A client's request while it is open, and what the desk hears of the calls that it makes.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pederu/node_book.h"
+#include "pederu/routes.h"
+#include "pederu/types.h"
+
+namespace pearspar::pederu {
+
+// How a call to a node has ended. Exactly one for each call, unless it was let go before.
+enum class Ending {
+  answered,    // a whole answer with our id
+  not_run,     // the node says that it did not run it
+  misplaced,   // another node stands at the address, and did not run it
+  no_way,      // no connection came up: it was not sent
+  broken,      // the connection ended, or carried something else, after it was sent: it may have run
+};
+
+struct CallEnd {
+  Ending ending = Ending::no_way;
+  int status = 0;
+  std::string_view stamp;    // Postmark
+  std::string_view type;     // Content-Type
+  std::string_view headers;  // further lines to be handed on
+  std::string_view body;     // holds during the call
+};
+
+// A shard of a gathered request, or the one service of any other.
+struct Part {
+  std::string depot;
+  std::vector<NodePtr> tried;
+  std::vector<CallId> calls;  // out
+  int tries = 0;
+  bool wanted = false;  // it is sent at all
+  bool in = false;
+  bool over = false;  // it comes no more
+  bool ran = false;   // it may have run somewhere
+  std::string stamp;
+  std::string body;
+  Time second_due{};  // when a second call pays
+};
+
+struct Request {
+  std::shared_ptr<const Routes> routes;  // of the configuration that it began with: all parts are of one
+  const averau::Route* route = nullptr;
+  std::string head;     // request line and headers that are handed on
+  std::string payload;  // body
+  std::string id;
+  Time arrived{};
+  Time soft_end{};  // an answer after it earns less
+  Time end{};       // nobody waits any more
+  std::vector<Part> parts;
+  bool done = false;  // answered; only its calls are still out
+  Time due{};
+};
+
+// The final answer.
+struct FinalAnswer {
+  int status = 0;
+  double retry_after_s = 0;
+  std::string type;
+  std::string headers;
+  std::string body;
+};
+
+}  // namespace pearspar::pederu
--- /dev/null
+++ b/src/puez/links.cpp
@@ -0,0 +1,204 @@
+#include "puez/links.h"
+
+#include <algorithm>
+
+#include "fanes/messages.h"
+
+namespace pearspar::puez {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t read_step = 64 * 1024;
+constexpr int reads_at_once = 4;
+constexpr int accepts_at_once = 64;
+constexpr std::size_t most_links = 2048;
+constexpr net::Duration connect_within = 600ms;
+constexpr net::Duration least_pause = 50ms;  // before a link is dialled again; doubled each time
+constexpr net::Duration most_pause = 400ms;
+constexpr int silence_ms = 1200;
+constexpr std::size_t length_bytes = 4;
+
+}  // namespace
+
+void Links::listen(const net::Address& address) {
+  listener_ = net::listen_on(address);
+  listener_watch_ = loop_.watch(listener_.get(), POLLIN, [this](short) { accept_waiting(); });
+}
+
+void Links::accept_waiting() {
+  for (int i = 0; i < accepts_at_once; ++i) {
+    net::Fd fd;
+    if (net::accept_one(listener_, fd) != net::AcceptResult::accepted) return;
+    if (links_.size() >= most_links) continue;
+    net::bound_silence(fd, silence_ms);
+    net::SlotId id = links_.add();
+    Link& link = *links_.find(id);
+    link.fd = std::move(fd);
+    link.up = true;
+    link.watch = loop_.watch(link.fd.get(), POLLIN, [this, id](short events) { on_ready(id, events); });
+  }
+}
+
+void Links::dial(const std::string& address) {
+  Dial& dial = dials_[address];
+  if (dial.link) return;
+  dial.again.reset();
+  auto fail = [&] {
+    dial.pause = std::clamp(dial.pause * 2, least_pause, most_pause);
+    dial.again = loop_.at(loop_.now() + dial.pause, [this, address] { this->dial(address); });
+  };
+  auto parsed = net::Address::parse(address);
+  int error = 0;
+  net::Fd fd = parsed ? net::start_connect(*parsed, error) : net::Fd();
+  if (!fd) return fail();
+  net::bound_silence(fd, silence_ms);
+  net::SlotId id = links_.add();
+  Link& link = *links_.find(id);
+  link.fd = std::move(fd);
+  link.address = address;
+  link.watch = loop_.watch(link.fd.get(), POLLOUT, [this, id](short events) { on_ready(id, events); });
+  link.timer = loop_.at(loop_.now() + connect_within, [this, id] { close(id); });
+  dial.link = id;
+}
+
+void Links::keep(const std::vector<std::string>& addresses) {
+  std::vector<net::SlotId> ended;
+  for (auto it = dials_.begin(); it != dials_.end();) {
+    if (std::find(addresses.begin(), addresses.end(), it->first) != addresses.end()) {
+      ++it;
+      continue;
+    }
+    if (it->second.link) ended.push_back(it->second.link);
+    it = dials_.erase(it);
+  }
+  for (net::SlotId id : ended) close(id);
+  for (const std::string& address : addresses)
+    if (!dials_.count(address)) dial(address);
+}
+
+void Links::redial() {
+  std::vector<net::SlotId> ended;
+  for (auto& [address, dial] : dials_)
+    if (dial.link) ended.push_back(dial.link);
+  for (net::SlotId id : ended) close(id);
+}
+
+bool Links::send_to(const std::string& address, std::string_view frame) {
+  auto found = dials_.find(address);
+  if (found == dials_.end() || !found->second.link) {
+    // A dial that waits for its pause is not hurried: the other end is down.
+    if (found == dials_.end()) dial(address);
+    found = dials_.find(address);
+    if (!found->second.link) {
+      ++dropped_;
+      return false;
+    }
+  }
+  queue(found->second.link, frame);
+  return true;
+}
+
+bool Links::send(LinkId link, std::string_view frame) {
+  if (!links_.find(slot(link))) return false;
+  queue(slot(link), frame);
+  return true;
+}
+
+void Links::queue(net::SlotId id, std::string_view frame) {
+  Link& link = *links_.find(id);
+  if (link.out.size() - link.written + frame.size() > most_queued) {
+    // Who reads so slowly gets what stands now on a new connection.
+    ++dropped_;
+    link.timer = loop_.at(loop_.now(), [this, id] { close(id); });
+    return;
+  }
+  for (int shift = 24; shift >= 0; shift -= 8) link.out += static_cast<char>((frame.size() >> shift) & 255);
+  link.out += frame;
+  // Written at the end of the turn, with whatever else is queued until then.
+  if (link.up) link.watch.want(POLLIN | POLLOUT);
+}
+
+void Links::on_ready(net::SlotId id, short events) {
+  Link* link = links_.find(id);
+  if (!link) return;
+  if (!link->up) {
+    if (net::connect_error(link->fd) != 0) return close(id);
+    link->up = true;
+    link->timer.reset();
+    dials_[link->address].pause = {};
+    link->watch.want(POLLIN);
+    user_.link_up(number(id), link->address);
+    link = links_.find(id);
+    if (link && link->out.size() > link->written) write(id);
+    return;
+  }
+  if ((events & (POLLIN | POLLHUP | POLLERR)) != 0 && !read(id)) return;
+  if ((events & POLLOUT) != 0 && links_.find(id)) write(id);
+}
+
+// False where the link is gone afterwards.
+bool Links::read(net::SlotId id) {
+  for (int i = 0; i < reads_at_once; ++i) {
+    Link* link = links_.find(id);
+    if (!link) return false;
+    auto result = net::read_into(link->fd, link->in, read_step);
+    if (result == net::IoResult::none) break;
+    if (result != net::IoResult::some) {
+      close(id);
+      return false;
+    }
+    while (link->in.size() >= length_bytes) {
+      std::string_view view = link->in.view();
+      std::size_t size = 0;
+      for (std::size_t b = 0; b < length_bytes; ++b) size = size << 8 | static_cast<unsigned char>(view[b]);
+      if (size > fanes::most_frame) {
+        close(id);
+        return false;
+      }
+      if (view.size() < length_bytes + size) break;
+      user_.link_frame(number(id), view.substr(length_bytes, size));
+      link = links_.find(id);
+      if (!link) return false;
+      link->in.consume(length_bytes + size);
+    }
+    if (link->in.size() < read_step) break;
+  }
+  return links_.find(id) != nullptr;
+}
+
+void Links::write(net::SlotId id) {
+  Link& link = *links_.find(id);
+  while (link.written < link.out.size()) {
+    std::size_t written = 0;
+    auto result = net::write_from(link.fd, std::string_view(link.out).substr(link.written), written);
+    if (result == net::IoResult::failed) return close(id);
+    if (result == net::IoResult::none) break;
+    link.written += written;
+  }
+  if (link.written == link.out.size()) {
+    link.out.clear();
+    if (link.out.capacity() > read_step) std::string().swap(link.out);
+    link.written = 0;
+    link.watch.want(POLLIN);
+  } else {
+    link.watch.want(POLLIN | POLLOUT);
+  }
+}
+
+void Links::close(net::SlotId id) {
+  Link* link = links_.find(id);
+  if (!link) return;
+  std::string address = link->address;
+  bool was_up = link->up;
+  links_.release(id);
+  if (was_up) user_.link_down(number(id));
+  if (address.empty()) return;
+  auto dial = dials_.find(address);
+  if (dial == dials_.end() || dial->second.link != id) return;
+  dial->second.link = {};
+  dial->second.pause = std::clamp(dial->second.pause * 2, least_pause, most_pause);
+  dial->second.again = loop_.at(loop_.now() + dial->second.pause, [this, address] { this->dial(address); });
+}
+
+}  // namespace pearspar::puez
--- /dev/null
+++ b/src/puez/links.h
@@ -0,0 +1,84 @@
+// Held connections between the system's own processes: frames of four bytes of length, greatest first, and as
+// many bytes. Those that we dial are dialled again when they end; what is queued on one that ends is lost.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/loop.h"
+#include "net/slots.h"
+#include "net/socket.h"
+
+namespace pearspar::puez {
+
+using LinkId = std::uint64_t;
+
+class LinksUser {
+ public:
+  virtual ~LinksUser() = default;
+  // A link that we dialled is up.
+  virtual void link_up(LinkId link, const std::string& address) = 0;
+  virtual void link_frame(LinkId link, std::string_view frame) = 0;
+  virtual void link_down(LinkId link) = 0;
+};
+
+class Links {
+ public:
+  Links(net::Loop& loop, LinksUser& user) : loop_(loop), user_(user) {}
+
+  // Throws std::system_error where the address cannot be had.
+  void listen(const net::Address& address);
+  // Keeps a link to each of these, and no others that were dialled.
+  void keep(const std::vector<std::string>& addresses);
+  // Queues the frame, on a link that is dialled for it if need be. False where it is dropped.
+  bool send_to(const std::string& address, std::string_view frame);
+  bool send(LinkId link, std::string_view frame);
+  // Ends every link that we dialled; they come up again.
+  void redial();
+  std::size_t count() const { return links_.size(); }
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  struct Link {
+    net::Fd fd;
+    net::Watch watch;
+    net::Timer timer;     // while it comes up
+    std::string address;  // of one that we dialled
+    bool up = false;
+    net::Buffer in;
+    std::string out;
+    std::size_t written = 0;
+  };
+  struct Dial {
+    net::SlotId link;
+    net::Timer again;
+    net::Duration pause{};
+  };
+  static constexpr std::size_t most_queued = 8 << 20;  // bytes on one link
+
+  static LinkId number(net::SlotId id) { return std::uint64_t{id.index} << 32 | id.generation; }
+  static net::SlotId slot(LinkId id) {
+    return {static_cast<std::uint32_t>(id >> 32), static_cast<std::uint32_t>(id)};
+  }
+  void accept_waiting();
+  void dial(const std::string& address);
+  void queue(net::SlotId id, std::string_view frame);
+  void on_ready(net::SlotId id, short events);
+  bool read(net::SlotId id);
+  void write(net::SlotId id);
+  void close(net::SlotId id);
+
+  net::Loop& loop_;
+  LinksUser& user_;
+  net::Fd listener_;
+  net::Watch listener_watch_;
+  net::SlotTable<Link> links_;
+  std::map<std::string, Dial> dials_;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace pearspar::puez
--- /dev/null
+++ b/src/sennes/followers.cpp
@@ -0,0 +1,138 @@
+#include "sennes/followers.h"
+
+#include <algorithm>
+
+namespace pearspar::sennes {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration ping_every = 1s;
+constexpr Duration lease = 2500ms;  // two pings and a half without an answer end it
+
+std::uint32_t cold_ms(Time now, const averau::Node& node) {
+  return static_cast<std::uint32_t>(std::max(0.0, Duration(node.cold_until - now).count() * 1000));
+}
+
+}  // namespace
+
+bool Followers::lives(Time now, const Follower& follower) { return now - follower.heard < lease; }
+
+void Followers::open(Time now, lagazuoi::Term term, bool complete) {
+  open_ = true;
+  complete_ = complete;
+  term_ = term;
+  first_ = 1;
+  journal_.clear();
+  for (auto& [link, follower] : followers_) follower.knows = false;
+  ping_due_ = now;
+}
+
+fanes::Position Followers::add(Time now, fanes::Change change) {
+  journal_.push_back(std::move(change));
+  view_.lead(now, end(), journal_.back());
+  if (journal_.size() > most_journal) {
+    journal_.pop_front();
+    ++first_;
+  }
+  return end();
+}
+
+void Followers::complete(Time now) {
+  if (complete_) return;
+  complete_ = true;
+  fanes::Change change;
+  change.kind = fanes::ChangeKind::complete;
+  add(now, std::move(change));
+  for (auto& [link, follower] : followers_) follower.knows = false;
+}
+
+void Followers::on_hello(Time now, LinkId link, const fanes::Hello& hello) {
+  // A process has one link to us: an older one of the same life is stale.
+  std::erase_if(followers_, [&](const auto& other) {
+    return other.first != link && other.second.life == hello.life;
+  });
+  Follower& follower = followers_[link];
+  follower.life = hello.life;
+  follower.kind = hello.kind;
+  follower.name = hello.name;
+  follower.zone = hello.zone;
+  follower.edition = hello.edition;
+  follower.heard = now;
+  follower.sent = follower.acked = hello.have;
+  follower.knows = open_ && complete_ && hello.have.term == term_ && hello.have.number + 1 >= first_ &&
+                   hello.have <= end();
+}
+
+void Followers::on_ack(Time now, LinkId link, const fanes::Ack& ack) {
+  auto found = followers_.find(link);
+  if (found == followers_.end() || found->second.life != ack.life) return;
+  found->second.heard = now;
+  found->second.acked = std::max(found->second.acked, ack.at);
+  found->second.edition = ack.edition;
+}
+
+void Followers::on_farewell(LinkId link) { followers_.erase(link); }
+void Followers::on_closed(LinkId link) { followers_.erase(link); }
+
+std::string Followers::standing(Time now, averau::Edition known) {
+  fanes::Standing standing;
+  standing.at = end();
+  standing.complete = complete_;
+  standing.edges = edges(now);
+  standing.edition = view_.edition();
+  if (view_.edition() > known) standing.configuration = view_.configuration()->text;
+  for (const auto& [id, node] : view_.nodes().all()) standing.nodes.push_back({node, cold_ms(now, node)});
+  standing.ended.assign(view_.nodes().ended().begin(), view_.nodes().ended().end());
+  return fanes::pack(std::move(standing));
+}
+
+std::vector<ToLink> Followers::take_out(Time now) {
+  std::vector<ToLink> out;
+  if (!open_) return out;
+  bool ping = now >= ping_due_;
+  if (ping) ping_due_ = now + ping_every;
+  // One packing serves all that lack the same.
+  std::map<averau::Edition, std::string> standings;
+  std::map<std::uint64_t, std::string> tails;
+  std::string ping_bytes;
+  for (auto& [link, follower] : followers_) {
+    if (!follower.knows) {
+      std::string& bytes = standings[std::min(follower.edition, view_.edition())];
+      if (bytes.empty()) bytes = standing(now, follower.edition);
+      out.push_back({link, bytes});
+      follower.knows = true;
+      follower.sent = end();
+    } else if (follower.sent < end()) {
+      std::string& bytes = tails[follower.sent.number];
+      if (bytes.empty()) {
+        fanes::Changes changes;
+        changes.after = follower.sent;
+        changes.changes.assign(journal_.begin() + static_cast<std::ptrdiff_t>(follower.sent.number + 1 - first_),
+                               journal_.end());
+        bytes = fanes::pack(std::move(changes));
+      }
+      out.push_back({link, bytes});
+      follower.sent = end();
+    } else if (ping) {
+      if (ping_bytes.empty()) ping_bytes = fanes::pack(fanes::Ping{end(), edges(now)});
+      out.push_back({link, ping_bytes});
+    }
+  }
+  return out;
+}
+
+bool Followers::acknowledged(Time now, fanes::Position at) const {
+  return std::all_of(followers_.begin(), followers_.end(), [&](const auto& follower) {
+    return !lives(now, follower.second) || follower.second.acked >= at;
+  });
+}
+
+std::uint32_t Followers::edges(Time now) const {
+  return static_cast<std::uint32_t>(
+      std::count_if(followers_.begin(), followers_.end(), [&](const auto& follower) {
+        return follower.second.kind == fanes::FollowerKind::edge && lives(now, follower.second);
+      }));
+}
+
+}  // namespace pearspar::sennes
--- /dev/null
+++ b/src/sennes/followers.h
@@ -0,0 +1,81 @@
+// Who follows the news of this member, over which link, how far; and the journal that they follow. A leader
+// numbers changes here and pushes them; acknowledgements are counted; each holds a lease that they renew.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fanes/messages.h"
+#include "vazzoler/view.h"
+
+namespace pearspar::sennes {
+
+using averau::Duration;
+using averau::Time;
+using LinkId = std::uint64_t;  // a held connection, as the host numbers them
+
+struct ToLink {
+  LinkId link;
+  std::string bytes;  // packed
+};
+
+class Followers {
+ public:
+  explicit Followers(vazzoler::View& view) : view_(view) {}
+
+  // From here on this member leads, in that term: all that follow it are told what stands.
+  void open(Time now, lagazuoi::Term term, bool complete);
+  // Not any more. Links stay.
+  void close() { open_ = false; }
+  bool is_open() const { return open_; }
+
+  // One change more, in force here at once.
+  fanes::Position add(Time now, fanes::Change change);
+  // The list of nodes is whole from here on: what stands is told anew.
+  void complete(Time now);
+
+  void on_hello(Time now, LinkId link, const fanes::Hello& hello);
+  void on_ack(Time now, LinkId link, const fanes::Ack& ack);
+  void on_farewell(LinkId link);
+  void on_closed(LinkId link);
+
+  // What is due to be sent: news to whoever lacks them, pings.
+  std::vector<ToLink> take_out(Time now);
+  Time due() const { return open_ ? ping_due_ : Time::max(); }
+
+  // Whether all that hold a lease have acknowledged it.
+  bool acknowledged(Time now, fanes::Position at) const;
+  std::uint32_t edges(Time now) const;
+  struct Follower {
+    fanes::Life life = 0;
+    fanes::FollowerKind kind = fanes::FollowerKind::edge;
+    std::string name;
+    std::string zone;
+    fanes::Position sent;
+    fanes::Position acked;
+    averau::Edition edition = 0;
+    Time heard{};
+    bool knows = false;  // was told what stands in this term
+  };
+  const std::map<LinkId, Follower>& all() const { return followers_; }
+  static bool lives(Time now, const Follower& follower);
+
+ private:
+  static constexpr std::size_t most_journal = 4096;
+  std::string standing(Time now, averau::Edition known);
+  fanes::Position end() const { return {term_, first_ + journal_.size() - 1}; }
+
+  vazzoler::View& view_;
+  bool open_ = false;
+  bool complete_ = false;
+  lagazuoi::Term term_ = 0;
+  std::uint64_t first_ = 1;  // number of the journal's front
+  std::deque<fanes::Change> journal_;
+  std::map<LinkId, Follower> followers_;
+  Time ping_due_{};
+};
+
+}  // namespace pearspar::sennes
--- /dev/null
+++ b/src/sennes/office.h
@@ -0,0 +1,131 @@
+// A member's control office: calls of nodes and operators, settled where this member leads and passed on where
+// it does not; the duty of keeping the list of nodes. Free of I/O.
+//
+// Nothing definite is said but by a leader whose lease holds at that moment. A change is answered 200 only when
+// it is applied, that is, when a majority has it on disk.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sennes/followers.h"
+#include "sennes/state.h"
+
+namespace pearspar::sennes {
+
+// Who waits for an answer, as the host numbers them.
+using Asker = std::uint64_t;
+
+struct OfficeOptions {
+  std::string inner_address;    // where other members reach this one
+  std::string control_address;  // told to nodes for their later beats
+  fanes::Life life = 0;
+  std::string name;
+  std::string zone;
+  Duration beat = std::chrono::milliseconds(1200);
+};
+
+struct Reply {
+  Asker asker = 0;
+  int status = 200;
+  std::string body;
+};
+
+struct ToMember {
+  std::string address;
+  fanes::Message message;
+};
+
+class Office {
+ public:
+  Office(OfficeOptions options, lagazuoi::Core& core, State& state);
+
+  // A call by HTTP. It is answered exactly once, by take_replies().
+  void call(Time now, Asker asker, std::string_view method, std::string_view path, std::string_view if_match,
+            std::string_view body);
+  void message(Time now, LinkId link, const fanes::Message& message);
+  void link_closed(LinkId link) { followers_.on_closed(link); }
+  // To be called after every event and at due(): does what has become possible.
+  void advance(Time now);
+  Time due() const;
+
+  std::vector<Reply> take_replies() { return std::exchange(replies_, {}); }
+  std::vector<ToMember> take_messages() { return std::exchange(messages_, {}); }
+  std::vector<ToLink> take_news(Time now);
+  // The first words on a link to another member.
+  fanes::Hello hello() const;
+
+  const vazzoler::View& view() const { return view_; }
+  const Followers& followers() const { return followers_; }
+  bool in_office() const { return followers_.is_open(); }
+  std::string status(Time now) const;  // JSON, for operators
+
+ private:
+  struct Request {
+    Asker asker = 0;          // by HTTP, or
+    std::string from;         // passed on by that member,
+    std::uint64_t number = 0;  // under that number
+    std::string method;
+    std::string path;
+    std::string if_match;
+    std::string body;
+    Time until{};  // held so long at most
+  };
+  struct Proposal {
+    Request request;
+    lagazuoi::Term term = 0;
+    lagazuoi::Index index = 0;
+    averau::Edition edition = 0;
+    Digest digest;
+  };
+  struct Spreading {
+    Request request;
+    fanes::Position at;
+    Time until{};
+  };
+
+  void take_in(Time now, Request request);
+  bool settle(Time now, Request& request);  // false: not yet
+  void settle_change(Time now, Request& request);
+  void settle_beat(Time now, Request& request);
+  void settle_leave(Time now, Request& request);
+  void reply(const Request& request, int status, std::string body);
+  void reply_fault(const Request& request, int status, std::string_view what);
+  void pass_on(Time now, Request& request);
+  void open_office(Time now);
+  void close_office(Time now);
+  void finish_proposal(Time now);
+  void finish_spreading(Time now);
+  void expire(Time now);
+  void tell_configuration(Time now);
+  void follow(LinkId link, vazzoler::View::Taken taken);
+
+  OfficeOptions options_;
+  lagazuoi::Core& core_;
+  State& state_;
+  vazzoler::View view_;
+  Followers followers_;
+  std::deque<Request> waiting_;  // for a leader, or for the proposal before
+  std::optional<Proposal> proposal_;
+  std::vector<Proposal> same_;  // the same change, asked again while it is under way
+  std::deque<Spreading> spreading_;
+  struct Passed {
+    Request request;
+    Time until{};
+  };
+  std::map<std::uint64_t, Passed> passed_;
+  std::uint64_t next_number_ = 1;
+  std::map<std::string, Time> heard_;  // of a leader: nodes, by id
+  Time gathered_{};
+  Time expire_due_{};
+  std::vector<Reply> replies_;
+  std::vector<ToMember> messages_;
+  std::vector<ToLink> to_links_;
+};
+
+}  // namespace pearspar::sennes
--- /dev/null
+++ b/src/tissi/lmdb_store.cpp
@@ -0,0 +1,216 @@
+#include "tissi/lmdb_store.h"
+
+#include <sys/stat.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "fanes/agreement.h"
+
+namespace pearspar::tissi {
+namespace {
+
+using namespace lagazuoi;
+
+constexpr std::uint64_t format = 1;
+
+class FaultCategory : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "store"; }
+  std::string message(int value) const override {
+    return value == static_cast<int>(Fault::other_format) ? "written in another format" : "does not read";
+  }
+};
+
+class LmdbCategory : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "lmdb"; }
+  std::string message(int value) const override { return mdb_strerror(value); }
+};
+
+std::error_code error_of(int result) {
+  static const LmdbCategory category;
+  if (result == MDB_SUCCESS) return {};
+  return result > 0 ? std::error_code(result, std::generic_category()) : std::error_code(result, category);
+}
+
+MDB_val value_of(std::string_view bytes) { return {bytes.size(), const_cast<char*>(bytes.data())}; }
+std::string_view view_of(const MDB_val& value) {
+  return {static_cast<const char*>(value.mv_data), value.mv_size};
+}
+
+std::string entry_key(Index index) {
+  std::string key = "e";
+  for (int shift = 56; shift >= 0; shift -= 8) key += static_cast<char>((index >> shift) & 255);
+  return key;
+}
+
+int put(MDB_txn* txn, MDB_dbi dbi, std::string_view key, std::string_view bytes) {
+  MDB_val name = value_of(key), value = value_of(bytes);
+  return mdb_put(txn, dbi, &name, &value, 0);
+}
+
+std::string pack_number(std::uint64_t value) {
+  fanes::Packer packer;
+  packer.array(1);
+  packer.number(value);
+  return std::string(packer.view());
+}
+
+// Drops the entries for whose index `drop` is true.
+template <typename Drop>
+int drop_entries(MDB_txn* txn, MDB_dbi dbi, Index from, Drop drop) {
+  MDB_cursor* cursor = nullptr;
+  if (int result = mdb_cursor_open(txn, dbi, &cursor)) return result;
+  std::string start = entry_key(from);
+  MDB_val key = value_of(start), value{};
+  int result = mdb_cursor_get(cursor, &key, &value, MDB_SET_RANGE);
+  while (result == MDB_SUCCESS && key.mv_size == start.size() && view_of(key)[0] == 'e') {
+    Index index = 0;
+    for (char byte : view_of(key).substr(1)) index = index << 8 | static_cast<unsigned char>(byte);
+    if (!drop(index)) break;
+    if ((result = mdb_cursor_del(cursor, 0))) break;
+    result = mdb_cursor_get(cursor, &key, &value, MDB_NEXT);  // after a removal: what came into its place
+  }
+  mdb_cursor_close(cursor);
+  return result == MDB_NOTFOUND ? MDB_SUCCESS : result;
+}
+
+}  // namespace
+
+std::error_code make_error_code(Fault fault) {
+  static const FaultCategory category;
+  return {static_cast<int>(fault), category};
+}
+
+LmdbStore::LmdbStore(std::string folder, std::size_t map_mb) : folder_(std::move(folder)), map_mb_(map_mb) {}
+
+LmdbStore::~LmdbStore() { close(); }
+
+void LmdbStore::close() {
+  if (env_) mdb_env_close(env_);
+  env_ = nullptr;
+}
+
+std::error_code LmdbStore::open() {
+  if (env_) return {};
+  if (::mkdir(folder_.c_str(), 0755) != 0 && errno != EEXIST) return {errno, std::generic_category()};
+  int result = mdb_env_create(&env_);
+  if (result == MDB_SUCCESS) result = mdb_env_set_mapsize(env_, map_mb_ << 20);
+  // One process and one thread: no table of readers is needed.
+  if (result == MDB_SUCCESS) result = mdb_env_open(env_, folder_.c_str(), MDB_NOLOCK | MDB_NOTLS, 0644);
+  if (result != MDB_SUCCESS) close();
+  return error_of(result);
+}
+
+std::error_code LmdbStore::write(const std::function<int(MDB_txn*, MDB_dbi)>& work) {
+  if (auto error = open()) return error;
+  MDB_txn* txn = nullptr;
+  int result = mdb_txn_begin(env_, nullptr, 0, &txn);
+  if (result == MDB_SUCCESS) {
+    MDB_dbi dbi = 0;
+    result = mdb_dbi_open(txn, nullptr, 0, &dbi);
+    if (result == MDB_SUCCESS) result = work(txn, dbi);
+    if (result == MDB_SUCCESS)
+      result = mdb_txn_commit(txn);
+    else
+      mdb_txn_abort(txn);
+  }
+  if (result != MDB_SUCCESS) close();
+  return error_of(result);
+}
+
+std::error_code LmdbStore::load(Stored& stored) {
+  stored = {};
+  if (auto error = open()) return error;
+  MDB_txn* txn = nullptr;
+  MDB_dbi dbi = 0;
+  if (int result = mdb_txn_begin(env_, nullptr, MDB_RDONLY, &txn)) return error_of(result);
+  std::error_code fault;
+  auto read = [&](std::string_view name, std::string& bytes) {
+    MDB_val key = value_of(name), value{};
+    int result = mdb_get(txn, dbi, &key, &value);
+    if (result == MDB_SUCCESS) bytes = view_of(value);
+    return result == MDB_SUCCESS;
+  };
+  auto number = [&](const std::string& bytes) {
+    fanes::Unpacker unpacker(bytes);
+    std::uint64_t value = unpacker.number();
+    if (!unpacker.whole()) fault = Fault::spoilt;
+    return value;
+  };
+  int result = mdb_dbi_open(txn, nullptr, 0, &dbi);
+  std::string bytes;
+  if (result == MDB_SUCCESS && read("format", bytes) && number(bytes) != format) fault = Fault::other_format;
+  if (result == MDB_SUCCESS && !fault) {
+    if (read("self", bytes)) stored.self = number(bytes);
+    if (read("vote", bytes)) {
+      auto vote = fanes::unpack_vote(bytes);
+      if (vote)
+        stored.vote = *vote;
+      else
+        fault = Fault::spoilt;
+    }
+    if (read("snapshot", bytes)) {
+      auto snapshot = fanes::unpack_snapshot(bytes);
+      if (snapshot)
+        stored.snapshot = std::move(*snapshot);
+      else
+        fault = Fault::spoilt;
+    }
+    MDB_cursor* cursor = nullptr;
+    result = mdb_cursor_open(txn, dbi, &cursor);
+    if (result == MDB_SUCCESS) {
+      std::string start = entry_key(0);
+      MDB_val key = value_of(start), value{};
+      for (result = mdb_cursor_get(cursor, &key, &value, MDB_SET_RANGE);
+           result == MDB_SUCCESS && key.mv_size == start.size() && view_of(key)[0] == 'e';
+           result = mdb_cursor_get(cursor, &key, &value, MDB_NEXT)) {
+        auto entry = fanes::unpack_entry(view_of(value));
+        Index due = stored.snapshot.index + stored.entries.size() + 1;
+        if (!entry || (entry->index >= due && entry->index != due)) {
+          fault = Fault::spoilt;
+          break;
+        }
+        if (entry->index == due) stored.entries.push_back(std::move(*entry));
+      }
+      mdb_cursor_close(cursor);
+      if (result == MDB_NOTFOUND) result = MDB_SUCCESS;
+    }
+  }
+  mdb_txn_abort(txn);
+  if (fault) return fault;
+  return error_of(result);
+}
+
+std::error_code LmdbStore::save_self(MemberId self) {
+  return write([&](MDB_txn* txn, MDB_dbi dbi) {
+    int result = put(txn, dbi, "format", pack_number(format));
+    return result ? result : put(txn, dbi, "self", pack_number(self));
+  });
+}
+
+std::error_code LmdbStore::save_vote(const Vote& vote) {
+  return write([&](MDB_txn* txn, MDB_dbi dbi) { return put(txn, dbi, "vote", fanes::pack_vote(vote)); });
+}
+
+std::error_code LmdbStore::replace_tail(Index from, const std::vector<Entry>& entries) {
+  return write([&](MDB_txn* txn, MDB_dbi dbi) {
+    int result = drop_entries(txn, dbi, from, [](Index) { return true; });
+    for (const Entry& entry : entries) {
+      if (result) break;
+      result = put(txn, dbi, entry_key(entry.index), fanes::pack_entry(entry));
+    }
+    return result;
+  });
+}
+
+std::error_code LmdbStore::save_snapshot(const Snapshot& snapshot, bool drop_rest) {
+  return write([&](MDB_txn* txn, MDB_dbi dbi) {
+    int result = put(txn, dbi, "snapshot", fanes::pack_snapshot(snapshot));
+    if (result) return result;
+    return drop_entries(txn, dbi, 0, [&](Index index) { return drop_rest || index <= snapshot.index; });
+  });
+}
+
+}  // namespace pearspar::tissi
--- /dev/null
+++ b/src/tissi/lmdb_store.h
@@ -0,0 +1,48 @@
+// A member's store in LMDB: one environment in one folder, one transaction a call, synced by its commit.
+//
+// Layout, format 1 (key -> msgpack): "format" -> [1]; "self" -> [id]; "vote" -> [term, given to];
+// "snapshot" -> [[index, term, membership, state]]; 'e' and the index in 8 bytes, greatest first -> [entry].
+// A store of another format is refused at the start, and left as it is.
+#pragma once
+
+#include <lmdb.h>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "lagazuoi/store.h"
+
+namespace pearspar::tissi {
+
+enum class Fault { other_format = 1, spoilt };
+std::error_code make_error_code(Fault fault);
+
+class LmdbStore : public lagazuoi::Store {
+ public:
+  // `folder` is made where it is not there. `map_mb`: the most that the store may hold.
+  explicit LmdbStore(std::string folder, std::size_t map_mb = 64);
+  ~LmdbStore() override;
+
+  std::error_code load(lagazuoi::Stored& stored) override;
+  std::error_code save_self(lagazuoi::MemberId self) override;
+  std::error_code save_vote(const lagazuoi::Vote& vote) override;
+  std::error_code replace_tail(lagazuoi::Index from, const std::vector<lagazuoi::Entry>& entries) override;
+  std::error_code save_snapshot(const lagazuoi::Snapshot& snapshot, bool drop_rest) override;
+
+ private:
+  std::error_code open();
+  void close();
+  // Opens the environment where it is closed; closes it after a failure, so that the next call starts from
+  // what the disk really holds.
+  std::error_code write(const std::function<int(MDB_txn*, MDB_dbi)>& work);
+
+  std::string folder_;
+  std::size_t map_mb_;
+  MDB_env* env_ = nullptr;
+};
+
+}  // namespace pearspar::tissi
+
+template <>
+struct std::is_error_code_enum<pearspar::tissi::Fault> : std::true_type {};
