--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -14,11 +14,9 @@
 using lavarella::Level;
 using lavarella::log;
 
-constexpr net::Duration leader_silent = 3500ms;  // three pings and a half
-constexpr net::Duration gather_at_most = 1500ms;  // a list that is still being gathered will do after it
-constexpr net::Duration leave_after = 2600ms;     // of an end: by then two checks have missed us
-constexpr net::Duration leave_before = 700ms;     // of the grace
-constexpr std::size_t other_files = 300;          // descriptors that are no client's
+constexpr net::Duration leave_after = 2600ms;  // of an end: by then two checks have missed us
+constexpr net::Duration leave_before = 700ms;  // of the grace
+constexpr std::size_t other_files = 300;       // descriptors that are no client's
 
 std::size_t most_clients(const coldai::Settings& settings) {
   auto files = static_cast<std::size_t>(settings.files);
@@ -45,14 +43,13 @@
 Edge::Edge(net::Loop& loop, const coldai::Settings& settings, std::uint64_t life)
     : loop_(loop),
       settings_(settings),
-      life_(life),
       front_(loop, warn, most_clients(settings), front_user_, {3s, 10s}, {16 * 1024, 256 * 1024}),
       check_(loop, warn, 64, check_user_, {30s, 5s}),
       links_(loop, *this),
+      follower_(links_, {life, settings.node_name, settings.zone, settings.inner_seeds()}),
       nodes_(loop, [this](pederu::CallId call,
                           const pederu::CallEnd& end) { desk_.ended(loop_.now(), call, end); }),
-      desk_(nodes_),
-      news_(loop.now()) {
+      desk_(nodes_) {
   pederu::AllowanceRules rules;
   rules.ratio = settings.retry_ratio;
   rules.slack = settings.retry_slack;
@@ -60,7 +57,7 @@
   desk_.set_allowance(rules);
   front_.listen(*net::Address::parse(settings.front_door));
   if (!settings.ready_check.empty()) check_.listen(*net::Address::parse(settings.ready_check));
-  links_.keep(settings.inner_seeds());
+  follower_.start(loop.now());
   each_second();
 }
 
@@ -131,87 +128,34 @@
   front_.answer(connection, answer);
 }
 
-std::string Edge::hello() const {
-  return fanes::pack(fanes::Hello{life_, fanes::FollowerKind::edge, settings_.node_name, settings_.zone,
-                                  view_.at(), view_.edition()});
-}
-
-void Edge::link_up(puez::LinkId link, const std::string&) {
-  up_.push_back(link);
-  links_.send(link, hello());
-}
-
-void Edge::link_down(puez::LinkId link) { std::erase(up_, link); }
-
+void Edge::link_up(puez::LinkId link, const std::string&) { follower_.link_up(link); }
+void Edge::link_down(puez::LinkId link) { follower_.link_down(link); }
 void Edge::link_frame(puez::LinkId link, std::string_view frame) {
-  auto message = fanes::unpack(frame);
-  if (!message) {
-    log(Level::warning, "frame_unread", {{"bytes", frame.size()}});
-    return;
-  }
-  net::Time now = loop_.now();
-  if (const auto* standing = std::get_if<fanes::Standing>(&*message)) {
-    auto taken = view_.apply(now, *standing);
-    if (taken == vazzoler::View::Taken::news) {
-      if (standing->complete) listed_ = true;
-      if (first_nodes_ == net::Time{} && !standing->nodes.empty()) first_nodes_ = now;
-    }
-    take_news(link, taken);
-  } else if (const auto* changes = std::get_if<fanes::Changes>(&*message)) {
-    take_news(link, view_.apply(now, *changes));
-  } else if (const auto* ping = std::get_if<fanes::Ping>(&*message)) {
-    take_news(link, view_.apply(*ping));
-  } else if (const auto* welcome = std::get_if<fanes::Welcome>(&*message)) {
-    if (welcome->cores.empty() || welcome->term < cores_term_) return;
-    cores_term_ = welcome->term;
-    if (cores_ == welcome->cores) return;
-    cores_ = welcome->cores;
-    links_.keep(cores_);
-  }
+  if (follower_.frame(loop_.now(), link, frame)) take_news();
 }
 
-void Edge::take_news(puez::LinkId link, vazzoler::View::Taken taken) {
-  using Taken = vazzoler::View::Taken;
-  if (taken == Taken::old) return;
-  news_ = loop_.now();
-  if (taken == Taken::behind) {
-    links_.send(link, hello());
-    return;
-  }
-  for (const std::string& id : view_.take_touched()) desk_.nodes().update(id, view_.nodes().find(id));
-  desk_.set_edges(view_.edges());
-  if (first_nodes_ == net::Time{} && !view_.nodes().all().empty()) first_nodes_ = loop_.now();
-  if (view_.edition() != routed_) {
-    routed_ = view_.edition();
-    desk_.set_routes(std::make_shared<const pederu::Routes>(view_.configuration()));
-    const averau::Limits& limits = view_.configuration()->limits;
-    front_.set_bounds({pederu::from_ms(limits.header_wait_ms), 10s}, {limits.header_bytes, limits.body_bytes});
-    log(Level::info, "configuration", {{"edition", routed_}, {"routes", view_.configuration()->routes.size()}});
-  }
-  links_.send(link, fanes::pack(fanes::Ack{life_, view_.at(), view_.edition()}));
+void Edge::take_news() {
+  vazzoler::View& view = follower_.view();
+  for (const std::string& id : view.take_touched()) desk_.nodes().update(id, view.nodes().find(id));
+  desk_.set_edges(view.edges());
+  if (view.edition() == routed_) return;
+  routed_ = view.edition();
+  desk_.set_routes(std::make_shared<const pederu::Routes>(view.configuration()));
+  const averau::Limits& limits = view.configuration()->limits;
+  front_.set_bounds({pederu::from_ms(limits.header_wait_ms), 10s}, {limits.header_bytes, limits.body_bytes});
+  log(Level::info, "configuration", {{"edition", routed_}, {"routes", view.configuration()->routes.size()}});
 }
 
-// Also renews our lease, and lets dead links be found out: they acknowledge nothing.
 void Edge::each_second() {
   second_ = loop_.at(loop_.now() + 1s, [this] { each_second(); });
-  net::Time now = loop_.now();
-  bool silent = now - news_ > leader_silent;
-  std::string word = silent ? hello() : fanes::pack(fanes::Ack{life_, view_.at(), view_.edition()});
-  for (puez::LinkId link : std::vector(up_)) links_.send(link, word);
-  if (silent) {
-    std::vector<std::string> wanted = cores_;
-    for (const std::string& seed : settings_.inner_seeds())
-      if (std::find(wanted.begin(), wanted.end(), seed) == wanted.end()) wanted.push_back(seed);
-    links_.keep(wanted);
-  }
-  if (!listed_ && first_nodes_ != net::Time{} && now - first_nodes_ > gather_at_most) listed_ = true;
   nodes_.sweep();
-  if (view_.configuration())
-    front_.close_idle_since(now - pederu::from_ms(view_.configuration()->limits.idle_ms));
+  if (const auto& configuration = follower_.view().configuration())
+    front_.close_idle_since(loop_.now() - pederu::from_ms(configuration->limits.idle_ms));
 }
 
 void Edge::after_turn() {
   net::Time now = loop_.now();
+  follower_.tick(now);
   desk_.advance(now);
   for (auto& [request, final] : desk_.take_answers()) {
     auto found = clients_.find(key(request));
@@ -222,17 +166,14 @@
     answer(connection, std::move(final));
   }
   if (stopping_) wind_down();
-  net::Time due = desk_.due();
+  net::Time due = std::min(desk_.due(), follower_.due());
   if (stopping_) due = std::min(due, now + net::Duration(0.05));
-  if (due < net::Time::max())
-    due_ = loop_.at(std::max(due, now), [] {});
-  else
-    due_.reset();
+  due_ = loop_.at(std::max(due, now), [] {});
 }
 
 void Edge::settings_changed(const coldai::Settings& settings) {
   settings_.seeds = settings.seeds;
-  if (cores_.empty()) links_.keep(settings_.inner_seeds());
+  follower_.set_seeds(settings_.inner_seeds());
 }
 
 void Edge::stop() {
@@ -249,7 +190,7 @@
   front_.stop_listening();
   front_.close_idle();
   if (front_.busy() > 0 && loop_.now() < end_at_) return;
-  for (puez::LinkId link : std::vector(up_)) links_.send(link, fanes::pack(fanes::Farewell{life_}));
+  follower_.farewell();
   ended_ = true;
 }
 
@@ -261,10 +202,11 @@
       R"("calls":{},"second_calls":{},"not_run":{},"misplaced":{},"no_way":{},"broken":{},"late":{},)"
       R"("opened":{},"reused":{},"spoilt":{},"surplus":{},"unnamed":{},"overdue":{},"coverage":{:.1f},"edition":{},)"
       R"("nodes":{},"edges":{}}})",
-      desk.requests, desk.gathered, desk.whole, desk.partial, desk.single, desk.refused, desk.failed, desk.no_route,
-      desk.calls, desk.second_calls, desk.not_run, desk.misplaced, desk.no_way, desk.broken, desk.late, links.opened,
-      links.reused, links.spoilt, links.surplus, links.unnamed, links.overdue, desk_.coverage(), view_.edition(),
-      view_.nodes().all().size(), view_.edges());
+      desk.requests, desk.gathered, desk.whole, desk.partial, desk.single, desk.refused, desk.failed,
+      desk.no_route, desk.calls, desk.second_calls, desk.not_run, desk.misplaced, desk.no_way, desk.broken,
+      desk.late, links.opened, links.reused, links.spoilt, links.surplus, links.unnamed, links.overdue,
+      desk_.coverage(), follower_.view().edition(), follower_.view().nodes().all().size(),
+      follower_.view().edges());
 }
 
 }  // namespace pearspar::altavia
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -1,5 +1,5 @@
 // A process that clients reach: the front door, the check of its readiness, the connections to nodes and the
-// links to the core; it joins pederu (the desk) and vazzoler (the view) with them.
+// links to the core; it joins pederu (the desk) and vazzoler (who follows the core) with them.
 #pragma once
 
 #include <string>
@@ -12,7 +12,7 @@
 #include "net/loop.h"
 #include "pederu/desk.h"
 #include "puez/links.h"
-#include "vazzoler/view.h"
+#include "vazzoler/follower.h"
 
 namespace pearspar::altavia {
 
@@ -26,7 +26,7 @@
   // No more ready; serves on while clients go elsewhere, then ends.
   void stop();
   bool stopped() const { return ended_; }
-  bool ready() const { return !stopping_ && view_.knows_enough() && listed_; }
+  bool ready() const { return !stopping_ && follower_.knows_enough(); }
 
  private:
   // The two listening sockets, told apart.
@@ -48,32 +48,24 @@
   void serve(net::SlotId connection, const http::Message& message);
   void check(net::SlotId connection, const http::Message& message);
   void answer(net::SlotId connection, pederu::FinalAnswer answer);
-  void take_news(puez::LinkId link, vazzoler::View::Taken taken);
+  void take_news();
   void each_second();
   void wind_down();
-  std::string hello() const;
   std::string counters() const;
 
   net::Loop& loop_;
   coldai::Settings settings_;
-  std::uint64_t life_;
   Door front_user_{*this, false};
   Door check_user_{*this, true};
   clients::Front front_;
   clients::Front check_;
   puez::Links links_;
-  vazzoler::View view_;
+  vazzoler::Follower follower_;
   croda::NodeLinks nodes_;
   pederu::Desk desk_;
-  averau::Edition routed_ = 0;  // edition that the desk routes by
-  bool listed_ = false;         // a list of nodes that was not just being gathered, or old enough
-  std::unordered_map<std::uint64_t, net::SlotId> clients_;  // of open requests
+  averau::Edition routed_ = 0;                                     // edition that the desk routes by
+  std::unordered_map<std::uint64_t, net::SlotId> clients_;         // of open requests
   std::unordered_map<std::uint64_t, pederu::RequestId> requests_;  // the other way
-  std::vector<puez::LinkId> up_;
-  std::vector<std::string> cores_;
-  lagazuoi::Term cores_term_ = 0;
-  net::Time news_{};  // last heard of a leader
-  net::Time first_nodes_{};
   net::Timer second_;
   net::Timer due_;
   bool stopping_ = false;
--- a/src/altavia/main.cpp
+++ b/src/altavia/main.cpp
@@ -1,6 +1,6 @@
-// The one program of the system: what it does on a machine follows from the settings that the platform hands to
-// it. It serves clients where it is given a front door, and is a member of the core where it is given a control
-// port and a folder on disk.
+// The one program of the system: what it does on a machine follows from the settings that the platform hands
+// to it. It serves clients where it is given a front door, and is a member of the core where it is given a
+// control port and a folder on disk.
 #include <popt.h>
 #include <signal.h>
 #include <sys/stat.h>
@@ -144,9 +144,10 @@
 
 int main(int argc, const char** argv) {
   char* settings = nullptr;
-  const poptOption options[] = {{"settings", 's', POPT_ARG_STRING, &settings, 0,
-                                 "the platform's settings file (else PEARSPAR_CONFIG in the environment)", "FILE"},
-                                POPT_AUTOHELP POPT_TABLEEND};
+  const poptOption options[] = {
+      {"settings", 's', POPT_ARG_STRING, &settings, 0,
+       "the platform's settings file (else PEARSPAR_CONFIG in the environment)", "FILE"},
+      POPT_AUTOHELP POPT_TABLEEND};
   std::unique_ptr<std::remove_pointer_t<poptContext>, void (*)(poptContext)> context(
       poptGetContext("altavia", argc, argv, options, 0), [](poptContext c) { poptFreeContext(c); });
   poptSetOtherOptionHelp(context.get(), "[--settings FILE] serve | check-settings");
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -49,13 +49,14 @@
 Member::Member(net::Loop& loop, const coldai::Settings& settings, std::uint64_t seed)
     : loop_(loop),
       settings_(settings),
-      front_(
-          loop, [](std::string_view what) { log(Level::warning, "control_port", {{"what", what}}); },
-          most_connections, *this, {net::Duration(10), net::Duration(5)}, {16 * 1024, most_body}),
+      front_(loop,
+             [](std::string_view what) {
+               log(Level::warning, "control_port", {{"what", what}});
+             },
+             most_connections, *this, {net::Duration(10), net::Duration(5)}, {16 * 1024, most_body}),
       links_(loop, *this),
       store_(settings.data_dir),
-      core_(store_, state_, core_options(settings, seed)),
-      office_(office_options(settings, seed), core_, state_) {
+      member_(links_, store_, core_options(settings, seed), office_options(settings, seed)) {
   links_.listen(*net::Address::parse(settings.inner_address()));
   front_.listen(*net::Address::parse(settings.control_port));
   start_core();
@@ -65,98 +66,65 @@
 
 // A disk that takes nothing is met by trying again; until then every call is refused.
 void Member::start_core() {
-  auto error = core_.start(loop_.read_clock());
+  auto error = member_.start(loop_.read_clock());
   start_again_ = loop_.now() + start_pause;
   if (error) {
     log(Level::error, "store_refused", {{"folder", settings_.data_dir}, {"why", error.message()}});
     return;
   }
-  started_ = true;
+  const lagazuoi::Core& core = member_.core();
   log(Level::info, "member_started",
-      {{"id", core_.self()},
-       {"term", core_.term()},
-       {"last", core_.log().last()},
-       {"edition", state_.edition()},
-       {"voter", core_.log().membership().has(core_.self())}});
-  keep_links();
+      {{"id", core.self()},
+       {"term", core.term()},
+       {"last", core.log().last()},
+       {"edition", member_.state().edition()},
+       {"voter", core.log().membership().has(core.self())}});
 }
 
 void Member::settings_changed(const coldai::Settings& settings) {
   settings_.seeds = settings.seeds;
-  core_.set_seeds(settings_.inner_seeds());
-}
-
-void Member::keep_links() {
-  std::vector<std::string> wanted = core_.addresses();
-  std::erase(wanted, settings_.inner_address());
-  if (wanted == kept_) return;
-  kept_ = wanted;
-  links_.keep(wanted);
+  member_.set_seeds(settings_.inner_seeds());
 }
 
 void Member::request_arrived(net::SlotId connection, const http::Message& message) {
-  if (!started_ || stopping_) {
+  if (stopping_) {
     clients::Answer answer;
     answer.status = 503;
     return front_.answer(connection, answer);
   }
-  office_.call(loop_.read_clock(), asker_of(connection), message.method, message.target,
+  member_.call(loop_.read_clock(), asker_of(connection), message.method, message.target,
                message.header("If-Match").value_or(std::string_view()), message.body);
 }
 
 void Member::client_left(net::SlotId) {}  // its change may be under way; the answer finds nobody
 
-void Member::link_up(puez::LinkId link, const std::string&) {
-  if (started_) links_.send(link, fanes::pack(office_.hello()));
-}
-
+void Member::link_up(puez::LinkId link, const std::string&) { member_.link_up(link); }
 void Member::link_frame(puez::LinkId link, std::string_view frame) {
-  if (!started_) return;
-  auto message = fanes::unpack(frame);
-  if (!message) {
-    log(Level::warning, "frame_unread", {{"bytes", frame.size()}});
-    return;
-  }
-  office_.message(loop_.read_clock(), link, *message);
-}
-
-void Member::link_down(puez::LinkId link) { office_.link_closed(link); }
-
-void Member::flush() {
-  for (auto& out : core_.take_out()) links_.send_to(out.address, fanes::pack(std::move(out.message)));
-  for (auto& out : office_.take_messages()) links_.send_to(out.address, fanes::pack(out.message));
-  for (auto& out : office_.take_news(loop_.read_clock())) links_.send(out.link, out.bytes);
-  for (auto& reply : office_.take_replies()) {
-    clients::Answer answer;
-    answer.status = reply.status;
-    answer.body = std::move(reply.body);
-    front_.answer(connection_of(reply.asker), answer);
-  }
+  member_.link_frame(loop_.read_clock(), link, frame);
 }
+void Member::link_down(puez::LinkId link) { member_.link_down(link); }
 
 void Member::tell_role() {
-  bool leads = office_.in_office();
-  if (leads == led_ && core_.term() == told_term_) return;
-  if (leads != led_)
-    log(Level::info, leads ? "leads" : "leads_no_more",
-        {{"term", core_.term()}, {"edition", state_.edition()}, {"nodes", office_.view().nodes().all().size()}});
+  bool leads = member_.office().in_office();
+  if (leads == led_) return;
   led_ = leads;
-  told_term_ = core_.term();
+  log(Level::info, leads ? "leads" : "leads_no_more",
+      {{"term", member_.core().term()},
+       {"edition", member_.state().edition()},
+       {"nodes", member_.office().view().nodes().all().size()}});
 }
 
 void Member::after_turn() {
   net::Time now = loop_.read_clock();
-  if (!started_) {
-    if (now >= start_again_) start_core();
-    if (!started_) timer_ = loop_.at(start_again_, [] {});
-    if (!started_) return;
+  if (!member_.started() && now >= start_again_) start_core();
+  for (auto& reply : member_.advance([this] { return loop_.read_clock(); })) {
+    clients::Answer answer;
+    answer.status = reply.status;
+    answer.body = std::move(reply.body);
+    front_.answer(connection_of(reply.asker), answer);
   }
-  core_.tick(now);
-  office_.advance(now);
-  flush();
-  keep_links();
   tell_role();
-  net::Time due = std::min(core_.due(), office_.due());
+  net::Time due = member_.started() ? member_.due() : start_again_;
   timer_ = loop_.at(std::max(due, now + least_wait), [] {});
 }
 
@@ -164,9 +132,8 @@
   if (stopping_) return;
   stopping_ = true;
   stop_at_ = loop_.now() + stop_within;
-  if (!started_) return;
-  core_.hand_over(loop_.read_clock());
-  log(Level::info, "member_stops", {{"term", core_.term()}});
+  member_.hand_over(loop_.read_clock());
+  log(Level::info, "member_stops", {{"term", member_.core().term()}});
 }
 
 }  // namespace pearspar::altavia
--- a/src/altavia/member.h
+++ b/src/altavia/member.h
@@ -1,5 +1,5 @@
-// A process of the core: the control port, the links to other members and to those that follow, the store; it
-// joins sennes (the office) and lagazuoi (agreement) with them.
+// A process of the core: the control port, the links to other members and to those that follow, the store,
+// around sennes::Member, which decides.
 #pragma once
 
 #include <memory>
@@ -7,10 +7,9 @@
 
 #include "clients/front.h"
 #include "coldai/settings.h"
-#include "lagazuoi/core.h"
 #include "net/loop.h"
 #include "puez/links.h"
-#include "sennes/office.h"
+#include "sennes/member.h"
 #include "tissi/lmdb_store.h"
 
 namespace pearspar::altavia {
@@ -36,8 +35,6 @@
   void link_down(puez::LinkId link) override;
 
   void start_core();
-  void flush();
-  void keep_links();
   void tell_role();
 
   net::Loop& loop_;
@@ -45,15 +42,10 @@
   clients::Front front_;
   puez::Links links_;
   tissi::LmdbStore store_;
-  sennes::State state_;
-  lagazuoi::Core core_;
-  sennes::Office office_;
-  bool started_ = false;
+  sennes::Member member_;
   net::Time start_again_{};
   net::Timer timer_;
   bool led_ = false;
-  lagazuoi::Term told_term_ = 0;
-  std::vector<std::string> kept_;
   bool stopping_ = false;
   net::Time stop_at_{};
 };
--- a/src/averau/config.h
+++ b/src/averau/config.h
@@ -24,9 +24,9 @@
   std::string prefix;  // begins and ends with a slash
   bool safe = false;   // may run more than once
   double deadline_ms = 0;
-  double target_ms = 0;  // an answer within it earns its full worth; 0 = not told
-  int precedence = 0;    // 0 is highest
-  int tries = 1;         // servers that one request may be sent to (of each shard)
+  double target_ms = 0;             // an answer within it earns its full worth; 0 = not told
+  int precedence = 0;               // 0 is highest
+  int tries = 1;                    // servers that one request may be sent to (of each shard)
   std::vector<Share> depots;        // one, or several by weight; empty where it gathers
   std::vector<std::string> shards;  // empty where it does not
   int top = 0;                      // records of a gathered answer
--- a/src/averau/json.cpp
+++ b/src/averau/json.cpp
@@ -46,12 +46,15 @@
   auto before = text.substr(0, at);
   auto line = std::count(before.begin(), before.end(), '\n') + 1;
   std::size_t start = before.rfind('\n');
-  fault = {{}, "no JSON at line " + std::to_string(line) + ", column " +
-                   std::to_string(start == before.npos ? at + 1 : at - start)};
+  fault = {{},
+           "no JSON at line " + std::to_string(line) + ", column " +
+               std::to_string(start == before.npos ? at + 1 : at - start)};
   return nullptr;
 }
 
-const cJSON* JsonReader::item(const char* key) const { return cJSON_GetObjectItemCaseSensitive(object_, key); }
+const cJSON* JsonReader::item(const char* key) const {
+  return cJSON_GetObjectItemCaseSensitive(object_, key);
+}
 std::string JsonReader::at(const char* key) const { return path_.empty() ? key : path_ + "." + key; }
 bool JsonReader::has(const char* key) const { return item(key) != nullptr; }
 
--- a/src/averau/json.h
+++ b/src/averau/json.h
@@ -23,7 +23,8 @@
 };
 using Json = std::unique_ptr<cJSON, JsonEnd>;
 
-// The whole text must be one value, nested 32 deep at most. Else nothing, with `fault` naming line and column.
+// The whole text must be one value, nested 32 deep at most. Else nothing, with `fault` naming line and
+// column.
 Json parse_json(std::string_view text, Fault& fault);
 
 class JsonReader {
--- /dev/null
+++ b/src/biella/checker.h
@@ -0,0 +1,74 @@
+// The judge of a run: told what clients, operators and nodes saw, and nothing else. It shares no code with
+// what it judges; each broken rule is a line that begins with the rule's name.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pearspar::biella {
+
+class Checker {
+ public:
+  // Operators. `text` is the whole body, which is different for every change.
+  void change_sent(std::uint64_t on_top_of, std::uint64_t edition, const std::string& text);
+  void change_answered(double at, std::uint64_t on_top_of, std::uint64_t edition, const std::string& text,
+                       int status);
+  // What a read that was begun at `began` gave.
+  void read(double began, double at, std::uint64_t edition, const std::string& text);
+
+  // What one life of an edge goes by.
+  void edge_routes_by(double at, const std::string& edge, std::uint64_t life, std::uint64_t edition,
+                      const std::string& text);
+
+  // Nodes.
+  void leaving_acknowledged(double at, const std::string& node);
+  void request_reached(double at, const std::string& node, const std::string& depot,
+                       const std::string& request, bool edge_in_touch);
+  void request_made(double at, const std::string& request, const std::vector<std::string>& depots);
+  // A gathered success: parts as (depot, records), the sets of services that configurations ever named.
+  struct Part {
+    std::string node;
+    std::string depot;
+    std::vector<std::string> records;
+  };
+  void gathered(const std::string& request, const std::vector<Part>& parts, std::size_t missing,
+                std::size_t top, double least_share, const std::string& body);
+  void service_set(const std::vector<std::string>& depots);
+
+  // At the end, all being well for a while.
+  void settled(const std::string& edge, std::uint64_t edition);
+  void finish();
+
+  void broken(const std::string& rule, const std::string& what) { faults_.push_back(rule + ": " + what); }
+  const std::vector<std::string>& faults() const { return faults_; }
+  std::uint64_t newest_acknowledged() const { return newest_; }
+  std::size_t acknowledged() const { return acked_.size(); }
+
+  double drain_s = 3;
+  double retry_ratio = 0.2;
+  double retry_slack = 56;
+  double retry_window_s = 10;
+
+ private:
+  std::map<std::uint64_t, std::string> acked_;              // edition -> text
+  std::map<std::uint64_t, std::string> acked_on_;           // on top of -> text
+  std::vector<std::pair<double, std::uint64_t>> acked_at_;  // when the answer came
+  std::set<std::string> refused_;
+  std::set<std::string> in_force_;
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> edge_edition_;
+  std::map<std::string, double> left_;
+  std::uint64_t newest_ = 0;
+  std::set<std::set<std::string>> sets_;
+  struct Traffic {
+    std::vector<double> requests;
+    std::vector<double> extra;
+    std::set<std::string> seen;
+  };
+  std::map<std::string, Traffic> traffic_;
+  std::vector<std::string> faults_;
+};
+
+}  // namespace pearspar::biella
--- /dev/null
+++ b/src/biella/cluster.h
@@ -0,0 +1,132 @@
+// A whole system in one process and simulated time: members of the core on simulated disks, edges with their
+// desks, index servers that beat, work, fail and leave, operators and clients. The code of the system is the
+// one that runs in service; only sockets, disks and clocks are the rig's.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "biella/checker.h"
+#include "biella/disk.h"
+#include "biella/net.h"
+#include "pederu/desk.h"
+#include "sennes/member.h"
+#include "vazzoler/follower.h"
+
+namespace pearspar::biella {
+
+struct ClusterOptions {
+  int cores = 3;
+  int edges = 8;
+  int shards = 4;  // of the gathered route
+  int nodes_per_shard = 4;
+  int plain_nodes = 84;  // of the service that is asked alone
+  int slots = 3;
+  double sync_s = 0.0005;
+  double requests_per_s = 0;  // by all clients together
+  std::uint64_t seed = 1;
+  bool lying_disks = false;  // they say that they have synced; for the table of guards
+  double beat_s = 1.2;
+  double retry_ratio = 0.2;
+  double retry_slack = 56;
+};
+
+class Cluster {
+ public:
+  explicit Cluster(const ClusterOptions& options);
+  ~Cluster();
+
+  World& world() { return world_; }
+  Net& net() { return net_; }
+  Checker& checker() { return checker_; }
+  void run(double seconds) { world_.run_until(world_.now() + Duration(seconds)); }
+
+  // Members of the core, by place.
+  std::size_t cores() const { return cores_.size(); }
+  std::size_t member_count() const { return static_cast<std::size_t>(options_.cores); }
+  bool core_up(std::size_t core) const;
+  void kill_core(std::size_t core, double back_s, bool power = false);
+  void wipe_core(std::size_t core, double back_s);
+  void freeze_core(std::size_t core, double for_s);
+  SimDisk& disk(std::size_t core);
+  // One of the core is gone for good, an empty one comes at another address.
+  void replace_core(std::size_t core, double after_s);
+  int leader() const;  // its place, -1 = none that may speak
+  const sennes::Member* member(std::size_t core) const;
+  std::string core_address(std::size_t core) const;
+
+  std::size_t edges() const { return edges_.size(); }
+  void kill_edge(std::size_t edge, double back_s);
+  void freeze_edge(std::size_t edge, double for_s);
+  const vazzoler::Follower* follower(std::size_t edge) const;
+  const pederu::Desk* desk(std::size_t edge) const;
+  std::string edge_address(std::size_t edge) const;
+
+  std::size_t nodes() const { return nodes_.size(); }
+  void crash_node(std::size_t node, double back_s, bool dark);
+  void slow_node(std::size_t node, double factor, double for_s);
+  void leave_node(std::size_t node, double back_s);
+  std::string node_depot(std::size_t node) const;
+
+  // An operator's change on top of the newest edition it has seen; told to any member, again until it is
+  // clear.
+  void change(int operator_number);
+  void read_back();
+  // The index is cut into other shards, by a change.
+  void cut_index(int shards);
+
+  // Cuts a machine off from the core's other machines.
+  void cut_off(const std::string& address, bool in, bool out);
+  void heal(const std::string& address);
+
+  struct Totals {
+    std::uint64_t asked = 0, served = 0, whole = 0, refused = 0, failed = 0;
+    std::uint64_t changes_taken = 0, changes_refused = 0, unclear = 0;
+  };
+  const Totals& totals() const { return totals_; }
+  std::vector<std::string> seeds() const;
+  bool edge_in_touch() const;
+  // After everything was mended: what must be so a while later.
+  void check_settled();
+  double seconds() const { return world_.now().time_since_epoch().count(); }
+
+ private:
+  struct Core;
+  struct Edge;
+  struct Node;
+  struct Operator;
+  using Answer = std::function<void(int status, const std::string& body)>;  // status 0 = none came
+
+  void start_core(Core& core);
+  void start_edge(Edge& edge);
+  void start_node(Node& node);
+  void beat(Node& node);
+  void call(std::size_t core, std::string method, std::string path, std::string if_match, std::string body,
+            Answer answer);
+  std::string configuration(std::uint64_t edition, int author) const;
+  void push_change(Operator& who, std::uint64_t on_top_of, std::uint64_t edition, std::string text,
+                   int tries);
+  void ask();
+
+  ClusterOptions options_;
+  World world_;
+  Net net_;
+  Checker checker_;
+  std::vector<std::unique_ptr<Core>> cores_;
+  std::vector<std::unique_ptr<Edge>> edges_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::unique_ptr<Operator>> operators_;
+  std::vector<std::string> shards_;  // as the newest change names them
+  std::vector<std::string> depots_;
+  std::unordered_map<std::string, std::vector<std::string>> records_;  // by stamp
+  std::unordered_map<std::string, std::string> stamp_depots_;
+  Totals totals_;
+  Time calm_since_{};
+  std::uint64_t next_request_ = 0;
+  std::uint64_t next_change_ = 0;
+  int next_address_ = 10;
+};
+
+}  // namespace pearspar::biella
--- /dev/null
+++ b/src/biella/disk.h
@@ -0,0 +1,48 @@
+// A member's disk in the simulation. A call is atomic, as the store promises; it costs its sync, and the
+// process that makes it waits so long. Faults: full, stalled, slow, wiped, power lost in the middle of a
+// write; and, to see the checker fail, a disk that says it has synced and has not.
+#pragma once
+
+#include "biella/world.h"
+#include "lagazuoi/store.h"
+
+namespace pearspar::biella {
+
+class SimDisk : public lagazuoi::Store {
+ public:
+  explicit SimDisk(World& world) : world_(world) {}
+
+  std::error_code load(lagazuoi::Stored& stored) override;
+  std::error_code save_self(lagazuoi::MemberId self) override;
+  std::error_code save_vote(const lagazuoi::Vote& vote) override;
+  std::error_code replace_tail(lagazuoi::Index from, const std::vector<lagazuoi::Entry>& entries) override;
+  std::error_code save_snapshot(const lagazuoi::Snapshot& snapshot, bool drop_rest) override;
+
+  void set_full(bool full) { full_ = full; }
+  void stall_until(Time until) { stalled_ = until; }
+  void set_sync(Duration sync) { sync_ = sync; }
+  void set_lying(bool lying) { lying_ = lying; }
+  void lose_power();
+  void wipe();
+  // The process that uses it waits until then.
+  Time busy_until() const { return busy_; }
+  std::uint64_t writes() const { return writes_; }
+
+ private:
+  template <typename Work>
+  std::error_code write(Work work);
+
+  World& world_;
+  lagazuoi::Stored held_;     // as a process sees it
+  lagazuoi::Stored before_;   // as it was before the last write
+  lagazuoi::Stored durable_;  // of a lying disk: what a loss of power leaves
+  Time durable_due_{};
+  Time busy_{};
+  Time stalled_{};
+  Duration sync_{0.0005};
+  bool full_ = false;
+  bool lying_ = false;
+  std::uint64_t writes_ = 0;
+};
+
+}  // namespace pearspar::biella
--- a/src/clients/front.h
+++ b/src/clients/front.h
@@ -31,9 +31,9 @@
   int status = 200;
   std::string body;
   std::string_view type = "application/json";  // empty = none is named
-  std::string_view allow;    // of a 405
-  double retry_after_s = 0;  // 0 = none
-  std::string headers = {};  // further lines, each with its end
+  std::string_view allow;                      // of a 405
+  double retry_after_s = 0;                    // 0 = none
+  std::string headers = {};                    // further lines, each with its end
 };
 
 class FrontUser {
--- a/src/coldai/settings.cpp
+++ b/src/coldai/settings.cpp
@@ -1,9 +1,10 @@
 #include "coldai/settings.h"
 
 #define TOML_EXCEPTIONS 0
+#include <toml++/toml.h>
+
 #include <fstream>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace pearspar::coldai {
 namespace {
--- a/src/croda/node_links.cpp
+++ b/src/croda/node_links.cpp
@@ -14,9 +14,9 @@
 constexpr int reads_at_once = 8;
 constexpr net::Duration connect_within = 700ms;
 constexpr int silence_ms = 1500;
-constexpr net::Duration idle_for = 4s;       // where the node does not tell how long it keeps one
+constexpr net::Duration idle_for = 4s;        // where the node does not tell how long it keeps one
 constexpr net::Duration idle_margin = 400ms;  // we close first
-constexpr net::Duration grace = 300ms;       // past the request's end, for the node's own 504
+constexpr net::Duration grace = 300ms;        // past the request's end, for the node's own 504
 
 constexpr std::string_view id_header = "Request-Id";
 
@@ -75,8 +75,7 @@
   connection.watch =
       loop_.watch(connection.fd.get(), POLLOUT, [this, id](short events) { on_ready(id, events); });
   begin(id, call, std::move(request), end);
-  connection.timer =
-      loop_.at(std::min(end, loop_.now() + connect_within), [this, id] { due(id); });
+  connection.timer = loop_.at(std::min(end, loop_.now() + connect_within), [this, id] { due(id); });
   return true;
 }
 
@@ -118,8 +117,8 @@
   Connection& connection = *connections_.find(id);
   while (connection.written < connection.out.size()) {
     std::size_t written = 0;
-    auto result = net::write_from(connection.fd,
-                                  std::string_view(connection.out).substr(connection.written), written);
+    auto result =
+        net::write_from(connection.fd, std::string_view(connection.out).substr(connection.written), written);
     if (result == net::IoResult::failed) {
       // Not from within start(): the end is told in the loop's next turn.
       connection.timer = loop_.at(loop_.now(), [this, id] { close(id, Ending::broken); });
--- a/src/fanes/messages.cpp
+++ b/src/fanes/messages.cpp
@@ -197,7 +197,8 @@
     change.news = get_news(in);
     in.leave();
     // One that a newer program has put here is counted and passed over.
-    if (kind <= static_cast<std::uint64_t>(ChangeKind::complete)) changes.changes.push_back(std::move(change));
+    if (kind <= static_cast<std::uint64_t>(ChangeKind::complete))
+      changes.changes.push_back(std::move(change));
   }
   in.leave();
   return changes;
--- a/src/fanes/messages.h
+++ b/src/fanes/messages.h
@@ -55,9 +55,9 @@
 struct Standing {
   Position at;
   bool complete = true;
-  std::uint32_t edges = 0;          // that hold a lease
-  averau::Edition edition = 0;      // of the newest configuration
-  std::string configuration;        // empty where the follower has that edition
+  std::uint32_t edges = 0;      // that hold a lease
+  averau::Edition edition = 0;  // of the newest configuration
+  std::string configuration;    // empty where the follower has that edition
   std::vector<NodeNews> nodes;
   std::vector<std::string> ended;  // ids of nodes that are gone for good
 };
@@ -110,8 +110,8 @@
   std::string body;
 };
 
-using Message = std::variant<lagazuoi::Message, Hello, Welcome, Standing, Changes, Ping, Ack, Farewell, Call,
-                             CallAnswer>;
+using Message =
+    std::variant<lagazuoi::Message, Hello, Welcome, Standing, Changes, Ping, Ack, Farewell, Call, CallAnswer>;
 
 std::string pack(const Message& message);
 // Nothing where the bytes are no message that this program knows.
--- a/src/fanes/pack.cpp
+++ b/src/fanes/pack.cpp
@@ -68,7 +68,8 @@
 
 std::size_t Unpacker::enter(std::size_t most) {
   const msgpack_object* object = next();
-  if (!object || object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > most || depth_ == max_depth) {
+  if (!object || object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > most ||
+      depth_ == max_depth) {
     spoil();
     return 0;
   }
--- a/src/lagazuoi/core.cpp
+++ b/src/lagazuoi/core.cpp
@@ -402,7 +402,8 @@
     case MessageKind::join:
       return on_join(now, message);
     case MessageKind::take_over:
-      if (message.term == vote_.term && role_ == Role::follower && log_.membership().has(self_)) stand(now, true);
+      if (message.term == vote_.term && role_ == Role::follower && log_.membership().has(self_))
+        stand(now, true);
       return;
   }
 }
@@ -420,8 +421,8 @@
   follow(now, append.term, append.from, append.from_address);
   answer.term = vote_.term;
   Index last_new = append.index + append.entries.size();
-  if (append.index > log_.last() || (append.index >= log_.snapshot().index &&
-                                     log_.term_at(append.index) != append.log_term)) {
+  if (append.index > log_.last() ||
+      (append.index >= log_.snapshot().index && log_.term_at(append.index) != append.log_term)) {
     answer.index = std::min(log_.last(), append.index > 0 ? append.index - 1 : 0);
     answer.index = std::max(answer.index, commit_);
     return send(append.from_address, answer);
--- a/src/lagazuoi/core.h
+++ b/src/lagazuoi/core.h
@@ -1,8 +1,8 @@
 // One member of the core: votes, the log's replication, the lease, who is taken in and who leaves the count.
 // Free of I/O: messages and time come in, messages go out, the store is asked in between.
 //
-// Always true between calls: a term and a vote are on disk before they are told; an entry is on disk before it
-// is acknowledged; `commit` never falls; a member with an empty disk has another id than any before it.
+// Always true between calls: a term and a vote are on disk before they are told; an entry is on disk before
+// it is acknowledged; `commit` never falls; a member with an empty disk has another id than any before it.
 #pragma once
 
 #include <map>
@@ -33,7 +33,7 @@
 };
 
 struct Options {
-  std::string address;               // ours, for the other members
+  std::string address;                // ours, for the other members
   std::vector<std::string> founders;  // on the first start of all: the first voters, the same list everywhere
   std::vector<std::string> seeds;     // whom to ask to be taken in
   bool first_start = false;
--- a/src/lagazuoi/log.cpp
+++ b/src/lagazuoi/log.cpp
@@ -46,8 +46,8 @@
 std::error_code Log::fold(Snapshot snapshot) {
   if (auto error = store_.save_snapshot(snapshot, false)) return error;
   Index dropped = snapshot.index - snapshot_.index;
-  entries_.erase(entries_.begin(), entries_.begin() + static_cast<std::ptrdiff_t>(
-                                                          std::min<Index>(dropped, entries_.size())));
+  entries_.erase(entries_.begin(),
+                 entries_.begin() + static_cast<std::ptrdiff_t>(std::min<Index>(dropped, entries_.size())));
   snapshot_ = std::move(snapshot);
   fold_memberships();
   return {};
--- a/src/lagazuoi/types.h
+++ b/src/lagazuoi/types.h
@@ -14,7 +14,8 @@
 using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 using Term = std::uint64_t;
 using Index = std::uint64_t;  // of an entry in the log, from 1
-// Drawn anew whenever a member starts with an empty disk: who has forgotten what it promised is somebody else.
+// Drawn anew whenever a member starts with an empty disk: who has forgotten what it promised is somebody
+// else.
 using MemberId = std::uint64_t;  // 0 = nobody
 
 struct Member {
--- a/src/lavarella/log.h
+++ b/src/lavarella/log.h
@@ -32,8 +32,8 @@
 
 // Before the first line; once a process.
 void open_log(std::string_view node, Level least);
-// {"t":12.345,"level":"info","node":"...","event":"...", and the fields}. More than 200 lines at once, 20 a second
-// in the long run, are dropped and counted in the next line that is written.
+// {"t":12.345,"level":"info","node":"...","event":"...", and the fields}. More than 200 lines at once, 20 a
+// second in the long run, are dropped and counted in the next line that is written.
 void log(Level level, std::string_view event,
          std::initializer_list<std::pair<std::string_view, Value>> fields = {});
 bool parse_level(std::string_view text, Level& level);
--- a/src/pederu/allowance.h
+++ b/src/pederu/allowance.h
@@ -1,6 +1,6 @@
-// What may be sent a second time: over all edges, a service gets no more arrivals past the first of each request
-// than `ratio` of the requests for it and `slack` besides, in any window. Each edge spends its own part: the
-// ratio of its own requests, and the slack by the number of edges.
+// What may be sent a second time: over all edges, a service gets no more arrivals past the first of each
+// request than `ratio` of the requests for it and `slack` besides, in any window. Each edge spends its own
+// part: the ratio of its own requests, and the slack by the number of edges.
 #pragma once
 
 #include <array>
--- a/src/pederu/coverage.h
+++ b/src/pederu/coverage.h
@@ -1,6 +1,6 @@
-// The coverage share: whole, and narrowed only under strain (ours, beside Pyramid). In windows of 2 s the share
-// of shard calls that were refused or timed out is looked at; over a tenth takes 0.1 off, under half a tenth
-// gives 0.1 back, and with fewer than 20 outcomes nothing moves.
+// The coverage share: whole, and narrowed only under strain (ours, beside Pyramid). In windows of 2 s the
+// share of shard calls that were refused or timed out is looked at; over a tenth takes 0.1 off, under half a
+// tenth gives 0.1 back, and with fewer than 20 outcomes nothing moves.
 #pragma once
 
 #include "pederu/types.h"
--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -143,7 +143,8 @@
     CallId call = out_.add();
     double left = Duration(request.end - now).count() * 1000;
     std::string text = request.head;
-    text += fmt::format("Addressee: {}\r\nDeadline-Ms: {}\r\n", node->id, std::max<long>(1, std::lround(left)));
+    text +=
+        fmt::format("Addressee: {}\r\nDeadline-Ms: {}\r\n", node->id, std::max<long>(1, std::lround(left)));
     if (!request.payload.empty()) text += fmt::format("Content-Length: {}\r\n", request.payload.size());
     text += "\r\n";
     text += request.payload;
@@ -240,7 +241,8 @@
       FinalAnswer answer;
       answer.status = end.status;
       answer.type = end.type;
-      answer.headers = fmt::format("Request-Id: {}\r\nPostmark: {}\r\n{}", request.id, end.stamp, end.headers);
+      answer.headers =
+          fmt::format("Request-Id: {}\r\nPostmark: {}\r\n{}", request.id, end.stamp, end.headers);
       answer.body = std::move(part.body);
       ++counters_.single;
       finish(now, id, std::move(answer));
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -22,7 +22,8 @@
  public:
   virtual ~Calls() = default;
   // False where no connection is to be had there now. Else desk.ended() follows, never from within this call.
-  virtual bool start(CallId call, const KnownNode& node, int most_connections, std::string request, Time end) = 0;
+  virtual bool start(CallId call, const KnownNode& node, int most_connections, std::string request,
+                     Time end) = 0;
 };
 
 // What the desk takes from a client's request; all but the strings' bytes hold during the call only.
--- a/src/pederu/merge.cpp
+++ b/src/pederu/merge.cpp
@@ -15,8 +15,9 @@
     for (std::size_t at = 0; at + record_bytes <= parts[part].size(); at += record_bytes)
       records.push_back({parts[part].data() + at, part});
   std::size_t kept = std::min(top, records.size());
-  std::partial_sort(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(kept), records.end(),
-                    [](const Record& a, const Record& b) { return std::memcmp(a.at, b.at, record_bytes) > 0; });
+  std::partial_sort(
+      records.begin(), records.begin() + static_cast<std::ptrdiff_t>(kept), records.end(),
+      [](const Record& a, const Record& b) { return std::memcmp(a.at, b.at, record_bytes) > 0; });
   Merged merged;
   merged.survived.resize(parts.size());
   merged.body.reserve(kept * record_bytes);
--- a/src/pederu/node_book.cpp
+++ b/src/pederu/node_book.cpp
@@ -66,7 +66,8 @@
   bool best_blamed = false;
   for (std::size_t i = 0; i < nodes.size(); ++i) {
     const NodePtr& node = nodes[(i + turn) % nodes.size()];  // ties go round
-    if (!node->listed || node->closing || std::find(tried.begin(), tried.end(), node) != tried.end()) continue;
+    if (!node->listed || node->closing || std::find(tried.begin(), tried.end(), node) != tried.end())
+      continue;
     bool blamed = now < node->blamed_until;
     double rank = (node->heard ? node->latency_ms : average) * (1 + node->out);
     if (best && (blamed != best_blamed ? blamed : rank >= least)) continue;
@@ -98,7 +99,8 @@
 
 void NodeBook::late(Time now, KnownNode& node, Duration waited) {
   double ms = waited.count() * 1000;
-  if (!node.heard || ms > node.latency_ms) node.latency_ms = node.heard ? node.latency_ms + smoothing * (ms - node.latency_ms) : ms;
+  if (!node.heard || ms > node.latency_ms)
+    node.latency_ms = node.heard ? node.latency_ms + smoothing * (ms - node.latency_ms) : ms;
   node.heard = true;
   node.silent = std::min(node.silent + 1, 10);
   // One late answer says little; several in a row and nothing between them say that it is gone.
--- a/src/pederu/node_book.h
+++ b/src/pederu/node_book.h
@@ -23,11 +23,11 @@
   bool listed = true;  // false: the list has it no more; kept while calls are out
   Time cold_until{};
 
-  int out = 0;              // calls
-  double latency_ms = 0;    // smoothed
-  bool heard = false;       // has answered once
-  int silent = 0;           // calls in a row that it left without any answer
-  Time blamed_until{};      // not asked before, unless nobody else is there
+  int out = 0;            // calls
+  double latency_ms = 0;  // smoothed
+  bool heard = false;     // has answered once
+  int silent = 0;         // calls in a row that it left without any answer
+  Time blamed_until{};    // not asked before, unless nobody else is there
 };
 
 using NodePtr = std::shared_ptr<KnownNode>;  // kept by calls and requests past the node's own end
--- a/src/pederu/request.h
+++ b/src/pederu/request.h
@@ -14,11 +14,11 @@
 
 // How a call to a node has ended. Exactly one for each call, unless it was let go before.
 enum class Ending {
-  answered,    // a whole answer with our id
-  not_run,     // the node says that it did not run it
-  misplaced,   // another node stands at the address, and did not run it
-  no_way,      // no connection came up: it was not sent
-  broken,      // the connection ended, or carried something else, after it was sent: it may have run
+  answered,   // a whole answer with our id
+  not_run,    // the node says that it did not run it
+  misplaced,  // another node stands at the address, and did not run it
+  no_way,     // no connection came up: it was not sent
+  broken,     // the connection ended, or carried something else, after it was sent: it may have run
 };
 
 struct CallEnd {
--- a/src/pederu/weights.cpp
+++ b/src/pederu/weights.cpp
@@ -29,7 +29,8 @@
     weights.push_back(known == share_.end() ? average : known->second);
     total += weights.back();
   }
-  for (double& weight : weights) weight = total > 0 ? weight / total : 1.0 / static_cast<double>(shards.size());
+  for (double& weight : weights)
+    weight = total > 0 ? weight / total : 1.0 / static_cast<double>(shards.size());
   return weights;
 }
 
--- a/src/pederu/weights.h
+++ b/src/pederu/weights.h
@@ -16,7 +16,7 @@
   std::vector<double> of(const std::vector<std::string>& shards) const;
 
  private:
-  static constexpr double smoothing = 0.02;  // of one merge
+  static constexpr double smoothing = 0.02;        // of one merge
   std::unordered_map<std::string, double> share_;  // times the number of shards in its merges: 1 = average
 };
 
--- a/src/puez/links.h
+++ b/src/puez/links.h
@@ -12,31 +12,19 @@
 #include "net/loop.h"
 #include "net/slots.h"
 #include "net/socket.h"
+#include "puez/wire.h"
 
 namespace pearspar::puez {
 
-using LinkId = std::uint64_t;
-
-class LinksUser {
- public:
-  virtual ~LinksUser() = default;
-  // A link that we dialled is up.
-  virtual void link_up(LinkId link, const std::string& address) = 0;
-  virtual void link_frame(LinkId link, std::string_view frame) = 0;
-  virtual void link_down(LinkId link) = 0;
-};
-
-class Links {
+class Links : public Wire {
  public:
   Links(net::Loop& loop, LinksUser& user) : loop_(loop), user_(user) {}
 
   // Throws std::system_error where the address cannot be had.
   void listen(const net::Address& address);
-  // Keeps a link to each of these, and no others that were dialled.
-  void keep(const std::vector<std::string>& addresses);
-  // Queues the frame, on a link that is dialled for it if need be. False where it is dropped.
-  bool send_to(const std::string& address, std::string_view frame);
-  bool send(LinkId link, std::string_view frame);
+  void keep(const std::vector<std::string>& addresses) override;
+  bool send_to(const std::string& address, std::string_view frame) override;
+  bool send(LinkId link, std::string_view frame) override;
   // Ends every link that we dialled; they come up again.
   void redial();
   std::size_t count() const { return links_.size(); }
--- /dev/null
+++ b/src/puez/wire.h
@@ -0,0 +1,33 @@
+// What a process needs of the links to others; the real ones are puez::Links, the rig has its own.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pearspar::puez {
+
+using LinkId = std::uint64_t;
+
+class Wire {
+ public:
+  virtual ~Wire() = default;
+  // Keeps a link to each of these, and no others that were dialled.
+  virtual void keep(const std::vector<std::string>& addresses) = 0;
+  // Queues the frame, on a link that is dialled for it if need be. False where it is dropped.
+  virtual bool send_to(const std::string& address, std::string_view frame) = 0;
+  virtual bool send(LinkId link, std::string_view frame) = 0;
+};
+
+// Whom the wire tells what happens on it.
+class LinksUser {
+ public:
+  virtual ~LinksUser() = default;
+  // A link that we dialled is up.
+  virtual void link_up(LinkId link, const std::string& address) = 0;
+  virtual void link_frame(LinkId link, std::string_view frame) = 0;
+  virtual void link_down(LinkId link) = 0;
+};
+
+}  // namespace pearspar::puez
--- a/src/sennes/followers.cpp
+++ b/src/sennes/followers.cpp
@@ -49,9 +49,8 @@
 
 void Followers::on_hello(Time now, LinkId link, const fanes::Hello& hello) {
   // A process has one link to us: an older one of the same life is stale.
-  std::erase_if(followers_, [&](const auto& other) {
-    return other.first != link && other.second.life == hello.life;
-  });
+  std::erase_if(followers_,
+                [&](const auto& other) { return other.first != link && other.second.life == hello.life; });
   Follower& follower = followers_[link];
   follower.life = hello.life;
   follower.kind = hello.kind;
@@ -108,8 +107,9 @@
       if (bytes.empty()) {
         fanes::Changes changes;
         changes.after = follower.sent;
-        changes.changes.assign(journal_.begin() + static_cast<std::ptrdiff_t>(follower.sent.number + 1 - first_),
-                               journal_.end());
+        changes.changes.assign(
+            journal_.begin() + static_cast<std::ptrdiff_t>(follower.sent.number + 1 - first_),
+            journal_.end());
         bytes = fanes::pack(std::move(changes));
       }
       out.push_back({link, bytes});
--- /dev/null
+++ b/src/sennes/member.cpp
@@ -0,0 +1,73 @@
+#include "sennes/member.h"
+
+#include <algorithm>
+
+namespace pearspar::sennes {
+
+Member::Member(puez::Wire& wire, lagazuoi::Store& store, lagazuoi::Options agreement, OfficeOptions office)
+    : wire_(wire),
+      address_(agreement.address),
+      core_(store, state_, std::move(agreement)),
+      office_(std::move(office), core_, state_) {}
+
+std::error_code Member::start(Time now) {
+  auto error = core_.start(now);
+  started_ = !error;
+  if (started_) keep_links();
+  return error;
+}
+
+void Member::keep_links() {
+  std::vector<std::string> wanted = core_.addresses();
+  std::erase(wanted, address_);
+  if (wanted == kept_) return;
+  kept_ = wanted;
+  wire_.keep(wanted);
+}
+
+void Member::call(Time now, Asker asker, std::string_view method, std::string_view path,
+                  std::string_view if_match, std::string_view body) {
+  if (!started_)
+    refused_.push_back({asker, 503, "{\"errorText\":\"the store cannot be read yet\"}"});
+  else
+    office_.call(now, asker, method, path, if_match, body);
+}
+
+void Member::link_up(LinkId link) {
+  if (started_) wire_.send(link, fanes::pack(office_.hello()));
+}
+
+void Member::link_frame(Time now, LinkId link, std::string_view frame) {
+  if (!started_) return;
+  if (auto message = fanes::unpack(frame))
+    office_.message(now, link, *message);
+  else
+    ++unread_;
+}
+
+std::vector<Reply> Member::advance(const Clock& clock) {
+  std::vector<Reply> replies = std::exchange(refused_, {});
+  if (!started_) return replies;
+  Time now = clock();
+  core_.tick(now);
+  office_.advance(now);
+  bool leads = core_.may_speak(clock());
+  for (auto& out : core_.take_out()) wire_.send_to(out.address, fanes::pack(std::move(out.message)));
+  for (auto& out : office_.take_messages())
+    if (leads || !out.by_lease) wire_.send_to(out.address, fanes::pack(std::move(out.message)));
+  for (auto& out : office_.take_news(clock())) wire_.send(out.link, out.bytes);
+  keep_links();
+  for (Reply& reply : office_.take_replies()) {
+    if (reply.by_lease && !leads) reply = {reply.asker, 503, "{\"errorText\":\"nobody leads here\"}"};
+    replies.push_back(std::move(reply));
+  }
+  return replies;
+}
+
+Time Member::due() const { return started_ ? std::min(core_.due(), office_.due()) : Time::max(); }
+
+void Member::hand_over(Time now) {
+  if (started_) core_.hand_over(now);
+}
+
+}  // namespace pearspar::sennes
--- /dev/null
+++ b/src/sennes/member.h
@@ -0,0 +1,56 @@
+// A member of the core, whole but for its sockets and its disk: agreement, state and office on a wire and a
+// store that its host brings. Free of I/O.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "puez/wire.h"
+#include "sennes/office.h"
+
+namespace pearspar::sennes {
+
+class Member {
+ public:
+  Member(puez::Wire& wire, lagazuoi::Store& store, lagazuoi::Options agreement, OfficeOptions office);
+
+  // Reads the store. Until it has gone well everything is refused; it may be tried again.
+  std::error_code start(Time now);
+  bool started() const { return started_; }
+  void set_seeds(std::vector<std::string> seeds) { core_.set_seeds(std::move(seeds)); }
+
+  void call(Time now, Asker asker, std::string_view method, std::string_view path, std::string_view if_match,
+            std::string_view body);
+  void link_up(LinkId link);
+  void link_frame(Time now, LinkId link, std::string_view frame);
+  void link_down(LinkId link) { office_.link_closed(link); }
+
+  // After every event, and at due(): does what is due and puts on the wire what there is to say. The clock is
+  // read again before anything is said: a write to disk may have taken seconds, and the lease with it.
+  using Clock = std::function<Time()>;
+  std::vector<Reply> advance(const Clock& clock);
+  Time due() const;
+  // Before an end that was asked for.
+  void hand_over(Time now);
+
+  const lagazuoi::Core& core() const { return core_; }
+  const State& state() const { return state_; }
+  const Office& office() const { return office_; }
+  std::uint64_t unread() const { return unread_; }
+
+ private:
+  void keep_links();
+
+  puez::Wire& wire_;
+  std::string address_;
+  State state_;
+  lagazuoi::Core core_;
+  Office office_;
+  bool started_ = false;
+  std::vector<Reply> refused_;
+  std::vector<std::string> kept_;
+  std::uint64_t unread_ = 0;
+};
+
+}  // namespace pearspar::sennes
--- a/src/sennes/office.cpp
+++ b/src/sennes/office.cpp
@@ -8,11 +8,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration hold_for = 700ms;      // a call, until somebody leads: callers move on after a second
-constexpr Duration pass_for = 900ms;      // a call passed on, until its answer comes
-constexpr Duration spread_for = 500ms;    // a node's leaving, until all that are in touch have it
-constexpr double gather_beats = 2.5;      // after an election, before the list of nodes counts as whole
-constexpr double silent_beats = 5;        // without one of its beats a node is lost
+constexpr Duration hold_for = 700ms;    // a call, until somebody leads: callers move on after a second
+constexpr Duration pass_for = 900ms;    // a call passed on, until its answer comes
+constexpr Duration spread_for = 500ms;  // a node's leaving, until all that are in touch have it
+constexpr double gather_beats = 2.5;    // after an election, before the list of nodes counts as whole
+constexpr double silent_beats = 5;      // without one of its beats a node is lost
 constexpr Duration expire_every = 300ms;
 constexpr std::size_t most_waiting = 1024;
 constexpr std::string_view nodes_path = "/pearspar/nodes/";
@@ -42,15 +42,17 @@
     : options_(std::move(options)), core_(core), state_(state), followers_(view_) {}
 
 fanes::Hello Office::hello() const {
-  return {options_.life, fanes::FollowerKind::core, options_.name, options_.zone, view_.at(), view_.edition()};
+  return {options_.life,  fanes::FollowerKind::core, options_.name, options_.zone, view_.at(),
+          view_.edition()};
 }
 
-void Office::reply(const Request& request, int status, std::string body) {
+void Office::reply(const Request& request, int status, std::string body, bool by_lease) {
   if (request.from.empty())
-    replies_.push_back({request.asker, status, std::move(body)});
+    replies_.push_back({request.asker, status, std::move(body), by_lease});
   else
-    messages_.push_back({request.from, fanes::CallAnswer{request.number, static_cast<std::uint32_t>(status),
-                                                         std::move(body)}});
+    messages_.push_back(
+        {request.from, fanes::CallAnswer{request.number, static_cast<std::uint32_t>(status), std::move(body)},
+         by_lease});
 }
 
 void Office::reply_fault(const Request& request, int status, std::string_view what) {
@@ -67,7 +69,7 @@
   request.body = body;
   if (path == status_path) {
     if (method != "GET") return reply_fault(request, 405, "GET is wanted");
-    return reply(request, 200, status(now));
+    return reply(request, 200, status(now), false);
   }
   if (path == config_path) {
     if (method != "GET" && method != "PUT") return reply_fault(request, 405, "GET or PUT is wanted");
@@ -112,8 +114,8 @@
     return true;
   }
   // Passed on at most once: two members that take each other for the leader must not play ball.
-  if (core_.role() == lagazuoi::Core::Role::leader || core_.leader_address().empty() || !request.from.empty() ||
-      passed_.size() >= most_waiting)
+  if (core_.role() == lagazuoi::Core::Role::leader || core_.leader_address().empty() ||
+      !request.from.empty() || passed_.size() >= most_waiting)
     return false;
   pass_on(now, request);
   return true;
@@ -121,8 +123,10 @@
 
 void Office::pass_on(Time now, Request& request) {
   std::uint64_t number = next_number_++;
-  messages_.push_back({core_.leader_address(), fanes::Call{number, options_.inner_address, request.method,
-                                                           request.path, request.if_match, request.body}});
+  messages_.push_back({core_.leader_address(),
+                       fanes::Call{number, options_.inner_address, request.method, request.path,
+                                   request.if_match, request.body},
+                       false});
   passed_[number] = {std::move(request), now + pass_for};
 }
 
@@ -134,7 +138,8 @@
   if (state_.took(read->edition, digest)) return reply(request, 200, "{}");
   averau::Edition on_top_of = 0;
   std::string_view match = request.if_match;
-  if (match.size() >= 2 && match.front() == '"' && match.back() == '"') match = match.substr(1, match.size() - 2);
+  if (match.size() >= 2 && match.front() == '"' && match.back() == '"')
+    match = match.substr(1, match.size() - 2);
   auto [stop, error] = std::from_chars(match.data(), match.data() + match.size(), on_top_of);
   if (match.empty() || error != std::errc() || stop != match.data() + match.size())
     return reply_fault(request, 400, "If-Match is no edition");
@@ -165,7 +170,7 @@
   bool taken = !lost && state_.took(done.edition, done.digest);
   auto answer = [&](const Request& request) {
     if (taken)
-      reply(request, 200, "{}");
+      reply(request, 200, "{}", false);  // a majority has it on disk, whoever leads now
     else
       reply_fault(request, 503, "the leader changed meanwhile");
   };
@@ -176,7 +181,8 @@
 
 void Office::settle_beat(Time now, Request& request) {
   averau::Fault fault;
-  auto node = averau::read_beat(std::string_view(request.path).substr(nodes_path.size()), request.body, now, fault);
+  auto node =
+      averau::read_beat(std::string_view(request.path).substr(nodes_path.size()), request.body, now, fault);
   if (!node) return reply_fault(request, 400, fault.text());
   std::string told = "{\"beatAddress\":" + quoted(options_.control_address) + "}";
   const averau::Node* known = view_.nodes().find(node->id);
@@ -217,7 +223,8 @@
     if (in_office_still && now < first.until && !followers_.acknowledged(now, first.at)) return;
     if (in_office_still)
       reply(first.request, 200,
-            first.request.method == "PUT" ? "{\"beatAddress\":" + quoted(options_.control_address) + "}" : "{}");
+            first.request.method == "PUT" ? "{\"beatAddress\":" + quoted(options_.control_address) + "}"
+                                          : "{}");
     else
       reply_fault(first.request, 503, "the leader changed meanwhile");
     spreading_.pop_front();
@@ -345,7 +352,7 @@
   } else if (const auto* answer = std::get_if<fanes::CallAnswer>(&message)) {
     auto found = passed_.find(answer->number);
     if (found == passed_.end()) return;
-    reply(found->second.request, static_cast<int>(answer->status), answer->body);
+    reply(found->second.request, static_cast<int>(answer->status), answer->body, false);
     passed_.erase(found);
   } else if (in_office()) {
     return;  // news of somebody who took itself for the leader
--- a/src/sennes/office.h
+++ b/src/sennes/office.h
@@ -1,8 +1,8 @@
-// A member's control office: calls of nodes and operators, settled where this member leads and passed on where
-// it does not; the duty of keeping the list of nodes. Free of I/O.
+// A member's control office: calls of nodes and operators, settled where this member leads and passed on
+// where it does not; the duty of keeping the list of nodes. Free of I/O.
 //
-// Nothing definite is said but by a leader whose lease holds at that moment. A change is answered 200 only when
-// it is applied, that is, when a majority has it on disk.
+// Nothing definite is said but by a leader whose lease holds at that moment. A change is answered 200 only
+// when it is applied, that is, when a majority has it on disk.
 #pragma once
 
 #include <cstdint>
@@ -34,11 +34,13 @@
   Asker asker = 0;
   int status = 200;
   std::string body;
+  bool by_lease = false;  // true only if we still lead when it is said
 };
 
 struct ToMember {
   std::string address;
   fanes::Message message;
+  bool by_lease = false;
 };
 
 class Office {
@@ -67,8 +69,8 @@
 
  private:
   struct Request {
-    Asker asker = 0;          // by HTTP, or
-    std::string from;         // passed on by that member,
+    Asker asker = 0;           // by HTTP, or
+    std::string from;          // passed on by that member,
     std::uint64_t number = 0;  // under that number
     std::string method;
     std::string path;
@@ -94,7 +96,7 @@
   void settle_change(Time now, Request& request);
   void settle_beat(Time now, Request& request);
   void settle_leave(Time now, Request& request);
-  void reply(const Request& request, int status, std::string body);
+  void reply(const Request& request, int status, std::string body, bool by_lease = true);
   void reply_fault(const Request& request, int status, std::string_view what);
   void pass_on(Time now, Request& request);
   void open_office(Time now);
--- /dev/null
+++ b/src/vazzoler/follower.cpp
@@ -0,0 +1,103 @@
+#include "vazzoler/follower.h"
+
+#include <algorithm>
+
+namespace pearspar::vazzoler {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration touch_every = 1s;
+constexpr Duration leader_silent = 3500ms;   // three pings and a half
+constexpr Duration gather_at_most = 1500ms;  // a list that is still being gathered will do after it
+
+}  // namespace
+
+Follower::Follower(puez::Wire& wire, FollowerOptions options) : wire_(wire), options_(std::move(options)) {}
+
+void Follower::start(Time now) {
+  news_ = now;
+  touch_due_ = now + touch_every;
+  wire_.keep(options_.seeds);
+}
+
+void Follower::set_seeds(std::vector<std::string> seeds) {
+  options_.seeds = std::move(seeds);
+  if (cores_.empty()) wire_.keep(options_.seeds);
+}
+
+std::string Follower::hello() const {
+  return fanes::pack(fanes::Hello{options_.life, fanes::FollowerKind::edge, options_.name, options_.zone,
+                                  view_.at(), view_.edition()});
+}
+
+std::string Follower::ack() const {
+  return fanes::pack(fanes::Ack{options_.life, view_.at(), view_.edition()});
+}
+
+void Follower::link_up(puez::LinkId link) {
+  up_.push_back(link);
+  wire_.send(link, hello());
+}
+
+bool Follower::frame(Time now, puez::LinkId link, std::string_view bytes) {
+  auto message = fanes::unpack(bytes);
+  if (!message) {
+    ++unread_;
+    return false;
+  }
+  if (const auto* standing = std::get_if<fanes::Standing>(&*message)) {
+    auto result = view_.apply(now, *standing);
+    if (result == View::Taken::news && standing->complete) listed_ = true;
+    return taken(now, link, result);
+  }
+  if (const auto* changes = std::get_if<fanes::Changes>(&*message))
+    return taken(now, link, view_.apply(now, *changes));
+  if (const auto* ping = std::get_if<fanes::Ping>(&*message)) return taken(now, link, view_.apply(*ping));
+  if (const auto* welcome = std::get_if<fanes::Welcome>(&*message)) {
+    // A member that is behind must not take us back to members that are gone.
+    if (welcome->cores.empty() || welcome->term < cores_term_) return false;
+    cores_term_ = welcome->term;
+    if (cores_ == welcome->cores) return false;
+    cores_ = welcome->cores;
+    wire_.keep(cores_);
+  }
+  return false;
+}
+
+bool Follower::taken(Time now, puez::LinkId link, View::Taken taken) {
+  if (taken == View::Taken::old) return false;
+  news_ = now;
+  if (taken == View::Taken::behind) {
+    wire_.send(link, hello());
+    return false;
+  }
+  if (!has_nodes_ && !view_.nodes().all().empty()) {
+    has_nodes_ = true;
+    first_nodes_ = now;
+  }
+  wire_.send(link, ack());
+  return true;
+}
+
+// Also lets dead links be found out: who is gone acknowledges nothing.
+void Follower::tick(Time now) {
+  if (now < touch_due_) return;
+  touch_due_ = now + touch_every;
+  bool silent = now - news_ > leader_silent;
+  std::string word = silent ? hello() : ack();
+  for (puez::LinkId link : std::vector(up_)) wire_.send(link, word);
+  if (silent) {
+    std::vector<std::string> wanted = cores_;
+    for (const std::string& seed : options_.seeds)
+      if (std::find(wanted.begin(), wanted.end(), seed) == wanted.end()) wanted.push_back(seed);
+    wire_.keep(wanted);
+  }
+  if (!listed_ && has_nodes_ && now - first_nodes_ > gather_at_most) listed_ = true;
+}
+
+void Follower::farewell() {
+  for (puez::LinkId link : std::vector(up_)) wire_.send(link, fanes::pack(fanes::Farewell{options_.life}));
+}
+
+}  // namespace pearspar::vazzoler
