Desk: a node of another zone counts as slower, by what its answer weighs

Ruled out: clients (they reach edges of their own zone), beats and pushes (0.001 GB). Change: in the choice of a node latency counts 1 + 0.4 a KB of the route's smoothed part times for another zone.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -55,6 +55,7 @@
   rules.slack = settings.retry_slack;
   rules.window = net::Duration(settings.retry_window_s);
   desk_.set_allowance(rules);
+  desk_.nodes().set_home(settings.zone);
   front_.listen(*net::Address::parse(settings.front_door));
   if (!settings.ready_check.empty()) check_.listen(*net::Address::parse(settings.ready_check));
   follower_.start(loop.now());
--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -17,6 +17,9 @@
 // An answer without a part earns the square of the share that is in; one after the aim less than that of a
 // half. Where the operator does not tell what a late answer is worth, a third is taken.
 constexpr double late_worth = 0.33;
+constexpr double away_per_kb = 0.4;
+constexpr double most_away = 2;
+constexpr double bytes_smoothing = 0.05;
 constexpr std::size_t most_open = 4096;  // requests held at once
 constexpr double share_of_connections = 0.9;
 
@@ -38,6 +41,12 @@
   return std::max(1, static_cast<int>(known->connections * share_of_connections / edges_));
 }
 
+// A kilobyte from another zone weighs as much as so much of the latency.
+double Desk::away_factor(const averau::Route& route) const {
+  auto known = answer_bytes_.find(route.prefix);
+  return known == answer_bytes_.end() ? 1 : 1 + std::min(most_away, away_per_kb * known->second / 1024);
+}
+
 RequestId Desk::arrive(Time now, const Arrival& arrival, FinalAnswer& answer) {
   ++counters_.requests;
   auto refuse = [&](int status, double retry_after_s) {
@@ -138,7 +147,7 @@
   // A node without a free connection is passed over for this time.
   std::vector<NodePtr> passed = part.tried;
   for (int looks = 0; looks < 4; ++looks) {
-    NodePtr node = nodes_.choose(now, part.depot, passed, ++turn_);
+    NodePtr node = nodes_.choose(now, part.depot, passed, ++turn_, away_factor(*request.route));
     if (!node) break;
     CallId call = out_.add();
     double left = Duration(request.end - now).count() * 1000;
@@ -234,6 +243,8 @@
   bool good = end.ending == Ending::answered && end.status >= 200 && end.status < 300 && !end.stamp.empty();
   if (end.ending == Ending::answered || end.ending == Ending::broken) part.ran = true;
   if (good) {
+    double& bytes = answer_bytes_.try_emplace(request.route->prefix, end.body.size()).first->second;
+    bytes += bytes_smoothing * (static_cast<double>(end.body.size()) - bytes);
     part.in = true;
     part.stamp = end.stamp;
     part.body = end.body;
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -98,6 +99,7 @@
   void schedule(RequestId id, Request& request, Time due);
   void release(RequestId id);
   void outcome(Time now, Out& out, bool bad);
+  double away_factor(const averau::Route& route) const;
   int connections_for(const Request& request, const std::string& depot) const;
 
   Calls& calls_;
@@ -105,6 +107,7 @@
   NodeBook nodes_;
   Weights weights_;
   Coverage coverage_;
+  std::unordered_map<std::string, double> answer_bytes_;  // of one part, by route, smoothed
   Allowance allowance_;
   std::uint32_t edges_ = 1;
   std::uint64_t turn_ = 0;
--- a/src/pederu/node_book.cpp
+++ b/src/pederu/node_book.cpp
@@ -52,7 +52,7 @@
 }
 
 NodePtr NodeBook::choose(Time now, const std::string& depot, const std::vector<NodePtr>& tried,
-                         std::uint64_t turn) const {
+                         std::uint64_t turn, double away) const {
   auto service = services_.find(depot);
   if (service == services_.end()) return nullptr;
   const auto& nodes = service->second.nodes;
@@ -70,6 +70,7 @@
       continue;
     bool blamed = now < node->blamed_until;
     double rank = (node->heard ? node->latency_ms : average) * (1 + node->out);
+    if (node->zone != home_) rank *= away;
     if (best && (blamed != best_blamed ? blamed : rank >= least)) continue;
     best = node;
     least = rank;
--- a/src/pederu/node_book.h
+++ b/src/pederu/node_book.h
@@ -1,5 +1,6 @@
 // What this edge has seen of each node, and which node of a service is asked next: the least smoothed latency
 // times one plus the calls out there; a node that was not heard yet counts as the average of those that were.
+// Bytes between zones cost the operators: a node of another zone counts as slower, by what its answer weighs.
 #pragma once
 
 #include <memory>
@@ -38,8 +39,10 @@
   void update(const std::string& id, const averau::Node* node);
 
   // The best node of the service that is not among `tried`; nothing where there is none.
-  NodePtr choose(Time now, const std::string& depot, const std::vector<NodePtr>& tried,
-                 std::uint64_t turn) const;
+  // `away`: how many times slower a node of another zone counts.
+  NodePtr choose(Time now, const std::string& depot, const std::vector<NodePtr>& tried, std::uint64_t turn,
+                 double away = 1) const;
+  void set_home(std::string zone) { home_ = std::move(zone); }
   // Nodes of a service that may be asked.
   std::size_t open(const std::string& depot) const;
 
@@ -65,6 +68,7 @@
 
   std::unordered_map<std::string, NodePtr> nodes_;
   std::unordered_map<std::string, Service> services_;
+  std::string home_;  // our zone
 };
 
 }  // namespace pearspar::pederu
