Desk: the zone surcharge is 1.0 a KB, four times at most

Ruled out: in-zone queues as the dearer evil: windows and classes did not fall. Change: away_per_kb 0.4 to 1.0, most_away 2 to 4.

--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -17,8 +17,8 @@
 // An answer without a part earns the square of the share that is in; one after the aim less than that of a
 // half. Where the operator does not tell what a late answer is worth, a third is taken.
 constexpr double late_worth = 0.33;
-constexpr double away_per_kb = 0.4;
-constexpr double most_away = 2;
+constexpr double away_per_kb = 1.0;
+constexpr double most_away = 4;
 constexpr double bytes_smoothing = 0.05;
 constexpr std::size_t most_open = 4096;  // requests held at once
 constexpr double share_of_connections = 0.9;
