Recovery: nodes kept over restarts, news before a leader, quicker elections

Cause: after the closing fault edges refused for 2.3 s more than the machines were down: 0.9 s for a leader, 1.5 s until the list of nodes, which was only in memory, counted as known. Ruled out: the platform's check of readiness (under half of a zone all are used), the edges' start (5 ms). Change: members that follow keep list and commit on disk at most twice a second; whoever knows nothing is told what members have applied, held back 120 ms for a leader's word; heartbeat 120 to 80 ms, silence 650-1100 to 400-650 ms, lease 500 to 300 ms.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -156,7 +156,7 @@
 
 void Edge::after_turn() {
   net::Time now = loop_.now();
-  follower_.tick(now);
+  if (follower_.tick(now)) take_news();
   desk_.advance(now);
   for (auto& [request, final] : desk_.take_answers()) {
     auto found = clients_.find(key(request));
--- a/src/biella/cluster.cpp
+++ b/src/biella/cluster.cpp
@@ -107,7 +107,9 @@
     void link_up(puez::LinkId link, const std::string&) override { follower.link_up(link); }
     void link_down(puez::LinkId link) override { follower.link_down(link); }
     void link_frame(puez::LinkId link, std::string_view frame) override {
-      if (!follower.frame(life.world.now(), link, frame)) return;
+      if (follower.frame(life.world.now(), link, frame)) take_news();
+    }
+    void take_news() {
       vazzoler::View& view = follower.view();
       for (const std::string& id : view.take_touched()) desk.nodes().update(id, view.nodes().find(id));
       desk.set_edges(view.edges());
@@ -251,7 +253,7 @@
   process.desk.set_allowance(rules);
   process.life.after = [this, &process] {
     Time now = world_.now();
-    process.follower.tick(now);
+    if (process.follower.tick(now)) process.take_news();
     process.desk.advance(now);
     for (auto& [request, answer] : process.desk.take_answers()) {
       auto open = process.open.find(std::uint64_t{request.index} << 32 | request.generation);
--- a/src/biella/disk.cpp
+++ b/src/biella/disk.cpp
@@ -54,6 +54,13 @@
   });
 }
 
+std::error_code SimDisk::save_note(Index commit, const std::string& note) {
+  return write([&](Stored& held) {
+    held.commit = commit;
+    held.note = note;
+  });
+}
+
 void SimDisk::lose_power() {
   if (lying_)
     held_ = durable_;
--- a/src/biella/disk.h
+++ b/src/biella/disk.h
@@ -17,6 +17,7 @@
   std::error_code save_vote(const lagazuoi::Vote& vote) override;
   std::error_code replace_tail(lagazuoi::Index from, const std::vector<lagazuoi::Entry>& entries) override;
   std::error_code save_snapshot(const lagazuoi::Snapshot& snapshot, bool drop_rest) override;
+  std::error_code save_note(lagazuoi::Index commit, const std::string& note) override;
 
   void set_full(bool full) { full_ = full; }
   void stall_until(Time until) { stalled_ = until; }
--- a/src/lagazuoi/core.cpp
+++ b/src/lagazuoi/core.cpp
@@ -19,7 +19,7 @@
 Core::Core(Store& store, StateMachine& machine, Options options)
     : store_(store), machine_(machine), options_(std::move(options)), random_(options_.seed), log_(store) {}
 
-std::error_code Core::start(Time now) {
+std::error_code Core::start(Time now, std::string* note) {
   Stored stored;
   if (auto error = store_.load(stored)) return error;
   heard_leader_ = now;
@@ -51,6 +51,9 @@
     if (!stored.snapshot.state.empty()) machine_.restore(stored.snapshot.state);
   }
   commit_ = applied_ = log_.snapshot().index;
+  commit_ = std::max(commit_, std::min(stored.commit, log_.last()));
+  apply_committed();
+  if (note) *note = std::move(stored.note);
   return {};
 }
 
--- a/src/lagazuoi/core.h
+++ b/src/lagazuoi/core.h
@@ -18,14 +18,14 @@
 namespace pearspar::lagazuoi {
 
 struct Timing {
-  Duration heartbeat = std::chrono::milliseconds(120);
+  Duration heartbeat = std::chrono::milliseconds(80);
   // Without a word of the leader for so long (drawn anew each time) a member stands for election; a vote for
   // another leader is refused for the least of it.
-  Duration least_silence = std::chrono::milliseconds(650);
-  Duration most_silence = std::chrono::milliseconds(1100);
+  Duration least_silence = std::chrono::milliseconds(400);
+  Duration most_silence = std::chrono::milliseconds(650);
   // From the sending of a round that a majority has answered; under least_silence, so that it ends before
   // anybody else can be elected.
-  Duration lease = std::chrono::milliseconds(500);
+  Duration lease = std::chrono::milliseconds(300);
   Duration join_every = std::chrono::milliseconds(250);
   // With more voters than wanted, who is silent for so long leaves the count. Wrongly removed, a member asks
   // to be taken in again.
@@ -65,7 +65,10 @@
 
   Core(Store& store, StateMachine& machine, Options options);
 
-  std::error_code start(Time now);
+  // Reads the store; what the host kept there as its note comes back with it.
+  std::error_code start(Time now, std::string* note = nullptr);
+  // For after a restart: what is applied here, and the host's own. A lost note costs time, nothing else.
+  std::error_code keep_note(const std::string& note) { return store_.save_note(commit_, note); }
   void tick(Time now);
   Time due() const;
   void step(Time now, const Message& message);
--- a/src/lagazuoi/store.h
+++ b/src/lagazuoi/store.h
@@ -15,6 +15,8 @@
   Vote vote;
   Snapshot snapshot;
   std::vector<Entry> entries;  // those behind the snapshot, without gaps
+  Index commit = 0;            // known to be committed; may lag
+  std::string note;            // the host's own, as it was last kept; nothing rests on it
 };
 
 class Store {
@@ -27,6 +29,7 @@
   virtual std::error_code replace_tail(Index from, const std::vector<Entry>& entries) = 0;
   // Takes the place of all entries up to its index; where `drop_rest` is set, of those behind it too.
   virtual std::error_code save_snapshot(const Snapshot& snapshot, bool drop_rest) = 0;
+  virtual std::error_code save_note(Index commit, const std::string& note) = 0;
 };
 
 }  // namespace pearspar::lagazuoi
--- a/src/sennes/followers.cpp
+++ b/src/sennes/followers.cpp
@@ -10,12 +10,12 @@
 constexpr Duration ping_every = 1s;
 constexpr Duration lease = 2500ms;  // two pings and a half without an answer end it
 
+}  // namespace
+
 std::uint32_t cold_ms(Time now, const averau::Node& node) {
   return static_cast<std::uint32_t>(std::max(0.0, Duration(node.cold_until - now).count() * 1000));
 }
 
-}  // namespace
-
 bool Followers::lives(Time now, const Follower& follower) { return now - follower.heard < lease; }
 
 void Followers::open(Time now, lagazuoi::Term term, bool complete) {
@@ -74,15 +74,29 @@
 void Followers::on_farewell(LinkId link) { followers_.erase(link); }
 void Followers::on_closed(LinkId link) { followers_.erase(link); }
 
-std::string Followers::standing(Time now, averau::Edition known) {
+void Followers::list(Time now, fanes::Standing& standing) const {
+  for (const auto& [id, node] : view_.nodes().all()) standing.nodes.push_back({node, cold_ms(now, node)});
+  standing.ended.assign(view_.nodes().ended().begin(), view_.nodes().ended().end());
+}
+
+std::string Followers::provisional(Time now, const averau::ConfigurationPtr& configuration) const {
+  fanes::Standing standing;
+  standing.complete = false;
+  standing.edges = view_.edges();
+  standing.edition = configuration->edition;
+  standing.configuration = configuration->text;
+  list(now, standing);
+  return fanes::pack(std::move(standing));
+}
+
+std::string Followers::standing(Time now, averau::Edition known) const {
   fanes::Standing standing;
   standing.at = end();
   standing.complete = complete_;
   standing.edges = edges(now);
   standing.edition = view_.edition();
   if (view_.edition() > known) standing.configuration = view_.configuration()->text;
-  for (const auto& [id, node] : view_.nodes().all()) standing.nodes.push_back({node, cold_ms(now, node)});
-  standing.ended.assign(view_.nodes().ended().begin(), view_.nodes().ended().end());
+  list(now, standing);
   return fanes::pack(std::move(standing));
 }
 
--- a/src/sennes/followers.h
+++ b/src/sennes/followers.h
@@ -22,6 +22,9 @@
   std::string bytes;  // packed
 };
 
+// What is left of a node's slow start.
+std::uint32_t cold_ms(Time now, const averau::Node& node);
+
 class Followers {
  public:
   explicit Followers(vazzoler::View& view) : view_(view) {}
@@ -46,6 +49,12 @@
   std::vector<ToLink> take_out(Time now);
   Time due() const { return open_ ? ping_due_ : Time::max(); }
 
+  // What this member knows without leading, for those that know nothing.
+  std::string provisional(Time now, const averau::ConfigurationPtr& configuration) const;
+
+  // The nodes, into what is to be told or kept.
+  void list(Time now, fanes::Standing& standing) const;
+
   // Whether all that hold a lease have acknowledged it.
   bool acknowledged(Time now, fanes::Position at) const;
   std::uint32_t edges(Time now) const;
@@ -65,7 +74,7 @@
 
  private:
   static constexpr std::size_t most_journal = 4096;
-  std::string standing(Time now, averau::Edition known);
+  std::string standing(Time now, averau::Edition known) const;
   fanes::Position end() const { return {term_, first_ + journal_.size() - 1}; }
 
   vazzoler::View& view_;
--- a/src/sennes/member.cpp
+++ b/src/sennes/member.cpp
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace pearspar::sennes {
+namespace {
+
+constexpr Duration note_every = std::chrono::milliseconds(500);
+
+}  // namespace
 
 Member::Member(puez::Wire& wire, lagazuoi::Store& store, lagazuoi::Options agreement, OfficeOptions office)
     : wire_(wire),
@@ -11,9 +16,12 @@
       office_(std::move(office), core_, state_) {}
 
 std::error_code Member::start(Time now) {
-  auto error = core_.start(now);
+  std::string note;
+  auto error = core_.start(now, &note);
   started_ = !error;
-  if (started_) keep_links();
+  if (!started_) return error;
+  office_.recall(now, note);
+  keep_links();
   return error;
 }
 
@@ -45,6 +53,17 @@
     ++unread_;
 }
 
+// A leader's disk may hang: it leaves this to those that follow it, who hear of every change.
+void Member::keep_note(Time now) {
+  if (now < note_due_) return;
+  if (noted_changes_ == office_.list_changes() && noted_commit_ == core_.commit()) return;
+  if (core_.role() == lagazuoi::Core::Role::leader && core_.log().membership().voters.size() > 1) return;
+  note_due_ = now + note_every;
+  if (core_.keep_note(office_.note(now))) return;
+  noted_changes_ = office_.list_changes();
+  noted_commit_ = core_.commit();
+}
+
 std::vector<Reply> Member::advance(const Clock& clock) {
   std::vector<Reply> replies = std::exchange(refused_, {});
   if (!started_) return replies;
@@ -57,6 +76,7 @@
     if (leads || !out.by_lease) wire_.send_to(out.address, fanes::pack(std::move(out.message)));
   for (auto& out : office_.take_news(clock())) wire_.send(out.link, out.bytes);
   keep_links();
+  keep_note(now);
   for (Reply& reply : office_.take_replies()) {
     if (reply.by_lease && !leads) reply = {reply.asker, 503, "{\"errorText\":\"nobody leads here\"}"};
     replies.push_back(std::move(reply));
--- a/src/sennes/member.h
+++ b/src/sennes/member.h
@@ -41,6 +41,7 @@
 
  private:
   void keep_links();
+  void keep_note(Time now);
 
   puez::Wire& wire_;
   std::string address_;
@@ -50,6 +51,9 @@
   bool started_ = false;
   std::vector<Reply> refused_;
   std::vector<std::string> kept_;
+  std::uint64_t noted_changes_ = 0;
+  lagazuoi::Index noted_commit_ = 0;
+  Time note_due_{};
   std::uint64_t unread_ = 0;
 };
 
--- a/src/sennes/office.cpp
+++ b/src/sennes/office.cpp
@@ -193,8 +193,7 @@
     fanes::Change change;
     change.kind = fanes::ChangeKind::node;
     change.news.node = *node;
-    change.news.cold_ms =
-        static_cast<std::uint32_t>(std::max(0.0, Duration(node->cold_until - now).count() * 1000));
+    change.news.cold_ms = cold_ms(now, *node);
     followers_.add(now, std::move(change));
   } else {
     view_.nodes().put(*node);
@@ -286,7 +285,23 @@
   followers_.complete(now);
 }
 
+std::string Office::note(Time now) const {
+  fanes::Standing standing;
+  standing.complete = false;
+  followers_.list(now, standing);
+  return fanes::pack(std::move(standing));
+}
+
+// After a restart: it may be old, but nobody may know better yet.
+void Office::recall(Time now, const std::string& note) {
+  view_.take(state_.current());
+  auto message = fanes::unpack(note);
+  if (message)
+    if (const auto* standing = std::get_if<fanes::Standing>(&*message)) view_.apply(now, *standing);
+}
+
 void Office::advance(Time now) {
+  list_changes_ += view_.take_touched().size();
   bool leads = core_.role() == lagazuoi::Core::Role::leader;
   if (in_office() && (!leads || core_.term() != view_.at().term)) close_office(now);
   if (!in_office() && core_.may_speak(now)) open_office(now);
@@ -334,7 +349,6 @@
 
 // Ours as a follower of the member at the other end of the link.
 void Office::follow(LinkId link, vazzoler::View::Taken taken) {
-  view_.take_touched();
   if (taken == vazzoler::View::Taken::behind)
     to_links_.push_back({link, fanes::pack(hello())});
   else if (taken == vazzoler::View::Taken::news)
@@ -347,6 +361,11 @@
   } else if (const auto* hello = std::get_if<fanes::Hello>(&message)) {
     followers_.on_hello(now, link, *hello);
     to_links_.push_back({link, fanes::pack(fanes::Welcome{core_.term(), in_office(), core_.addresses()})});
+    // Who knows nothing at all gets what is applied here, in case nobody leads: at the position before all
+    // others.
+    if (!in_office() && hello->kind == fanes::FollowerKind::edge && hello->have == fanes::Position{} &&
+        hello->edition == 0 && state_.current())
+      to_links_.push_back({link, followers_.provisional(now, state_.current())});
   } else if (const auto* ack = std::get_if<fanes::Ack>(&message)) {
     followers_.on_ack(now, link, *ack);
   } else if (std::get_if<fanes::Farewell>(&message)) {
--- a/src/sennes/office.h
+++ b/src/sennes/office.h
@@ -62,6 +62,12 @@
   // The first words on a link to another member.
   fanes::Hello hello() const;
 
+  // The list of nodes as this member knows it, to be kept over a restart.
+  std::string note(Time now) const;
+  void recall(Time now, const std::string& note);
+  // Rises whenever the list has changed.
+  std::uint64_t list_changes() const { return list_changes_; }
+
   const vazzoler::View& view() const { return view_; }
   const Followers& followers() const { return followers_; }
   bool in_office() const { return followers_.is_open(); }
@@ -130,6 +136,7 @@
   std::vector<ToMember> messages_;
   std::vector<ToLink> to_links_;
   std::vector<std::string> told_cores_;
+  std::uint64_t list_changes_ = 0;
 };
 
 }  // namespace pearspar::sennes
--- a/src/tissi/lmdb_store.cpp
+++ b/src/tissi/lmdb_store.cpp
@@ -151,6 +151,12 @@
       else
         fault = Fault::spoilt;
     }
+    if (read("note", bytes)) {
+      fanes::Unpacker unpacker(bytes);
+      stored.commit = unpacker.number();
+      stored.note = unpacker.text();
+      if (!unpacker.whole()) fault = Fault::spoilt;
+    }
     if (read("snapshot", bytes)) {
       auto snapshot = fanes::unpack_snapshot(bytes);
       if (snapshot)
@@ -205,6 +211,14 @@
   });
 }
 
+std::error_code LmdbStore::save_note(Index commit, const std::string& note) {
+  fanes::Packer packer;
+  packer.array(2);
+  packer.number(commit);
+  packer.text(note);
+  return write([&](MDB_txn* txn, MDB_dbi dbi) { return put(txn, dbi, "note", packer.view()); });
+}
+
 std::error_code LmdbStore::save_snapshot(const Snapshot& snapshot, bool drop_rest) {
   return write([&](MDB_txn* txn, MDB_dbi dbi) {
     int result = put(txn, dbi, "snapshot", fanes::pack_snapshot(snapshot));
--- a/src/tissi/lmdb_store.h
+++ b/src/tissi/lmdb_store.h
@@ -1,8 +1,8 @@
 // A member's store in LMDB: one environment in one folder, one transaction a call, synced by its commit.
 //
 // Layout, format 1 (key -> msgpack): "format" -> [1]; "self" -> [id]; "vote" -> [term, given to];
-// "snapshot" -> [[index, term, membership, state]]; 'e' and the index in 8 bytes, greatest first -> [entry].
-// A store of another format is refused at the start, and left as it is.
+// "note" -> [commit, bytes]; "snapshot" -> [[index, term, membership, state]]; 'e' and the index in 8 bytes,
+// greatest first -> [entry]. A store of another format is refused at the start, and left as it is.
 #pragma once
 
 #include <lmdb.h>
@@ -29,6 +29,7 @@
   std::error_code save_vote(const lagazuoi::Vote& vote) override;
   std::error_code replace_tail(lagazuoi::Index from, const std::vector<lagazuoi::Entry>& entries) override;
   std::error_code save_snapshot(const lagazuoi::Snapshot& snapshot, bool drop_rest) override;
+  std::error_code save_note(lagazuoi::Index commit, const std::string& note) override;
 
  private:
   std::error_code open();
--- a/src/vazzoler/follower.cpp
+++ b/src/vazzoler/follower.cpp
@@ -9,6 +9,8 @@
 
 constexpr Duration touch_every = 1s;
 constexpr Duration leader_silent = 3500ms;   // three pings and a half
+constexpr Duration leader_may_come = 120ms;  // before members that do not lead are believed
+constexpr std::size_t most_provisional = 8;
 constexpr Duration gather_at_most = 1500ms;  // a list that is still being gathered will do after it
 
 }  // namespace
@@ -47,6 +49,12 @@
     return false;
   }
   if (const auto* standing = std::get_if<fanes::Standing>(&*message)) {
+    if (standing->at == fanes::Position{}) {
+      if (view_.at() != fanes::Position{} || provisional_.size() >= most_provisional) return false;
+      if (provisional_due_ == Time::max()) provisional_due_ = now + leader_may_come;
+      provisional_.push_back(*standing);
+      return false;
+    }
     auto result = view_.apply(now, *standing);
     if (result == View::Taken::news && standing->complete) listed_ = true;
     return taken(now, link, result);
@@ -81,8 +89,9 @@
 }
 
 // Also lets dead links be found out: who is gone acknowledges nothing.
-void Follower::tick(Time now) {
-  if (now < touch_due_) return;
+bool Follower::tick(Time now) {
+  bool changed = take_provisional(now);
+  if (now < touch_due_) return changed;
   touch_due_ = now + touch_every;
   bool silent = now - news_ > leader_silent;
   std::string word = silent ? hello() : ack();
@@ -94,6 +103,19 @@
     wire_.keep(wanted);
   }
   if (!listed_ && has_nodes_ && now - first_nodes_ > gather_at_most) listed_ = true;
+  return changed;
+}
+
+// Nobody leads: what members have applied will do until somebody does. Nothing in it is newer than what a
+// leader will say, and all of it was in force.
+bool Follower::take_provisional(Time now) {
+  if (now < provisional_due_) return false;
+  provisional_due_ = Time::max();
+  std::vector<fanes::Standing> told = std::exchange(provisional_, {});
+  if (view_.at() != fanes::Position{}) return false;
+  for (const fanes::Standing& standing : told) view_.apply(now, standing);
+  listed_ = view_.knows_enough();
+  return true;
 }
 
 void Follower::farewell() {
--- a/src/vazzoler/follower.h
+++ b/src/vazzoler/follower.h
@@ -2,6 +2,7 @@
 // lease that acknowledgements renew; what is done when nobody leads. Free of I/O.
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -27,8 +28,9 @@
   void link_down(puez::LinkId link) { std::erase(up_, link); }
   // True where the view has changed; false too for what is no frame of ours.
   bool frame(Time now, puez::LinkId link, std::string_view bytes);
-  void tick(Time now);
-  Time due() const { return touch_due_; }
+  // True where the view has changed.
+  bool tick(Time now);
+  Time due() const { return std::min(touch_due_, provisional_due_); }
   // This life ends: it holds no lease any more.
   void farewell();
 
@@ -43,6 +45,7 @@
   std::string hello() const;
   std::string ack() const;
   bool taken(Time now, puez::LinkId link, View::Taken taken);
+  bool take_provisional(Time now);
 
   puez::Wire& wire_;
   FollowerOptions options_;
@@ -51,6 +54,8 @@
   std::vector<std::string> cores_;
   lagazuoi::Term cores_term_ = 0;
   bool listed_ = false;
+  std::vector<fanes::Standing> provisional_;  // by members that do not lead, until we hear of one that does
+  Time provisional_due_ = Time::max();
   bool has_nodes_ = false;
   Time first_nodes_{};
   Time news_{};  // last heard of a leader
