Desk: a dark shard ranks last and is tried, not awaited; second calls where the first is slow

Cause: with all of a shard dark each gathered request waited for it until just past its aim, and the strain that it made narrowed others; after it came back coverage stayed low for windows. Ruled out: beats (they stop late by design), the allowance (a tenth of it was spent). Change: a shard none of whose nodes has answered lately weighs nothing, gets a trial each 100 ms, and is waited for only where the floor needs it; a call that takes longer than nearly all do gets a second one out of the allowance; 12 ms instead of 8 are kept for the way back; what is learnt of routes stands in its own file.

--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -13,13 +13,10 @@
 using namespace std::chrono_literals;
 
 // From our answer to its client's reading it: the way there, and what lies before us in its queue.
-constexpr Duration way_back = 8ms;
+constexpr Duration way_back = 12ms;
 // An answer without a part earns the square of the share that is in; one after the aim less than that of a
 // half. Where the operator does not tell what a late answer is worth, a third is taken.
 constexpr double late_worth = 0.33;
-constexpr double away_per_kb = 1.0;
-constexpr double most_away = 4;
-constexpr double bytes_smoothing = 0.05;
 constexpr std::size_t most_open = 4096;  // requests held at once
 constexpr double share_of_connections = 0.9;
 
@@ -41,12 +38,6 @@
   return std::max(1, static_cast<int>(known->connections * share_of_connections / edges_));
 }
 
-// A kilobyte from another zone weighs as much as so much of the latency.
-double Desk::away_factor(const averau::Route& route) const {
-  auto known = answer_bytes_.find(route.prefix);
-  return known == answer_bytes_.end() ? 1 : 1 + std::min(most_away, away_per_kb * known->second / 1024);
-}
-
 RequestId Desk::arrive(Time now, const Arrival& arrival, FinalAnswer& answer) {
   ++counters_.requests;
   auto refuse = [&](int status, double retry_after_s) {
@@ -88,7 +79,10 @@
     release(id);
     return {};
   }
-  schedule(id, request, request.route->gathers() ? request.soft_end : request.end);
+  Duration second = book_.second_after(*route);
+  for (Part& part : request.parts)
+    if (part.wanted && !part.trial && second > Duration{}) part.second_due = now + second;
+  schedule(id, request);
   return id;
 }
 
@@ -116,26 +110,30 @@
   }
   ++counters_.gathered;
   request.parts.resize(route.shards.size());
-  std::size_t alive = 0;
-  for (std::size_t i = 0; i < route.shards.size(); ++i) {
-    request.parts[i].depot = route.shards[i];
-    if (nodes_.open(route.shards[i]) > 0) ++alive;
+  for (std::size_t i = 0; i < route.shards.size(); ++i) request.parts[i].depot = route.shards[i];
+  // A class without partial answers gets every shard, whatever the strain.
+  double coverage = route.least_share >= 1 ? 1 : coverage_.share();
+  std::vector<double> weights = weights_.of(route.shards);
+  for (std::size_t i = 0; i < weights.size(); ++i)
+    if (!nodes_.answers(request.parts[i].depot)) {
+      // Nothing of it survives a merge while nobody there answers. A trial now and then tells when that ends.
+      weights[i] = 0;
+      request.parts[i].trial = true;
+    }
+  for (std::size_t i : heaviest_first(weights, coverage, route.least_share)) request.parts[i].wanted = true;
+  std::size_t wanted = 0;
+  for (Part& part : request.parts) {
+    if (part.wanted && part.trial && !nodes_.trial_due(now, part.depot)) part.wanted = false;
+    part.over = !part.wanted;
+    wanted += part.wanted;
   }
-  if (alive < least_parts(route.shards.size(), route.least_share)) {
+  if (wanted < least_parts(route.shards.size(), route.least_share)) {
     ++counters_.refused;
     answer = refusal(request);
     return false;
   }
-  // A class without partial answers gets every shard, whatever the strain.
-  double coverage = route.least_share >= 1 ? 1 : coverage_.share();
-  for (std::size_t i : heaviest_first(weights_.of(route.shards), coverage, route.least_share))
-    request.parts[i].wanted = true;
-  for (Part& part : request.parts) {
-    if (part.wanted)
-      allowance_.request(now, part.depot);
-    else
-      part.over = true;
-  }
+  for (const Part& part : request.parts)
+    if (part.wanted) allowance_.request(now, part.depot);
   return true;
 }
 
@@ -147,7 +145,7 @@
   // A node without a free connection is passed over for this time.
   std::vector<NodePtr> passed = part.tried;
   for (int looks = 0; looks < 4; ++looks) {
-    NodePtr node = nodes_.choose(now, part.depot, passed, ++turn_, away_factor(*request.route));
+    NodePtr node = nodes_.choose(now, part.depot, passed, ++turn_, book_.away_factor(*request.route));
     if (!node) break;
     CallId call = out_.add();
     double left = Duration(request.end - now).count() * 1000;
@@ -223,6 +221,9 @@
       break;
   }
   outcome(now, *found, end.ending == Ending::not_run);
+  if (answer && !end.stamp.empty())
+    if (const Request* request = requests_.find(found->request))
+      book_.answered(*request->route, now - found->started, end.body.size());
   Out out = *found;
   out_.release(call);
   nodes_.ended(node);
@@ -243,8 +244,6 @@
   bool good = end.ending == Ending::answered && end.status >= 200 && end.status < 300 && !end.stamp.empty();
   if (end.ending == Ending::answered || end.ending == Ending::broken) part.ran = true;
   if (good) {
-    double& bytes = answer_bytes_.try_emplace(request.route->prefix, end.body.size()).first->second;
-    bytes += bytes_smoothing * (static_cast<double>(end.body.size()) - bytes);
     part.in = true;
     part.stamp = end.stamp;
     part.body = end.body;
@@ -288,13 +287,15 @@
 void Desk::look(Time now, RequestId id) {
   Request* request = requests_.find(id);
   if (!request || request->done || !request->route->gathers()) return;
-  std::size_t in = 0, coming = 0;
+  std::size_t in = 0, coming = 0, trials = 0;
   for (const Part& part : request->parts) {
     if (part.in)
       ++in;
     else if (!part.over)
-      ++coming;
+      ++(part.trial ? trials : coming);
   }
+  // A trial is waited for only where there is no answer without it.
+  if (!enough(*request, in + coming)) coming += trials;
   if (!enough(*request, in + coming)) {
     bool ran = std::any_of(request->parts.begin(), request->parts.end(),
                            [](const Part& part) { return part.in || part.ran || !part.calls.empty(); });
@@ -347,25 +348,54 @@
   return answer;
 }
 
-void Desk::schedule(RequestId id, Request& request, Time due) {
+// The next moment at which something is to be done about it.
+void Desk::schedule(RequestId id, Request& request) {
+  Time due = request.route->gathers() && !request.soft_over ? request.soft_end : request.end;
+  for (const Part& part : request.parts)
+    if (!part.in && !part.over) due = std::min(due, part.second_due);
   due_.erase({request.due, id});
   request.due = due;
   due_.emplace(due, id);
 }
 
+// A second call where the first takes longer than nearly all do, there is time for it, and the budget allows
+// it.
+void Desk::second_calls(Time now, RequestId id) {
+  Request& request = *requests_.find(id);
+  for (std::size_t i = 0; i < request.parts.size(); ++i) {
+    Part& part = request.parts[i];
+    if (part.in || part.over || now < part.second_due) continue;
+    part.second_due = Time::max();
+    if (!request.route->safe || part.tries >= request.route->tries || part.calls.empty()) continue;
+    if (now + book_.typical(*request.route) > request.soft_end) continue;
+    if (!nodes_.other(now, part.depot, part.tried) || !allowance_.spend(now, part.depot)) continue;
+    ++counters_.second_calls;
+    send(now, id, i);
+  }
+}
+
+// At the aim: what is out is late, for the node's record and for the strain.
+void Desk::note_late(Time now, Request& request) {
+  for (Part& part : request.parts)
+    for (CallId call : part.calls)
+      if (Out* out = out_.find(call); out && !out->counted) {
+        ++counters_.late;
+        nodes_.late(now, *out->node, now - out->started);
+        outcome(now, *out, true);
+      }
+}
+
 void Desk::advance(Time now) {
   while (!due_.empty() && due_.begin()->first <= now) {
     RequestId id = due_.begin()->second;
     due_.erase(due_.begin());
     Request* request = requests_.find(id);
     if (!request || request->done) continue;
-    for (Part& part : request->parts)
-      for (CallId call : part.calls)
-        if (Out* out = out_.find(call); out && !out->counted) {
-          ++counters_.late;
-          nodes_.late(now, *out->node, now - out->started);
-          outcome(now, *out, true);
-        }
+    second_calls(now, id);
+    if (now >= request->soft_end && !request->soft_over) {
+      request->soft_over = true;
+      if (request->route->gathers()) note_late(now, *request);
+    }
     look(now, id);
     request = requests_.find(id);
     if (!request || request->done) {
@@ -373,9 +403,10 @@
       continue;
     }
     if (now < request->end) {
-      schedule(id, *request, request->end);
+      schedule(id, *request);
       continue;
     }
+    note_late(now, *request);
     finish(now, id, failure(now, *request));
     release(id);
   }
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -7,13 +7,13 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "pederu/allowance.h"
 #include "pederu/coverage.h"
 #include "pederu/request.h"
+#include "pederu/route_book.h"
 #include "pederu/weights.h"
 
 namespace pearspar::pederu {
@@ -96,10 +96,11 @@
   FinalAnswer gathered(Request& request);
   FinalAnswer refusal(const Request& request) const;
   FinalAnswer failure(Time now, const Request& request) const;
-  void schedule(RequestId id, Request& request, Time due);
+  void schedule(RequestId id, Request& request);
+  void second_calls(Time now, RequestId id);
+  void note_late(Time now, Request& request);
   void release(RequestId id);
   void outcome(Time now, Out& out, bool bad);
-  double away_factor(const averau::Route& route) const;
   int connections_for(const Request& request, const std::string& depot) const;
 
   Calls& calls_;
@@ -107,7 +108,7 @@
   NodeBook nodes_;
   Weights weights_;
   Coverage coverage_;
-  std::unordered_map<std::string, double> answer_bytes_;  // of one part, by route, smoothed
+  RouteBook book_;
   Allowance allowance_;
   std::uint32_t edges_ = 1;
   std::uint64_t turn_ = 0;
--- a/src/pederu/node_book.cpp
+++ b/src/pederu/node_book.cpp
@@ -10,6 +10,8 @@
 // After the first failure in a row; doubled with each further one.
 constexpr Duration blame = 100ms;
 constexpr Duration most_blame = 2s;
+constexpr int silent_calls = 2;
+constexpr Duration trial_every = 100ms;
 
 }  // namespace
 
@@ -51,6 +53,31 @@
                                                 [](const NodePtr& n) { return n->listed && !n->closing; }));
 }
 
+bool NodeBook::other(Time now, const std::string& depot, const std::vector<NodePtr>& tried) const {
+  auto service = services_.find(depot);
+  if (service == services_.end()) return false;
+  return std::any_of(service->second.nodes.begin(), service->second.nodes.end(), [&](const NodePtr& node) {
+    return node->listed && !node->closing && now >= node->blamed_until &&
+           std::find(tried.begin(), tried.end(), node) == tried.end();
+  });
+}
+
+bool NodeBook::answers(const std::string& depot) const {
+  auto service = services_.find(depot);
+  if (service == services_.end()) return false;
+  return std::any_of(service->second.nodes.begin(), service->second.nodes.end(), [](const NodePtr& node) {
+    return node->listed && !node->closing && node->silent < silent_calls;
+  });
+}
+
+bool NodeBook::trial_due(Time now, const std::string& depot) {
+  if (open(depot) == 0) return false;
+  Service& service = services_[depot];
+  if (now < service.trial_due) return false;
+  service.trial_due = now + trial_every;
+  return true;
+}
+
 NodePtr NodeBook::choose(Time now, const std::string& depot, const std::vector<NodePtr>& tried,
                          std::uint64_t turn, double away) const {
   auto service = services_.find(depot);
--- a/src/pederu/node_book.h
+++ b/src/pederu/node_book.h
@@ -43,6 +43,13 @@
   NodePtr choose(Time now, const std::string& depot, const std::vector<NodePtr>& tried, std::uint64_t turn,
                  double away = 1) const;
   void set_home(std::string zone) { home_ = std::move(zone); }
+  // Whether there is another that is not in disgrace.
+  bool other(Time now, const std::string& depot, const std::vector<NodePtr>& tried) const;
+  // Whether anybody of the service answers, as far as can be told: false where every one of its nodes has
+  // left several calls in a row without an answer.
+  bool answers(const std::string& depot) const;
+  // Whether it is time to try one that does not; if so, the next is put off.
+  bool trial_due(Time now, const std::string& depot);
   // Nodes of a service that may be asked.
   std::size_t open(const std::string& depot) const;
 
@@ -63,6 +70,7 @@
 
   struct Service {
     std::vector<NodePtr> nodes;
+    Time trial_due{};
   };
   void forget(const std::string& id);
 
--- a/src/pederu/request.h
+++ b/src/pederu/request.h
@@ -38,11 +38,12 @@
   int tries = 0;
   bool wanted = false;  // it is sent at all
   bool in = false;
-  bool over = false;  // it comes no more
-  bool ran = false;   // it may have run somewhere
+  bool over = false;   // it comes no more
+  bool ran = false;    // it may have run somewhere
+  bool trial = false;  // nobody there answers: sent to learn when that ends
   std::string stamp;
   std::string body;
-  Time second_due{};  // when a second call pays
+  Time second_due = Time::max();  // when a second call pays
 };
 
 struct Request {
@@ -55,7 +56,8 @@
   Time soft_end{};  // an answer after it earns less
   Time end{};       // nobody waits any more
   std::vector<Part> parts;
-  bool done = false;  // answered; only its calls are still out
+  bool soft_over = false;  // the aim has passed
+  bool done = false;       // answered; only its calls are still out
   Time due{};
 };
 
--- a/tests/system/desk_test.cpp
+++ b/tests/system/desk_test.cpp
@@ -51,6 +51,9 @@
   CPPUNIT_TEST(aLatePartIsLeftOutAtTheAim);
   CPPUNIT_TEST(tooFewPartsWaitForTheDeadline);
   CPPUNIT_TEST(aShardThatIsGoneIsRefusedAtOnceWhereTheFloorNeedsIt);
+  CPPUNIT_TEST(aDarkShardIsTriedAndNotAwaited);
+  CPPUNIT_TEST(aSecondCallGoesWhereTheFirstIsSlow);
+  CPPUNIT_TEST(aNodeOfAnotherZoneCountsAsSlower);
   CPPUNIT_TEST(aRefusalGoesToAnotherNode);
   CPPUNIT_TEST(refusedByAllIsRefusedAtOnceWithATime);
   CPPUNIT_TEST(whatMayHaveRunIsNeverCalledUnrun);
@@ -265,6 +268,77 @@
     CPPUNIT_ASSERT(got.retry_after_s > 0);
   }
 
+  // Both nodes of a shard leave calls unanswered. From then on it is left out at once, tried ten times a
+  // second, and back as soon as a trial is answered.
+  void aDarkShardIsTriedAndNotAwaited() {
+    auto serve = [&](bool dark) {
+      std::size_t before = sent.size();
+      ask("/g/x");
+      for (std::size_t i = before; i < sent.size(); ++i)
+        if (sent[i].node[0] != 'b' || !dark) end(sent[i], Ending::answered, 200, record('a'));
+      return sent.size() - before;
+    };
+    for (int i = 0; i < 4; ++i) {
+      serve(true);
+      wait(95);
+      answer();
+    }
+    int trials = 0;
+    for (int i = 0; i < 100; ++i) {
+      if (serve(true) == 4) ++trials;
+      FinalAnswer got = answer();  // at once
+      CPPUNIT_ASSERT(got.headers.find("Missing-Parts: 1\r\n") != std::string::npos);
+      wait(10);
+    }
+    CPPUNIT_ASSERT(trials >= 8 && trials <= 11);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, desk->coverage(), 0.11);
+    wait(100);
+    serve(false);
+    answer();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, serve(false));
+    CPPUNIT_ASSERT(answer().headers.find("Missing-Parts") == std::string::npos);
+  }
+
+  void aSecondCallGoesWhereTheFirstIsSlow() {
+    for (int i = 0; i < 60; ++i) {
+      ask("/s/x");
+      wait(20);
+      end(last(), Ending::answered, 200, "b");
+      answer();
+    }
+    ask("/s/x");
+    std::size_t first = sent.size() - 1;
+    wait(15);
+    CPPUNIT_ASSERT_EQUAL(first + 1, sent.size());
+    wait(25);
+    CPPUNIT_ASSERT_EQUAL(first + 2, sent.size());
+    CPPUNIT_ASSERT(sent[first].node != last().node);
+    end(last(), Ending::answered, 200, "second");
+    CPPUNIT_ASSERT_EQUAL(std::string("second"), answer().body);
+    end(sent[first], Ending::answered, 200, "first");
+    CPPUNIT_ASSERT(desk->take_answers().empty());
+    // What may not run twice is left alone.
+    ask("/s/u/x");
+    wait(200);
+    CPPUNIT_ASSERT_EQUAL(first + 3, sent.size());
+  }
+
+  void aNodeOfAnotherZoneCountsAsSlower() {
+    NodeBook book;
+    book.set_home("z");
+    averau::Node here{"here", "p", "a:1", "z", "v", 3, false, 1, {}}, there = here;
+    there.id = "there";
+    there.address = "b:1";
+    there.zone = "y";
+    book.update("here", &here);
+    book.update("there", &there);
+    for (std::uint64_t turn = 0; turn < 2; ++turn)
+      CPPUNIT_ASSERT_EQUAL(std::string("here"), book.choose(now, "p", {}, turn, 2)->id);
+    NodePtr busy = book.choose(now, "p", {}, 0, 2);
+    for (int i = 0; i < 2; ++i) book.started(*busy);
+    CPPUNIT_ASSERT_EQUAL(std::string("there"), book.choose(now, "p", {}, 0, 2)->id);
+  }
+
   void aRefusalGoesToAnotherNode() {
     ask("/s/x");
     std::string first = last().node;
