Operators' commands, their calls, and the system's design note

Ruled out: calls of an own protocol for them: the members' HTTP calls serve, each in api/altavia.json.

--- a/src/altavia/main.cpp
+++ b/src/altavia/main.cpp
@@ -10,11 +10,14 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <sstream>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include "altavia/edge.h"
 #include "altavia/member.h"
+#include "carestiato/commands.h"
 #include "lavarella/log.h"
 #include "net/signals.h"
 
@@ -56,7 +59,7 @@
 // What runs here, and what it is told.
 class Process {
  public:
-  explicit Process(std::string path) : path_(std::move(path)), watched_(path_) {}
+  Process(std::string path, Level least) : path_(std::move(path)), watched_(path_), least_(least) {}
 
   int run() {
     net::Signals signals({SIGTERM, SIGINT, SIGHUP});
@@ -106,7 +109,7 @@
       log(Level::info, "settings_read", {{"seeds", read.settings.seeds.size()}});
       return;
     }
-    lavarella::open_log(read.settings.node_name, Level::info);
+    lavarella::open_log(read.settings.node_name, least_);
     try {
       if (!read.settings.front_door.empty())
         edge_ = std::make_unique<altavia::Edge>(loop, read.settings, fresh_number());
@@ -123,6 +126,7 @@
 
   std::string path_;
   Watched watched_;
+  Level least_;
   std::unique_ptr<altavia::Edge> edge_;
   std::unique_ptr<altavia::Member> member_;
   net::Timer again_;
@@ -144,13 +148,25 @@
 
 int main(int argc, const char** argv) {
   char* settings = nullptr;
+  char* at = nullptr;
+  char* level = nullptr;
+  int json = 0;
+  carestiato::Options operators;
   const poptOption options[] = {
       {"settings", 's', POPT_ARG_STRING, &settings, 0,
        "the platform's settings file (else PEARSPAR_CONFIG in the environment)", "FILE"},
+      {"log-level", 0, POPT_ARG_STRING, &level, 0, "serve: error, warning, info or debug", "LEVEL"},
+      {"at", 'a', POPT_ARG_STRING, &at, 0,
+       "control addresses of members, by commas (else the settings' seeds)", "ADDRESS,..."},
+      {"json", 'j', POPT_ARG_NONE, &json, 0, "as the members say it, for programs", nullptr},
+      {"within", 0, POPT_ARG_DOUBLE, &operators.within_s, 0, "give up after so long (10)", "SECONDS"},
+      {"every", 0, POPT_ARG_DOUBLE, &operators.every_s, 0, "config watch: look so often (1)", "SECONDS"},
+      {"for", 0, POPT_ARG_DOUBLE, &operators.for_s, 0, "config watch: end after so long (0: never)",
+       "SECONDS"},
       POPT_AUTOHELP POPT_TABLEEND};
   std::unique_ptr<std::remove_pointer_t<poptContext>, void (*)(poptContext)> context(
       poptGetContext("altavia", argc, argv, options, 0), [](poptContext c) { poptFreeContext(c); });
-  poptSetOtherOptionHelp(context.get(), "[--settings FILE] serve | check-settings");
+  poptSetOtherOptionHelp(context.get(), carestiato::usage());
   int result = 0;
   while ((result = poptGetNextOpt(context.get())) >= 0) {
   }
@@ -158,11 +174,29 @@
     std::fprintf(stderr, "altavia: %s: %s\n", poptBadOption(context.get(), 0), poptStrerror(result));
     return bad_input;
   }
-  const char* command = poptGetArg(context.get());
+  std::vector<std::string> words;
+  while (const char* word = poptGetArg(context.get())) words.emplace_back(word);
   const char* from = settings ? settings : std::getenv("PEARSPAR_CONFIG");
   std::string path = from ? from : "";
+  Level least = Level::info;
+  bool level_good = !level || lavarella::parse_level(level, least);
+  std::istringstream addresses(at ? at : "");
+  for (std::string address; std::getline(addresses, address, ',');) operators.members.push_back(address);
+  operators.json = json != 0;
   std::free(settings);
-  if (!command || (std::string_view(command) != "serve" && std::string_view(command) != "check-settings")) {
+  std::free(at);
+  std::free(level);
+  if (!level_good) {
+    std::fprintf(stderr, "altavia: --log-level: error, warning, info or debug is wanted\n");
+    return bad_input;
+  }
+  std::string command = words.empty() ? "" : words[0];
+  if (carestiato::knows(command)) {
+    if (operators.members.empty() && !path.empty())
+      operators.members = coldai::read_settings(path).settings.seeds;
+    return carestiato::run(words, operators, stdout, stderr);
+  }
+  if (words.size() != 1 || (command != "serve" && command != "check-settings")) {
     poptPrintUsage(context.get(), stderr, 0);
     return bad_input;
   }
@@ -170,7 +204,7 @@
     std::fprintf(stderr, "altavia: no settings file is named\n");
     return bad_input;
   }
-  if (std::string_view(command) == "check-settings") return check_settings(path);
-  lavarella::open_log("altavia", Level::info);
-  return Process(path).run();
+  if (command == "check-settings") return check_settings(path);
+  lavarella::open_log("altavia", least);
+  return Process(path, least).run();
 }
--- /dev/null
+++ b/src/carestiato/call.h
@@ -0,0 +1,43 @@
+// One control call by hand: to any of the members, following a 307 twice, on to the next after a failure, a
+// 5xx or a second of silence.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/loop.h"
+
+namespace pearspar::carestiato {
+
+struct CallRequest {
+  std::string method;
+  std::string path;
+  std::string headers;  // further lines, each with its end
+  std::string body;
+};
+
+struct CallReply {
+  int status = 0;  // 0 = nobody has answered
+  std::string body;
+  std::string fault;  // why, where nobody has
+  std::string from;   // who has
+};
+
+class Caller {
+ public:
+  Caller(net::Loop& loop, std::vector<std::string> members) : loop_(loop), members_(std::move(members)) {}
+
+  // Asks one member after the other until one says something definite, or the time is over.
+  CallReply call(const CallRequest& request, net::Duration within);
+  // Asks that one alone.
+  CallReply ask(const std::string& member, const CallRequest& request, net::Duration within);
+  const std::vector<std::string>& members() const { return members_; }
+
+ private:
+  net::Loop& loop_;
+  std::vector<std::string> members_;
+  std::size_t next_ = 0;
+};
+
+}  // namespace pearspar::carestiato
--- /dev/null
+++ b/src/carestiato/commands.cpp
@@ -0,0 +1,416 @@
+#include "carestiato/commands.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+#include "averau/config.h"
+#include "averau/json.h"
+#include "sennes/report.h"
+
+namespace pearspar::carestiato {
+namespace {
+
+using averau::Fault;
+using averau::Json;
+
+std::string text_of(const cJSON* object, const char* key) {
+  const cJSON* item = cJSON_GetObjectItemCaseSensitive(object, key);
+  if (cJSON_IsString(item)) return item->valuestring;
+  if (cJSON_IsBool(item)) return cJSON_IsTrue(item) ? "yes" : "no";
+  if (cJSON_IsNumber(item)) return fmt::format("{:.0f}", item->valuedouble);
+  return "-";
+}
+
+// Columns as wide as what stands in them.
+std::string table(const std::vector<std::vector<std::string>>& rows) {
+  std::vector<std::size_t> width;
+  for (const auto& row : rows)
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      if (i >= width.size()) width.push_back(0);
+      width[i] = std::max(width[i], row[i].size());
+    }
+  std::string out;
+  for (const auto& row : rows) {
+    for (std::size_t i = 0; i < row.size(); ++i)
+      out += i + 1 < row.size() ? fmt::format("{:<{}}  ", row[i], width[i]) : row[i];
+    out += '\n';
+  }
+  return out;
+}
+
+class Session {
+ public:
+  Session(const Options& options, std::FILE* out, std::FILE* err)
+      : options_(options), caller_(loop_, options.members), out_(out), err_(err) {}
+
+  int status();
+  int leader();
+  int members();
+  int nodes();
+  int drain(const std::string& id);
+  int config_get();
+  int config_check(const std::string& file);
+  int config_put(const std::string& file);
+  int config_diff(const std::string& file);
+  int config_watch();
+  int history();
+  int snapshot_save(const std::string& file);
+  int snapshot_verify(const std::string& file, averau::ConfigurationPtr* held = nullptr);
+  int snapshot_restore(const std::string& file);
+
+ private:
+  CallReply get(const std::string& path) {
+    return caller_.call({"GET", path, "", ""}, net::Duration(options_.within_s));
+  }
+  int put(const std::string& text, averau::Edition base);
+  // Says what is wrong with an answer that is not 200.
+  int complain(const CallReply& reply);
+  int fail(int status, const std::string& what) {
+    std::fprintf(err_, "altavia: %s\n", what.c_str());
+    return status;
+  }
+  int show_json(const std::string& body) {
+    std::fprintf(out_, "%s\n", body.c_str());
+    return good;
+  }
+  bool read_file(const std::string& file, std::string& text) {
+    std::ifstream in(file, std::ios::binary);
+    std::ostringstream held;
+    if (!in || !(held << in.rdbuf())) return false;
+    text = held.str();
+    return true;
+  }
+  averau::ConfigurationPtr read_config(const std::string& file) {
+    std::string text;
+    if (!read_file(file, text)) {
+      fail(bad_input, file + ": cannot be read");
+      return nullptr;
+    }
+    Fault fault;
+    auto read = averau::read_configuration(text, fault);
+    if (!read) fail(bad_input, file + ": " + fault.text());
+    return read;
+  }
+
+  const Options& options_;
+  net::Loop loop_;
+  Caller caller_;
+  std::FILE* out_;
+  std::FILE* err_;
+};
+
+int Session::complain(const CallReply& reply) {
+  if (reply.status == 0) return fail(failed, reply.fault);
+  Fault fault;
+  Json json = averau::parse_json(reply.body, fault);
+  std::string what = json ? text_of(json.get(), "errorText") : reply.body;
+  return fail(reply.status >= 500 ? failed : refused,
+              fmt::format("{}: {} {}", reply.from, reply.status, what));
+}
+
+// Every member is asked for itself: where they do not agree, that is what is to be seen.
+int Session::status() {
+  std::vector<std::vector<std::string>> rows = {
+      {"member", "leads", "term", "commit", "edition", "nodes", "edges", "leader"}};
+  int answered = 0;
+  std::set<std::string> editions, leaders;
+  for (const std::string& member : caller_.members()) {
+    CallReply reply = caller_.ask(member, {"GET", "/pearspar/status", "", ""},
+                                  net::Duration(std::min(2.0, options_.within_s)));
+    if (reply.status != 200) {
+      rows.push_back({member, reply.status == 0 ? reply.fault : std::to_string(reply.status)});
+      continue;
+    }
+    ++answered;
+    if (options_.json) {
+      show_json(reply.body);
+      continue;
+    }
+    Fault fault;
+    Json json = averau::parse_json(reply.body, fault);
+    const cJSON* o = json.get();
+    editions.insert(text_of(o, "edition"));
+    leaders.insert(text_of(o, "leader"));
+    rows.push_back({member, text_of(o, "leads"), text_of(o, "term"), text_of(o, "commit"),
+                    text_of(o, "edition"), text_of(o, "nodes"),
+                    std::to_string(cJSON_GetArraySize(cJSON_GetObjectItemCaseSensitive(o, "edges"))),
+                    text_of(o, "leader")});
+  }
+  if (!options_.json) std::fprintf(out_, "%s", table(rows).c_str());
+  if (answered == 0) return fail(failed, "no member has answered");
+  if (editions.size() > 1 || leaders.size() > 1) return fail(differs, "members do not agree (yet)");
+  return good;
+}
+
+int Session::leader() {
+  CallReply reply = get("/pearspar/status");
+  if (reply.status != 200) return complain(reply);
+  Fault fault;
+  Json json = averau::parse_json(reply.body, fault);
+  std::string leader = text_of(json.get(), "leader");
+  if (leader.empty()) return fail(refused, reply.from + ": knows of no leader");
+  std::fprintf(out_, "%s\n", leader.c_str());
+  return good;
+}
+
+int Session::members() {
+  CallReply reply = get("/pearspar/status");
+  if (reply.status != 200) return complain(reply);
+  if (options_.json) return show_json(reply.body);
+  Fault fault;
+  Json json = averau::parse_json(reply.body, fault);
+  std::vector<std::vector<std::string>> rows = {{"address", "id", "leads"}};
+  const cJSON* member = nullptr;
+  cJSON_ArrayForEach(member, cJSON_GetObjectItemCaseSensitive(json.get(), "members"))
+      rows.push_back({text_of(member, "address"), text_of(member, "id"), text_of(member, "leads")});
+  std::fprintf(out_, "%s%s wanted\n", table(rows).c_str(), text_of(json.get(), "wanted").c_str());
+  return good;
+}
+
+int Session::nodes() {
+  CallReply reply = get("/pearspar/nodes");
+  if (reply.status != 200) return complain(reply);
+  if (options_.json) return show_json(reply.body);
+  Fault fault;
+  Json json = averau::parse_json(reply.body, fault);
+  std::vector<std::vector<std::string>> rows = {
+      {"id", "service", "address", "zone", "edition", "slots", "state"}};
+  const cJSON* node = nullptr;
+  cJSON_ArrayForEach(node, cJSON_GetObjectItemCaseSensitive(json.get(), "nodes")) rows.push_back(
+      {text_of(node, "id"), text_of(node, "depot"), text_of(node, "address"), text_of(node, "zoneName"),
+       text_of(node, "edition"), text_of(node, "slotCount"), text_of(node, "nodeState")});
+  std::fprintf(out_, "%s", table(rows).c_str());
+  return good;
+}
+
+// The node's own record once more, closing: it is asked no more for the rest of its life.
+int Session::drain(const std::string& id) {
+  CallReply reply = get("/pearspar/nodes");
+  if (reply.status != 200) return complain(reply);
+  Fault fault;
+  Json json = averau::parse_json(reply.body, fault);
+  cJSON* node = nullptr;
+  cJSON_ArrayForEach(node, cJSON_GetObjectItemCaseSensitive(json.get(), "nodes")) {
+    if (text_of(node, "id") != id) continue;
+    cJSON_ReplaceItemInObjectCaseSensitive(node, "nodeState", cJSON_CreateString("closing_out"));
+    cJSON_DeleteItemFromObjectCaseSensitive(node, "id");
+    char* body = cJSON_PrintUnformatted(node);
+    CallReply done =
+        caller_.call({"PUT", "/pearspar/nodes/" + id, "", body}, net::Duration(options_.within_s));
+    cJSON_free(body);
+    if (done.status != 200) return complain(done);
+    std::fprintf(out_, "%s is closing: no edge in touch sends it anything new\n", id.c_str());
+    return good;
+  }
+  return fail(refused, "no node '" + id + "' is known");
+}
+
+int Session::config_get() {
+  CallReply reply = get("/pearspar/config");
+  if (reply.status != 200) return complain(reply);
+  return show_json(reply.body);
+}
+
+int Session::config_check(const std::string& file) {
+  auto read = read_config(file);
+  if (!read) return bad_input;
+  std::fprintf(out_, "%s: good: edition %llu, %zu routes, %zu depots\n", file.c_str(),
+               static_cast<unsigned long long>(read->edition), read->routes.size(), read->depots.size());
+  return good;
+}
+
+int Session::put(const std::string& text, averau::Edition base) {
+  CallReply reply = caller_.call({"PUT", "/pearspar/config", fmt::format("If-Match: {}\r\n", base), text},
+                                 net::Duration(options_.within_s));
+  if (reply.status != 200) return complain(reply);
+  return good;
+}
+
+int Session::config_put(const std::string& file) {
+  auto next = read_config(file);
+  if (!next) return bad_input;
+  CallReply reply = get("/pearspar/config");
+  if (reply.status != 200 && reply.status != 404) return complain(reply);
+  averau::Edition base = 0;
+  Fault fault;
+  if (reply.status == 200)
+    if (auto now = averau::read_configuration(reply.body, fault)) base = now->edition;
+  int result = put(next->text, base);
+  if (result == good)
+    std::fprintf(out_, "edition %llu is taken on top of %llu\n",
+                 static_cast<unsigned long long>(next->edition), static_cast<unsigned long long>(base));
+  return result;
+}
+
+// Routes that come, go and change, as one line each.
+int Session::config_diff(const std::string& file) {
+  auto next = read_config(file);
+  if (!next) return bad_input;
+  CallReply reply = get("/pearspar/config");
+  if (reply.status != 200) return complain(reply);
+  Fault fault;
+  Json before = averau::parse_json(reply.body, fault), after = averau::parse_json(next->text, fault);
+  auto routes = [](const cJSON* json) {
+    std::map<std::string, std::string> found;
+    const cJSON* route = nullptr;
+    cJSON_ArrayForEach(route, cJSON_GetObjectItemCaseSensitive(json, "postalRoutes")) {
+      char* printed = cJSON_PrintUnformatted(route);
+      found[text_of(route, "hostName") + text_of(route, "pathPrefix")] = printed;
+      cJSON_free(printed);
+    }
+    return found;
+  };
+  auto old_routes = routes(before.get()), new_routes = routes(after.get());
+  std::string out;
+  for (const auto& [place, text] : old_routes)
+    if (!new_routes.count(place))
+      out += "- " + place + "\n";
+    else if (new_routes[place] != text)
+      out += "~ " + place + "\n    " + text + "\n    " + new_routes[place] + "\n";
+  for (const auto& [place, text] : new_routes)
+    if (!old_routes.count(place)) out += "+ " + place + "\n";
+  out = fmt::format("edition {} -> {}\n", text_of(before.get(), "edition"), next->edition) + out;
+  std::fprintf(out_, "%s", out.c_str());
+  return old_routes == new_routes ? good : differs;
+}
+
+int Session::config_watch() {
+  std::string seen;
+  net::Time end = loop_.read_clock() + net::Duration(options_.for_s);
+  while (options_.for_s <= 0 || loop_.read_clock() < end) {
+    CallReply reply = get("/pearspar/history");
+    Fault fault;
+    Json json = reply.status == 200 ? averau::parse_json(reply.body, fault) : nullptr;
+    if (json) {
+      const cJSON* taken = cJSON_GetObjectItemCaseSensitive(json.get(), "taken");
+      const cJSON* last = cJSON_GetArrayItem(taken, cJSON_GetArraySize(taken) - 1);
+      std::string line = last ? text_of(last, "edition") + "  " + text_of(last, "digest") : "none taken yet";
+      if (line != seen) std::fprintf(out_, "%s\n", line.c_str());
+      std::fflush(out_);
+      seen = line;
+    } else {
+      complain(reply);
+    }
+    net::Time go_on = loop_.read_clock() + net::Duration(options_.every_s);
+    while (loop_.read_clock() < go_on) loop_.turn(go_on - loop_.read_clock());
+  }
+  return good;
+}
+
+int Session::history() {
+  CallReply reply = get("/pearspar/history");
+  if (reply.status != 200) return complain(reply);
+  if (options_.json) return show_json(reply.body);
+  Fault fault;
+  Json json = averau::parse_json(reply.body, fault);
+  std::vector<std::vector<std::string>> rows = {{"edition", "digest"}};
+  const cJSON* taken = nullptr;
+  cJSON_ArrayForEach(taken, cJSON_GetObjectItemCaseSensitive(json.get(), "taken"))
+      rows.push_back({text_of(taken, "edition"), text_of(taken, "digest")});
+  std::fprintf(out_, "%s", table(rows).c_str());
+  return good;
+}
+
+int Session::snapshot_save(const std::string& file) {
+  CallReply reply = get("/pearspar/snapshot");
+  if (reply.status != 200) return complain(reply);
+  // A file that is half written must not stand under its name.
+  std::string half = file + ".part";
+  std::ofstream out(half, std::ios::binary | std::ios::trunc);
+  out << reply.body << "\n";
+  out.close();
+  if (!out || std::rename(half.c_str(), file.c_str()) != 0) return fail(failed, file + ": cannot be written");
+  return snapshot_verify(file);
+}
+
+int Session::snapshot_verify(const std::string& file, averau::ConfigurationPtr* held) {
+  std::string text;
+  if (!read_file(file, text)) return fail(bad_input, file + ": cannot be read");
+  Fault fault;
+  Json json = averau::parse_json(text, fault);
+  if (!json) return fail(bad_input, file + ": " + fault.text());
+  const cJSON* o = json.get();
+  if (text_of(o, "format") != "1")
+    return fail(bad_input, file + ": format " + text_of(o, "format") + ", and this program reads 1");
+  const cJSON* configuration = cJSON_GetObjectItemCaseSensitive(o, "configuration");
+  if (!cJSON_IsString(configuration)) return fail(bad_input, file + ": configuration: is no text");
+  std::string whole = configuration->valuestring;
+  auto digest = sennes::digest_of(whole);
+  if (fmt::format("{:016x}{:016x}", digest.first, digest.second) != text_of(o, "digest"))
+    return fail(bad_input, file + ": digest: does not fit the configuration");
+  averau::ConfigurationPtr read;
+  if (!whole.empty() && !(read = averau::read_configuration(whole, fault)))
+    return fail(bad_input, file + ": configuration: " + fault.text());
+  if (std::to_string(read ? read->edition : 0) != text_of(o, "edition"))
+    return fail(bad_input, file + ": edition: is not the configuration's");
+  if (held) *held = read;
+  std::fprintf(out_, "%s: good: edition %s\n", file.c_str(), text_of(o, "edition").c_str());
+  return good;
+}
+
+// Into a core that has nothing, or something older.
+int Session::snapshot_restore(const std::string& file) {
+  averau::ConfigurationPtr held;
+  if (int result = snapshot_verify(file, &held)) return result;
+  if (!held) return fail(refused, file + ": holds no configuration");
+  CallReply reply = get("/pearspar/config");
+  if (reply.status != 200 && reply.status != 404) return complain(reply);
+  averau::Edition base = 0;
+  Fault fault;
+  if (reply.status == 200)
+    if (auto now = averau::read_configuration(reply.body, fault)) base = now->edition;
+  int result = put(held->text, base);
+  if (result == good)
+    std::fprintf(out_, "edition %llu is back\n", static_cast<unsigned long long>(held->edition));
+  return result;
+}
+
+}  // namespace
+
+const char* usage() {
+  return "[OPTIONS] serve | check-settings | status | members | leader | nodes | drain ID |\n"
+         "        config get|check FILE|put FILE|diff FILE|watch|history | snapshot save|verify|restore FILE";
+}
+
+bool knows(const std::string& command) {
+  for (const char* known : {"status", "members", "leader", "nodes", "drain", "config", "snapshot"})
+    if (command == known) return true;
+  return false;
+}
+
+int run(const std::vector<std::string>& words, const Options& options, std::FILE* out, std::FILE* err) {
+  Session session(options, out, err);
+  auto is = [&](std::initializer_list<const char*> wanted, std::size_t operands) {
+    return words.size() == wanted.size() + operands &&
+           std::equal(wanted.begin(), wanted.end(), words.begin());
+  };
+  bool offline = is({"config", "check"}, 1) || is({"snapshot", "verify"}, 1);
+  if (!offline && options.members.empty()) {
+    std::fprintf(err,
+                 "altavia: no member is named: --at ADDRESS[,ADDRESS...], or a settings file with seeds\n");
+    return bad_input;
+  }
+  if (is({"status"}, 0)) return session.status();
+  if (is({"members"}, 0)) return session.members();
+  if (is({"leader"}, 0)) return session.leader();
+  if (is({"nodes"}, 0)) return session.nodes();
+  if (is({"drain"}, 1)) return session.drain(words[1]);
+  if (is({"config", "get"}, 0)) return session.config_get();
+  if (is({"config", "check"}, 1)) return session.config_check(words[2]);
+  if (is({"config", "put"}, 1)) return session.config_put(words[2]);
+  if (is({"config", "diff"}, 1)) return session.config_diff(words[2]);
+  if (is({"config", "watch"}, 0)) return session.config_watch();
+  if (is({"config", "history"}, 0)) return session.history();
+  if (is({"snapshot", "save"}, 1)) return session.snapshot_save(words[2]);
+  if (is({"snapshot", "verify"}, 1)) return session.snapshot_verify(words[2]);
+  if (is({"snapshot", "restore"}, 1)) return session.snapshot_restore(words[2]);
+  std::fprintf(err, "altavia: no such command; there are: %s\n", usage());
+  return bad_input;
+}
+
+}  // namespace pearspar::carestiato
--- /dev/null
+++ b/src/carestiato/commands.h
@@ -0,0 +1,37 @@
+// The operators' commands. People's form on standard output, or the members' JSON as it came; faults on
+// standard error; the exit status says which kind.
+#pragma once
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "carestiato/call.h"
+
+namespace pearspar::carestiato {
+
+// Exit statuses, for scripts.
+enum Exit {
+  good = 0,
+  failed = 1,     // nobody has answered, or not in time
+  bad_input = 2,  // the command line or a file is no good
+  refused = 3,    // an answer, and it is no: another edition, an invalid configuration, no such node
+  differs = 4,    // diff: they do; check --all: members do not agree
+};
+
+struct Options {
+  std::vector<std::string> members;  // control addresses
+  bool json = false;
+  double within_s = 10;
+  double every_s = 1;  // watch
+  double for_s = 0;    // watch: 0 = until it is stopped
+};
+
+// `words` is the command and its operands: status | members | leader | nodes | drain ID | config get | config
+// check FILE | config put FILE | config diff FILE | config watch | config history | snapshot save FILE |
+// snapshot verify FILE | snapshot restore FILE.
+int run(const std::vector<std::string>& words, const Options& options, std::FILE* out, std::FILE* err);
+bool knows(const std::string& command);
+const char* usage();
+
+}  // namespace pearspar::carestiato
--- a/src/sennes/office.cpp
+++ b/src/sennes/office.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "sennes/report.h"
+
 namespace pearspar::sennes {
 namespace {
 
@@ -18,18 +20,9 @@
 constexpr std::string_view nodes_path = "/pearspar/nodes/";
 constexpr std::string_view config_path = "/pearspar/config";
 constexpr std::string_view status_path = "/pearspar/status";
-
-std::string quoted(std::string_view text) {
-  std::string out = "\"";
-  for (char c : text) {
-    if (c == '"' || c == '\\') out += '\\';
-    if (static_cast<unsigned char>(c) < 0x20)
-      out += ' ';
-    else
-      out += c;
-  }
-  return out + "\"";
-}
+constexpr std::string_view list_path = "/pearspar/nodes";
+constexpr std::string_view history_path = "/pearspar/history";
+constexpr std::string_view snapshot_path = "/pearspar/snapshot";
 
 bool is_node_path(std::string_view path) {
   return path.starts_with(nodes_path) && path.size() > nodes_path.size() &&
@@ -56,7 +49,7 @@
 }
 
 void Office::reply_fault(const Request& request, int status, std::string_view what) {
-  reply(request, status, "{\"errorText\":" + quoted(what) + "}");
+  reply(request, status, fault_json(what));
 }
 
 void Office::call(Time now, Asker asker, std::string_view method, std::string_view path,
@@ -69,10 +62,12 @@
   request.body = body;
   if (path == status_path) {
     if (method != "GET") return reply_fault(request, 405, "GET is wanted");
-    return reply(request, 200, status(now), false);
+    return reply(request, 200, status_json(now, options_.name, core_, state_, view_, followers_), false);
   }
   if (path == config_path) {
     if (method != "GET" && method != "PUT") return reply_fault(request, 405, "GET or PUT is wanted");
+  } else if (path == list_path || path == history_path || path == snapshot_path) {
+    if (method != "GET") return reply_fault(request, 405, "GET is wanted");
   } else if (is_node_path(path)) {
     if (method != "PUT" && method != "DELETE") return reply_fault(request, 405, "PUT or DELETE is wanted");
   } else {
@@ -106,6 +101,12 @@
         return true;
       }
       settle_change(now, request);
+    } else if (request.path == list_path) {
+      reply(request, 200, nodes_json(now, view_));
+    } else if (request.path == history_path) {
+      reply(request, 200, history_json(state_));
+    } else if (request.path == snapshot_path) {
+      reply(request, 200, snapshot_json(state_));
     } else if (request.method == "PUT") {
       settle_beat(now, request);
     } else {
@@ -395,32 +396,4 @@
   }
 }
 
-std::string Office::status(Time now) const {
-  std::string out = "{\"nodeName\":" + quoted(options_.name);
-  out += ",\"leads\":" + std::string(core_.may_speak(now) ? "true" : "false");
-  out += ",\"leader\":" + quoted(core_.leader_address());
-  out += ",\"term\":" + std::to_string(core_.term());
-  out += ",\"commit\":" + std::to_string(core_.commit());
-  out += ",\"edition\":" + std::to_string(state_.edition());
-  out += ",\"wanted\":" + std::to_string(core_.log().membership().wanted);
-  out += ",\"members\":[";
-  bool first = true;
-  for (const auto& voter : core_.log().membership().voters) {
-    out += (first ? "" : ",") + quoted(voter.address);
-    first = false;
-  }
-  out += "],\"nodes\":" + std::to_string(view_.nodes().all().size());
-  out += ",\"edges\":[";
-  first = true;
-  for (const auto& [link, follower] : followers_.all()) {
-    if (follower.kind != fanes::FollowerKind::edge) continue;
-    out += std::string(first ? "" : ",") + "{\"nodeName\":" + quoted(follower.name) +
-           ",\"lease\":" + (Followers::lives(now, follower) ? "true" : "false") +
-           ",\"edition\":" + std::to_string(follower.edition) +
-           ",\"acknowledged\":" + std::to_string(follower.acked.number) + "}";
-    first = false;
-  }
-  return out + "]}";
-}
-
 }  // namespace pearspar::sennes
--- a/src/sennes/office.h
+++ b/src/sennes/office.h
@@ -71,7 +71,6 @@
   const vazzoler::View& view() const { return view_; }
   const Followers& followers() const { return followers_; }
   bool in_office() const { return followers_.is_open(); }
-  std::string status(Time now) const;  // JSON, for operators
 
  private:
   struct Request {
--- /dev/null
+++ b/src/sennes/report.cpp
@@ -0,0 +1,80 @@
+#include "sennes/report.h"
+
+#include <fmt/format.h>
+
+namespace pearspar::sennes {
+namespace {
+
+std::string hex(const Digest& digest) { return fmt::format("{:016x}{:016x}", digest.first, digest.second); }
+
+// Joined by commas, in brackets.
+class List {
+ public:
+  void add(const std::string& item) { text_ += (text_.size() > 1 ? "," : "") + item; }
+  std::string text() const { return text_ + "]"; }
+
+ private:
+  std::string text_ = "[";
+};
+
+}  // namespace
+
+std::string quoted(std::string_view text) {
+  std::string out = "\"";
+  for (char c : text) {
+    if (c == '"' || c == '\\')
+      (out += '\\') += c;
+    else if (static_cast<unsigned char>(c) < 0x20)
+      out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
+    else
+      out += c;
+  }
+  return out += '"';
+}
+
+std::string fault_json(std::string_view what) { return "{\"errorText\":" + quoted(what) + "}"; }
+
+std::string status_json(Time now, const std::string& name, const lagazuoi::Core& core, const State& state,
+                        const vazzoler::View& view, const Followers& followers) {
+  List members, edges;
+  for (const auto& voter : core.log().membership().voters)
+    members.add(fmt::format(R"({{"address":{},"id":"{:016x}","leads":{}}})", quoted(voter.address), voter.id,
+                            voter.address == core.leader_address()));
+  for (const auto& [link, follower] : followers.all())
+    if (follower.kind == fanes::FollowerKind::edge)
+      edges.add(fmt::format(R"({{"nodeName":{},"zoneName":{},"lease":{},"edition":{},"acknowledged":{}}})",
+                            quoted(follower.name), quoted(follower.zone), Followers::lives(now, follower),
+                            follower.edition, follower.acked.number));
+  return fmt::format(
+      R"({{"nodeName":{},"leads":{},"leader":{},"term":{},"commit":{},"logEntries":{},"diskRefuses":{},"edition":{},)"
+      R"("wanted":{},"members":{},"nodes":{},"edges":{}}})",
+      quoted(name), core.may_speak(now), quoted(core.leader_address()), core.term(), core.commit(),
+      core.log().last() + 1 - core.log().first(), core.ill(), state.edition(), core.log().membership().wanted,
+      members.text(), view.nodes().all().size(), edges.text());
+}
+
+std::string nodes_json(Time now, const vazzoler::View& view) {
+  List nodes;
+  for (const auto& [id, node] : view.nodes().all())
+    nodes.add(fmt::format(
+        R"({{"id":{},"depot":{},"address":{},"zoneName":{},"edition":{},"slotCount":{},"nodeState":"{}",)"
+        R"("coldLeftMs":{},"callSeq":{}}})",
+        quoted(id), quoted(node.depot), quoted(node.address), quoted(node.zone), quoted(node.edition),
+        node.slots, node.closing ? "closing_out" : "at_post", cold_ms(now, node), node.call));
+  return "{\"nodes\":" + nodes.text() + "}";
+}
+
+std::string history_json(const State& state) {
+  List taken;
+  for (const auto& [edition, digest] : state.taken())
+    taken.add(fmt::format(R"({{"edition":{},"digest":"{}"}})", edition, hex(digest)));
+  return "{\"taken\":" + taken.text() + "}";
+}
+
+std::string snapshot_json(const State& state) {
+  const std::string text = state.current() ? state.current()->text : std::string();
+  return fmt::format(R"({{"format":1,"edition":{},"digest":"{}","history":{},"configuration":{}}})",
+                     state.edition(), hex(digest_of(text)), history_json(state), quoted(text));
+}
+
+}  // namespace pearspar::sennes
--- /dev/null
+++ b/src/sennes/report.h
@@ -0,0 +1,21 @@
+// What members tell operators, as JSON (api/altavia.json).
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "sennes/followers.h"
+#include "sennes/state.h"
+
+namespace pearspar::sennes {
+
+std::string quoted(std::string_view text);
+std::string fault_json(std::string_view what);
+std::string status_json(Time now, const std::string& name, const lagazuoi::Core& core, const State& state,
+                        const vazzoler::View& view, const Followers& followers);
+std::string nodes_json(Time now, const vazzoler::View& view);
+std::string history_json(const State& state);
+// The agreed state in a form that can be kept, checked and put back: format 1.
+std::string snapshot_json(const State& state);
+
+}  // namespace pearspar::sennes
--- a/src/sennes/state.h
+++ b/src/sennes/state.h
@@ -26,6 +26,7 @@
 
   averau::Edition edition() const { return current_ ? current_->edition : 0; }
   const averau::ConfigurationPtr& current() const { return current_; }
+  const std::deque<std::pair<averau::Edition, Digest>>& taken() const { return taken_; }
   // Whether this very text was taken under this number.
   bool took(averau::Edition edition, const Digest& digest) const;
 
