--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -15,6 +15,7 @@
 using lavarella::log;
 
 constexpr net::Duration leave_after = 2600ms;  // of an end: by then two checks have missed us
+constexpr double leave_share = 0.45;           // of a grace that is shorter, at most
 constexpr net::Duration leave_before = 700ms;  // of the grace
 constexpr std::size_t other_files = 300;       // descriptors that are no client's
 
@@ -180,8 +181,9 @@
 void Edge::stop() {
   if (stopping_) return;
   stopping_ = true;
-  stop_at_ = loop_.now() + leave_after;
-  end_at_ = loop_.now() + net::Duration(settings_.grace_s) - leave_before;
+  net::Duration grace(settings_.grace_s);
+  stop_at_ = loop_.now() + std::min(leave_after, grace * leave_share);
+  end_at_ = loop_.now() + std::max(grace - leave_before, grace * leave_share);
   front_.wind_down();
   log(Level::info, "edge_stops", {{"open", desk_.open()}});
 }
--- a/src/altavia/main.cpp
+++ b/src/altavia/main.cpp
@@ -62,9 +62,8 @@
   Process(std::string path, Level least) : path_(std::move(path)), watched_(path_), least_(least) {}
 
   int run() {
-    net::Signals signals({SIGTERM, SIGINT, SIGHUP});
-    net::Loop loop;
-    auto watch = signals.watch(loop, [this](int signal) {
+    net::Loop& loop = loop_;
+    auto watch = signals_.watch(loop, [this](int signal) {
       if (signal == SIGHUP)
         look_ = true;
       else
@@ -124,6 +123,9 @@
     log(Level::info, "started", {{"edge", edge_ != nullptr}, {"member", member_ != nullptr}});
   }
 
+  // First, so that they outlive all that hangs on them.
+  net::Signals signals_{SIGTERM, SIGINT, SIGHUP};
+  net::Loop loop_;
   std::string path_;
   Watched watched_;
   Level least_;
--- a/src/carestiato/call.cpp
+++ b/src/carestiato/call.cpp
@@ -32,7 +32,7 @@
   net::Fd fd = net::start_connect(*address, error);
   if (!fd) return fail(std::generic_category().message(error));
   std::string out = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n{}", request.method,
-                                request.path, member, request.headers);
+                                request.path, request.host.empty() ? member : request.host, request.headers);
   if (!request.body.empty() || request.method == "PUT")
     out += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n", request.body.size());
   out += "\r\n" + request.body;
--- a/src/carestiato/call.h
+++ b/src/carestiato/call.h
@@ -15,6 +15,7 @@
   std::string path;
   std::string headers;  // further lines, each with its end
   std::string body;
+  std::string host;  // empty = the member's address
 };
 
 struct CallReply {
--- a/src/carestiato/commands.cpp
+++ b/src/carestiato/commands.cpp
@@ -65,7 +65,7 @@
 
  private:
   CallReply get(const std::string& path) {
-    return caller_.call({"GET", path, "", ""}, net::Duration(options_.within_s));
+    return caller_.call({"GET", path, "", "", ""}, net::Duration(options_.within_s));
   }
   int put(const std::string& text, averau::Edition base);
   // Says what is wrong with an answer that is not 200.
@@ -75,7 +75,7 @@
     return status;
   }
   int show_json(const std::string& body) {
-    std::fprintf(out_, "%s\n", body.c_str());
+    std::fprintf(out_, body.ends_with('\n') ? "%s" : "%s\n", body.c_str());
     return good;
   }
   bool read_file(const std::string& file, std::string& text) {
@@ -120,7 +120,7 @@
   int answered = 0;
   std::set<std::string> editions, leaders;
   for (const std::string& member : caller_.members()) {
-    CallReply reply = caller_.ask(member, {"GET", "/pearspar/status", "", ""},
+    CallReply reply = caller_.ask(member, {"GET", "/pearspar/status", "", "", ""},
                                   net::Duration(std::min(2.0, options_.within_s)));
     if (reply.status != 200) {
       rows.push_back({member, reply.status == 0 ? reply.fault : std::to_string(reply.status)});
@@ -201,7 +201,7 @@
     cJSON_DeleteItemFromObjectCaseSensitive(node, "id");
     char* body = cJSON_PrintUnformatted(node);
     CallReply done =
-        caller_.call({"PUT", "/pearspar/nodes/" + id, "", body}, net::Duration(options_.within_s));
+        caller_.call({"PUT", "/pearspar/nodes/" + id, "", body, ""}, net::Duration(options_.within_s));
     cJSON_free(body);
     if (done.status != 200) return complain(done);
     std::fprintf(out_, "%s is closing: no edge in touch sends it anything new\n", id.c_str());
@@ -225,7 +225,7 @@
 }
 
 int Session::put(const std::string& text, averau::Edition base) {
-  CallReply reply = caller_.call({"PUT", "/pearspar/config", fmt::format("If-Match: {}\r\n", base), text},
+  CallReply reply = caller_.call({"PUT", "/pearspar/config", fmt::format("If-Match: {}\r\n", base), text, ""},
                                  net::Duration(options_.within_s));
   if (reply.status != 200) return complain(reply);
   return good;
@@ -240,11 +240,14 @@
   Fault fault;
   if (reply.status == 200)
     if (auto now = averau::read_configuration(reply.body, fault)) base = now->edition;
-  int result = put(next->text, base);
-  if (result == good)
-    std::fprintf(out_, "edition %llu is taken on top of %llu\n",
-                 static_cast<unsigned long long>(next->edition), static_cast<unsigned long long>(base));
-  return result;
+  if (int result = put(next->text, base)) return result;
+  // The very text may have been taken long ago: then nothing has changed by this.
+  bool old = next->edition <= base;
+  std::fprintf(
+      out_,
+      old ? "edition %llu was taken before; %llu is in place\n" : "edition %llu is taken on top of %llu\n",
+      static_cast<unsigned long long>(next->edition), static_cast<unsigned long long>(base));
+  return old ? differs : good;
 }
 
 // Routes that come, go and change, as one line each.
