Agreement: a search through all its states, on the code that runs in service

Cause: schedules by chance do not show that no order of messages breaks the agreement. Ruled out: a model in another language: it would have to be kept the same as the code by hand.

--- a/src/lagazuoi/core.h
+++ b/src/lagazuoi/core.h
@@ -93,6 +93,8 @@
   // Known members' addresses; before any is known, the seeds.
   std::vector<std::string> addresses() const;
   bool ill() const { return ill_; }
+  // All that its next steps depend on, but for the moments themselves: for the search through its states.
+  std::string describe(Time now) const;
 
  private:
   struct Peer {
--- a/src/measure/cluster_measure.cpp
+++ b/src/measure/cluster_measure.cpp
@@ -11,11 +11,13 @@
 #include <thread>
 #include <vector>
 
+#include "biella/explore.h"
 #include "biella/schedule.h"
 
 int main(int argc, const char** argv) {
   using namespace pearspar::biella;
   int count = 100, jobs = 4, from = 1, cores = 3, edges = 8, verbose = 0, lying = 0;
+  int states = 0, timeouts = 4, crashes = 1, wipes = 1, changes = 1, newcomers = 0, in_flight = 3;
   double sync_ms = 0.5, rate = 30;
   char* kinds = nullptr;
   const poptOption options[] = {
@@ -27,6 +29,14 @@
       {"sync-ms", 0, POPT_ARG_DOUBLE, &sync_ms, 0, "what a write to disk takes", "MS"},
       {"rate", 0, POPT_ARG_DOUBLE, &rate, 0, "requests a second", "N"},
       {"kinds", 'k', POPT_ARG_STRING, &kinds, 0, "only these troubles, by commas", "KINDS"},
+      {"explore", 0, POPT_ARG_INT, &states, 0, "instead: search the agreement's states, so many at most",
+       "N"},
+      {"timeouts", 0, POPT_ARG_INT, &timeouts, 0, "explore: of members, in one history", "N"},
+      {"crashes", 0, POPT_ARG_INT, &crashes, 0, "explore: members that start again", "N"},
+      {"wipes", 0, POPT_ARG_INT, &wipes, 0, "explore: members that lose their disk", "N"},
+      {"newcomers", 0, POPT_ARG_INT, &newcomers, 0, "explore: empty members at other addresses", "N"},
+      {"in-flight", 0, POPT_ARG_INT, &in_flight, 0, "explore: messages on their way, others are lost", "N"},
+      {"changes", 0, POPT_ARG_INT, &changes, 0, "explore: proposed", "N"},
       {"lying-disks", 0, POPT_ARG_NONE, &lying, 0, "disks that say they have synced and have not", nullptr},
       {"verbose", 'v', POPT_ARG_NONE, &verbose, 0, "tell what was done in each schedule", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -39,6 +49,24 @@
     return 2;
   }
   poptFreeContext(context);
+  if (states > 0) {
+    ExploreOptions explore;
+    explore.members = cores;
+    explore.most_states = static_cast<std::size_t>(states);
+    explore.timeouts = timeouts;
+    explore.crashes = crashes;
+    explore.wipes = wipes;
+    explore.newcomers = newcomers;
+    explore.changes = changes;
+    explore.in_flight = static_cast<std::size_t>(in_flight);
+    Explored found = pearspar::biella::explore(explore);
+    std::printf(
+        "%zu states, %zu steps, depth %zu, %s; %zu with a commit, %zu leaders at most in a history%s%s\n",
+        found.states, found.steps, found.depth, found.exhausted ? "all there are" : "cut off",
+        found.committed, found.leaders, found.fault.empty() ? "" : "\n", found.fault.c_str());
+    for (const std::string& line : found.history) std::printf("  %s\n", line.c_str());
+    return found.fault.empty() ? 0 : 1;
+  }
   std::vector<std::string> chosen;
   for (char* at = kinds ? std::strtok(kinds, ",") : nullptr; at; at = std::strtok(nullptr, ","))
     chosen.emplace_back(at);
--- /dev/null
+++ b/tests/system/explore_test.cpp
@@ -0,0 +1,66 @@
+// The agreement's states, searched through for a small core. The large searches are
+// pearspar-measure-cluster's.
+#include "biella/explore.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pearspar::biella {
+
+class ExploreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ExploreTest);
+  CPPUNIT_TEST(electionsAndChanges);
+  CPPUNIT_TEST(crashes);
+  CPPUNIT_TEST(lostDisks);
+  CPPUNIT_TEST(aForgetfulMemberIsFound);
+  CPPUNIT_TEST_SUITE_END();
+
+  static Explored search(ExploreOptions options) {
+    Explored found = explore(options);
+    CPPUNIT_ASSERT_EQUAL(std::string(), found.fault);
+    return found;
+  }
+
+ public:
+  // All there is within the bounds.
+  void electionsAndChanges() {
+    ExploreOptions options;
+    options.timeouts = 1;
+    options.crashes = options.wipes = 0;
+    options.in_flight = 2;
+    Explored found = search(options);
+    CPPUNIT_ASSERT(found.exhausted && found.committed > 0);
+  }
+  void crashes() {
+    ExploreOptions options;
+    options.timeouts = 1;
+    options.wipes = 0;
+    options.in_flight = 2;
+    options.most_states = 8000;
+    search(options);
+  }
+  void lostDisks() {
+    ExploreOptions options;
+    options.timeouts = 2;
+    options.crashes = options.changes = 0;
+    options.in_flight = 1;
+    Explored found = search(options);
+    CPPUNIT_ASSERT(found.exhausted && found.leaders > 1);
+  }
+  // With the old id on the empty disk the search finds a leader that lacks what was committed, or two in a
+  // term.
+  void aForgetfulMemberIsFound() {
+    ExploreOptions options;
+    options.members = 3;
+    options.timeouts = 2;
+    options.crashes = 0;
+    options.changes = 0;
+    options.in_flight = 3;
+    options.forgetful = true;
+    options.most_states = 60000;
+    CPPUNIT_ASSERT(!explore(options).fault.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExploreTest);
+
+}  // namespace pearspar::biella
