Counters through a metrics library, at edges and members; two tests of votes

Cause: operators' collectors had nothing to scrape; two guards of the vote were not seen to be missed by any test. Ruled out: an own text format. Change: scoiattoli (prometheus-cpp), /pearspar/metrics; whoIsBehindDoesNotLead, whoHearsALeaderVotesForNobodyElse.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -82,7 +82,10 @@
     answer.status = ready() ? 200 : 503;
     answer.body = ready() ? "{\"ready\":true}" : "{\"ready\":false}";
   } else if (message.target == "/pearspar/counters") {
-    answer.body = counters();
+    answer.body = scoiattoli::as_json(samples());
+  } else if (message.target == "/pearspar/metrics") {
+    answer.type = "text/plain; version=0.0.4";
+    answer.body = scoiattoli::as_text(samples(), settings_.node_name, settings_.zone);
   } else {
     answer.status = 404;
   }
@@ -197,19 +200,44 @@
   ended_ = true;
 }
 
-std::string Edge::counters() const {
+std::vector<scoiattoli::Sample> Edge::samples() const {
   const pederu::DeskCounters& desk = desk_.counters();
   const croda::LinkCounters& links = nodes_.counters();
-  return fmt::format(
-      R"({{"requests":{},"gathered":{},"whole":{},"partial":{},"single":{},"refused":{},"failed":{},"no_route":{},)"
-      R"("calls":{},"second_calls":{},"not_run":{},"misplaced":{},"no_way":{},"broken":{},"late":{},)"
-      R"("opened":{},"reused":{},"spoilt":{},"surplus":{},"unnamed":{},"overdue":{},"coverage":{:.1f},"edition":{},)"
-      R"("nodes":{},"edges":{}}})",
-      desk.requests, desk.gathered, desk.whole, desk.partial, desk.single, desk.refused, desk.failed,
-      desk.no_route, desk.calls, desk.second_calls, desk.not_run, desk.misplaced, desk.no_way, desk.broken,
-      desk.late, links.opened, links.reused, links.spoilt, links.surplus, links.unnamed, links.overdue,
-      desk_.coverage(), follower_.view().edition(), follower_.view().nodes().all().size(),
-      follower_.view().edges());
+  const clients::FrontCounters& front = front_.counters();
+  auto n = [](auto value) { return static_cast<double>(value); };
+  return {
+      {"altavia_requests_total", "requests of clients", n(desk.requests)},
+      {"altavia_gathered_total", "of those on routes that gather", n(desk.gathered)},
+      {"altavia_whole_total", "gathered answers with all parts", n(desk.whole)},
+      {"altavia_partial_total", "gathered answers that left parts out", n(desk.partial)},
+      {"altavia_single_total", "other answers", n(desk.single)},
+      {"altavia_refused_total", "given up before anything ran, with a time to come back", n(desk.refused)},
+      {"altavia_failed_total", "given up after something may have run", n(desk.failed)},
+      {"altavia_no_route_total", "404", n(desk.no_route)},
+      {"altavia_calls_total", "requests sent to nodes", n(desk.calls)},
+      {"altavia_second_calls_total", "of those past the first of a part", n(desk.second_calls)},
+      {"altavia_not_run_total", "calls that a node turned away", n(desk.not_run)},
+      {"altavia_misplaced_total", "calls that met another node (421)", n(desk.misplaced)},
+      {"altavia_no_way_total", "calls without a connection", n(desk.no_way)},
+      {"altavia_broken_total", "calls whose connection broke or carried no answer", n(desk.broken)},
+      {"altavia_late_total", "calls out at their request's aim", n(desk.late)},
+      {"altavia_opened_total", "connections opened to nodes", n(links.opened)},
+      {"altavia_reused_total", "calls on a connection that stood", n(links.reused)},
+      {"altavia_spoilt_total", "answers to something else, or none", n(links.spoilt)},
+      {"altavia_surplus_total", "connections with bytes behind an answer", n(links.surplus)},
+      {"altavia_unnamed_total", "answers that did not echo the id", n(links.unnamed)},
+      {"altavia_overdue_total", "calls without any answer", n(links.overdue)},
+      {"altavia_accepted_total", "connections of clients", n(front.accepted)},
+      {"altavia_bad_requests_total", "what was no request", n(front.bad_requests)},
+      {"altavia_closed_for_room_total", "idle clients that made way", n(front.closed_for_room)},
+      {"altavia_unread_total", "frames that could not be read", n(follower_.unread())},
+      {"altavia_open", "requests under way", n(desk_.open())},
+      {"altavia_coverage", "share of the weight that is asked", desk_.coverage()},
+      {"altavia_edition", "configuration in force", n(follower_.view().edition())},
+      {"altavia_nodes", "nodes known", n(follower_.view().nodes().all().size())},
+      {"altavia_edges", "edges that hold a lease", n(follower_.view().edges())},
+      {"altavia_ready", "whether it takes clients", ready() ? 1.0 : 0.0},
+  };
 }
 
 }  // namespace pearspar::altavia
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -12,6 +12,7 @@
 #include "net/loop.h"
 #include "pederu/desk.h"
 #include "puez/links.h"
+#include "scoiattoli/metrics.h"
 #include "vazzoler/follower.h"
 
 namespace pearspar::altavia {
@@ -51,7 +52,7 @@
   void take_news();
   void each_second();
   void wind_down();
-  std::string counters() const;
+  std::vector<scoiattoli::Sample> samples() const;
 
   net::Loop& loop_;
   coldai::Settings settings_;
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -87,6 +87,12 @@
 }
 
 void Member::request_arrived(net::SlotId connection, const http::Message& message) {
+  if (message.target == "/pearspar/metrics") {
+    clients::Answer answer;
+    answer.type = "text/plain; version=0.0.4";
+    answer.body = scoiattoli::as_text(samples(), settings_.node_name, settings_.zone);
+    return front_.answer(connection, answer);
+  }
   if (stopping_) {
     clients::Answer answer;
     answer.status = 503;
@@ -104,6 +110,28 @@
 }
 void Member::link_down(puez::LinkId link) { member_.link_down(link); }
 
+std::vector<scoiattoli::Sample> Member::samples() const {
+  const lagazuoi::Core& core = member_.core();
+  auto n = [](auto value) { return static_cast<double>(value); };
+  return {
+      {"altavia_leads", "whether this member leads, its lease holding",
+       core.may_speak(loop_.read_clock()) ? 1.0 : 0.0},
+      {"altavia_voter", "whether it counts", core.log().membership().has(core.self()) ? 1.0 : 0.0},
+      {"altavia_term", "term", n(core.term())},
+      {"altavia_commit", "entries that a majority has on disk", n(core.commit())},
+      {"altavia_log_entries", "entries behind the snapshot", n(core.log().last() + 1 - core.log().first())},
+      {"altavia_disk_refuses", "whether the last write failed", core.ill() ? 1.0 : 0.0},
+      {"altavia_edition", "newest configuration", n(member_.state().edition())},
+      {"altavia_nodes", "nodes known", n(member_.office().view().nodes().all().size())},
+      {"altavia_edges", "edges that hold a lease here",
+       n(member_.office().followers().edges(loop_.read_clock()))},
+      {"altavia_links", "links to other processes", n(links_.count())},
+      {"altavia_frames_dropped_total", "frames for which there was no link, or no room", n(links_.dropped())},
+      {"altavia_unread_total", "frames that could not be read", n(member_.unread())},
+      {"altavia_calls_total", "control calls", n(front_.counters().requests)},
+  };
+}
+
 void Member::tell_role() {
   bool leads = member_.office().in_office();
   if (leads == led_) return;
--- a/src/altavia/member.h
+++ b/src/altavia/member.h
@@ -9,6 +9,7 @@
 #include "coldai/settings.h"
 #include "net/loop.h"
 #include "puez/links.h"
+#include "scoiattoli/metrics.h"
 #include "sennes/member.h"
 #include "tissi/lmdb_store.h"
 
@@ -36,6 +37,7 @@
 
   void start_core();
   void tell_role();
+  std::vector<scoiattoli::Sample> samples() const;
 
   net::Loop& loop_;
   coldai::Settings settings_;
--- a/tests/system/cluster_test.cpp
+++ b/tests/system/cluster_test.cpp
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(aWipedMemberIsTakenInAnew);
   CPPUNIT_TEST(aFrozenLeaderSaysNothingWhenItWakes);
   CPPUNIT_TEST(neverDoTwoMembersSpeakAtOnce);
+  CPPUNIT_TEST(whoIsBehindDoesNotLead);
+  CPPUNIT_TEST(whoHearsALeaderVotesForNobodyElse);
   CPPUNIT_TEST(aCutOffLeaderRefusesQuickly);
   CPPUNIT_TEST(aReplacedMemberLeavesTheCount);
   CPPUNIT_TEST(aRemovedMemberComesBack);
@@ -186,6 +188,47 @@
     }
   }
 
+  // One was away while a change was taken; back with the witness alone it must not win the vote.
+  void whoIsBehindDoesNotLead() {
+    for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+      Cluster cluster(small(seed));
+      cluster.run(2);
+      std::size_t leader = led(cluster);
+      std::size_t away = (leader + 1) % 3;
+      cluster.cut_off(cluster.core_address(away), true, true);
+      cluster.run(1);
+      changed(cluster);
+      // The witness starts anew too, so that neither is quicker to stand.
+      cluster.kill_core(leader, 9);
+      cluster.kill_core((leader + 2) % 3, 0.3);
+      cluster.heal(cluster.core_address(away));
+      cluster.run(4);
+      cluster.read_back();
+      cluster.run(8);
+      cluster.check_settled();
+      good(cluster);
+    }
+  }
+
+  // A member that hears nobody but is heard asks for votes all the time: nobody's lease is broken by it.
+  void whoHearsALeaderVotesForNobodyElse() {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      Cluster cluster(small(seed));
+      cluster.run(2);
+      std::size_t leader = led(cluster);
+      auto term = cluster.member(leader)->core().term();
+      std::string deaf = cluster.core_address((leader + 1) % 3);
+      cluster.cut_off(deaf, true, false);
+      for (int i = 0; i < 400; ++i) {
+        cluster.run(0.01);
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(leader), cluster.leader());
+      }
+      CPPUNIT_ASSERT_EQUAL(term, cluster.member(leader)->core().term());
+      cluster.heal(deaf);
+      good(cluster);
+    }
+  }
+
   void aCutOffLeaderRefusesQuickly() {
     Cluster cluster(small());
     cluster.run(2);
--- a/tests/system_process.sh
+++ b/tests/system_process.sh
@@ -14,6 +14,11 @@
   [ "$got" -eq "$status" ] || { echo "$*: status $got, $status is wanted" >&2; cat "$dir/out" >&2; exit 1; }
 }
 says() { grep -q -- "$1" "$dir/out" || { echo "does not say '$1':" >&2; cat "$dir/out" >&2; exit 1; }; }
+curl_text() { # address path
+  exec 3<>"/dev/tcp/${1%%:*}/${1##*:}"
+  printf 'GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' "$2" >&3
+  cat <&3
+}
 op() { $altavia --at $members "$@"; }
 
 wants 2 $altavia; wants 2 $altavia sing; wants 2 $altavia --loud serve; wants 2 $altavia status; says "no member is named"
@@ -47,6 +52,9 @@
 wants 0 $standin ask --at 127.77.1.1:28726 --path /g/x -n 20
 wants 0 $standin ask --at 127.77.1.1:28726 --path /s/x -n 20
 wants 1 $standin ask --at 127.77.1.1:28726 --path /other/x -n 1; says 404
+wants 0 curl_text 127.77.1.1:28723 /pearspar/metrics; says '^altavia_whole_total{node="edge1",zone="a"} 20'
+wants 0 curl_text 127.77.1.1:28723 /pearspar/counters; says '"single":20'
+wants 0 curl_text 127.77.0.1:28729 /pearspar/metrics; says '^altavia_edition{.*} 4'
 wants 3 op drain i-nobody
 wants 0 op drain "$(sed -n 's/ serves .*//p' "$dir/n0.log")"
 wants 0 $standin ask --at 127.77.1.1:28726 --path /g/x -n 20
--- a/tools/need.sh
+++ b/tools/need.sh
@@ -10,7 +10,7 @@
   google/protobuf/text_format.h:libprotobuf-dev nlohmann/json.hpp:nlohmann-json3-dev \
   boost/histogram.hpp:libboost-dev boost/math/distributions.hpp:libboost-math-dev xxhash.h:libxxhash-dev benchmark/benchmark.h:libbenchmark-dev \
   popt.h:libpopt-dev easylogging++.h:libeasyloggingpp-dev cjson/cJSON.h:libcjson-dev toml++/toml.h:libtomlplusplus-dev \
-  msgpack.h:libmsgpack-dev lmdb.h:liblmdb-dev cppunit/TestCase.h:libcppunit-dev; do
+  msgpack.h:libmsgpack-dev lmdb.h:liblmdb-dev prometheus/registry.h:prometheus-cpp-dev cppunit/TestCase.h:libcppunit-dev; do
   [ -e "/usr/include/${pair%%:*}" ] || missing+=("${pair##*:}")
 done
 [ ${#missing[@]} -gt 0 ] || exit 0
