--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -155,6 +155,7 @@
     if (!request.payload.empty()) text += fmt::format("Content-Length: {}\r\n", request.payload.size());
     text += "\r\n";
     text += request.payload;
+    std::size_t size = text.size();
     if (!calls_.start(call, *node, most, std::move(text), request.end)) {
       out_.release(call);
       passed.push_back(node);
@@ -165,6 +166,7 @@
     out.part = index;
     out.node = node;
     out.started = now;
+    out.sent = size;
     nodes_.started(*node);
     part.tried.push_back(node);
     part.calls.push_back(call);
@@ -223,7 +225,7 @@
   outcome(now, *found, end.ending == Ending::not_run);
   if (answer && !end.stamp.empty())
     if (const Request* request = requests_.find(found->request))
-      book_.answered(*request->route, now - found->started, end.body.size());
+      book_.answered(*request->route, now - found->started, found->sent + end.body.size());
   Out out = *found;
   out_.release(call);
   nodes_.ended(node);
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -86,6 +86,7 @@
     NodePtr node;
     Time started{};
     bool counted = false;  // its outcome has gone into the coverage
+    std::size_t sent = 0;  // bytes of the request
   };
 
   bool plan(Time now, Request& request, FinalAnswer& answer);
--- a/src/pederu/route_book.cpp
+++ b/src/pederu/route_book.cpp
@@ -6,7 +6,7 @@
 namespace pearspar::pederu {
 namespace {
 
-constexpr double away_per_kb = 1.0;
+constexpr double away_per_kb = 1.5;
 constexpr double most_away = 4;
 constexpr double smoothing = 0.05;
 constexpr int least_answers = 40;  // before a second call is thought of
--- a/src/pederu/route_book.h
+++ b/src/pederu/route_book.h
@@ -13,7 +13,7 @@
 
 class RouteBook {
  public:
-  // A good answer of a node.
+  // A good answer of a node; `bytes` there and back.
   void answered(const averau::Route& route, Duration took, std::size_t bytes);
 
   // A kilobyte from another zone weighs as much as so much of the latency.
