--- a/src/pederu/route_book.cpp
+++ b/src/pederu/route_book.cpp
@@ -6,8 +6,8 @@
 namespace pearspar::pederu {
 namespace {
 
-constexpr double away_per_kb = 1.5;
-constexpr double most_away = 4;
+constexpr double away_per_kb = 3;
+constexpr double most_away = 6;
 constexpr double smoothing = 0.05;
 constexpr int least_answers = 40;  // before a second call is thought of
 constexpr double deviations = 4;   // past the mean: under one in twenty takes longer, as times are spread
