Desk test: a third node stands ready where nothing may be repeated

Cause: with that guard taken out no test failed: both nodes were tried already. Ruled out: the guard itself (it held). Change: the test. Measured: it fails without the guard.

--- a/tests/system/desk_test.cpp
+++ b/tests/system/desk_test.cpp
@@ -378,6 +378,7 @@
   }
 
   void whatMayNotRepeatIsNotRepeated() {
+    node("p2", "p");  // one is left that has not been tried
     ask("/s/u/x");
     end(last(), Ending::not_run, 503);  // it has not run: another may
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent.size());
