--- a/src/sennes/report.cpp
+++ b/src/sennes/report.cpp
@@ -34,12 +34,12 @@
       edges.add(fmt::format(R"({{"nodeName":{},"zoneName":{},"lease":{},"edition":{},"acknowledged":{}}})",
                             quoted(follower.name), quoted(follower.zone), Followers::lives(now, follower),
                             follower.edition, follower.acked.number));
-  return fmt::format(
-      R"({{"nodeName":{},"leads":{},"leader":{},"term":{},"commit":{},"logEntries":{},"diskRefuses":{},"edition":{},)"
-      R"("wanted":{},"members":{},"nodes":{},"edges":{}}})",
-      quoted(name), core.may_speak(now), quoted(core.leader_address()), core.term(), core.commit(),
-      core.log().last() + 1 - core.log().first(), core.ill(), state.edition(), core.log().membership().wanted,
-      members.text(), view.nodes().all().size(), edges.text());
+  return fmt::format(R"({{"nodeName":{},"leads":{},"leader":{},"term":{},"commit":{},"logEntries":{},)"
+                     R"("diskRefuses":{},"edition":{},)"
+                     R"("wanted":{},"members":{},"nodes":{},"edges":{}}})",
+                     quoted(name), core.may_speak(now), quoted(core.leader_address()), core.term(),
+                     core.commit(), core.log().last() + 1 - core.log().first(), core.ill(), state.edition(),
+                     core.log().membership().wanted, members.text(), view.nodes().all().size(), edges.text());
 }
 
 std::string nodes_json(Time now, const vazzoler::View& view) {
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -12,7 +12,8 @@
 class FrontTest : public ::testing::Test, protected FrontUser {
  protected:
   explicit FrontTest(std::size_t most = 100, Patience patience = {net::Duration(60), net::Duration(60)})
-      : front(loop, [](std::string_view) {}, most, *this, patience) {
+      : front(
+            loop, [](std::string_view) {}, most, *this, patience) {
     front.listen({0x7f000001, 0});
   }
 
--- a/tests/system/desk_test.cpp
+++ b/tests/system/desk_test.cpp
@@ -17,11 +17,14 @@
       R"({"edition":1,"postalRoutes":[{"name":"g","hostName":"h","pathPrefix":"/g/","lineKind":"safe",)"
       R"("deadlineMs":1000,"targetMs":100,"gatherFrom":["a","b","c","d"],"tries":2,"topN":2,"minShare":)" +
           least +
-          R"(},{"name":"s","hostName":"h","pathPrefix":"/s/","lineKind":"safe","deadlineMs":1000,"targetMs":300,)"
+          R"(},{"name":"s","hostName":"h","pathPrefix":"/s/","lineKind":"safe",)"
+          R"("deadlineMs":1000,"targetMs":300,)"
           R"("depot":"p","tries":2},{"name":"u","hostName":"h","pathPrefix":"/s/u/","lineKind":"unsafe",)"
-          R"("deadlineMs":1000,"depot":"p","tries":3},{"name":"w","hostName":"h","pathPrefix":"/w/","lineKind":"safe",)"
+          R"("deadlineMs":1000,"depot":"p","tries":3},{"name":"w","hostName":"h",)"
+          R"("pathPrefix":"/w/","lineKind":"safe",)"
           R"("deadlineMs":1000,"splitList":[{"depot":"p","share":3},{"depot":"q","share":1}],"tries":1}],)"
-          R"("depots":[{"name":"a"},{"name":"b"},{"name":"c"},{"name":"d"},{"name":"p","connLimit":20},{"name":"q"}])" +
+          R"("depots":[{"name":"a"},{"name":"b"},{"name":"c"},{"name":"d"},{"name":"p",)"
+          R"("connLimit":20},{"name":"q"}])" +
           extra + "}",
       fault);
   CPPUNIT_ASSERT_EQUAL(std::string(), fault.text());
@@ -430,7 +433,8 @@
     ask("/g/x");
     averau::Fault fault;
     auto next = averau::read_configuration(
-        R"({"edition":2,"postalRoutes":[{"hostName":"h","pathPrefix":"/g/","lineKind":"safe","deadlineMs":1000,)"
+        R"({"edition":2,"postalRoutes":[{"hostName":"h","pathPrefix":"/g/",)"
+        R"("lineKind":"safe","deadlineMs":1000,)"
         R"("gatherFrom":["p","q"],"topN":2}],"depots":[{"name":"p"},{"name":"q"}]})",
         fault);
     desk->set_routes(std::make_shared<const Routes>(next));
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -23,7 +23,8 @@
 namespace {
 
 const std::string good_config =
-    R"({"edition":7,"postalRoutes":[{"name":"r","hostName":"h","pathPrefix":"/a/","lineKind":"safe","deadlineMs":1200,)"
+    R"({"edition":7,"postalRoutes":[{"name":"r","hostName":"h","pathPrefix":"/a/",)"
+    R"("lineKind":"safe","deadlineMs":1200,)"
     R"("targetMs":120,"precedence":1,"gatherFrom":["x","y"],"tries":2,"topN":200,"minShare":0.6},)"
     R"({"name":"s","hostName":"h","pathPrefix":"/b/","lineKind":"unsafe","deadlineMs":5,"depot":"x"}],)"
     R"("depots":[{"name":"x","connLimit":68},{"name":"y"}],"limits":{"maxBodyBytes":1000}})";
