Messages: all lengths are held against the bytes that are there before they are unpacked

Cause: msgpack-c makes room for a list by the length that it claims: five bytes of noise asked for 128 GB (found by noiseIsNoMessage under AddressSanitizer; in service it would have been refused memory, or killed). Ruled out: the readers above it (they bound what they ask for, after the fact). Change: a look through the lengths first; a million items at the most in one message; extensions are refused. Measured: the test aborted before and passes after, release and sanitized.

--- a/src/fanes/pack.cpp
+++ b/src/fanes/pack.cpp
@@ -1,6 +1,56 @@
 #include "fanes/pack.h"
 
 namespace pearspar::fanes {
+namespace {
+
+constexpr std::uint64_t most_items = 1 << 20;  // in one message; the library takes 24 bytes for each
+
+// The library makes room for a list by the length that it claims, before it looks for its items: a few bytes
+// could ask for gigabytes. So all lengths are held against the bytes that are there first.
+bool lengths_fit(std::string_view bytes) {
+  std::size_t at = 0;
+  std::uint64_t wanted = 1, items = 0;
+  auto length = [&](int size) {
+    std::uint64_t value = 0;
+    for (int i = 0; i < size && at < bytes.size(); ++i)
+      value = value << 8 | static_cast<unsigned char>(bytes[at++]);
+    return value;
+  };
+  while (wanted > 0) {
+    if (at >= bytes.size() || ++items > most_items) return false;
+    --wanted;
+    unsigned tag = static_cast<unsigned char>(bytes[at++]);
+    std::uint64_t skip = 0, inside = 0;
+    if (tag <= 0x7f || tag >= 0xe0 || tag == 0xc0 || tag == 0xc2 || tag == 0xc3)
+      skip = 0;
+    else if (tag <= 0x8f)
+      inside = 2 * (tag & 15);
+    else if (tag <= 0x9f)
+      inside = tag & 15;
+    else if (tag <= 0xbf)
+      skip = tag & 31;
+    else if (tag >= 0xc4 && tag <= 0xc6)
+      skip = length(1 << (tag - 0xc4));
+    else if (tag >= 0xca && tag <= 0xcb)
+      skip = tag == 0xca ? 4 : 8;
+    else if (tag >= 0xcc && tag <= 0xd3)
+      skip = std::uint64_t{1} << ((tag - 0xcc) & 3);
+    else if (tag >= 0xd9 && tag <= 0xdb)
+      skip = length(1 << (tag - 0xd9));
+    else if (tag == 0xdc || tag == 0xdd)
+      inside = length(tag == 0xdc ? 2 : 4);
+    else if (tag == 0xde || tag == 0xdf)
+      inside = 2 * length(tag == 0xde ? 2 : 4);
+    else
+      return false;  // extensions: we pack none
+    if (skip > bytes.size() - at || inside > bytes.size() - at) return false;
+    at += skip;
+    wanted += inside;
+  }
+  return at == bytes.size();
+}
+
+}  // namespace
 
 Packer::Packer() {
   msgpack_sbuffer_init(&buffer_);
@@ -19,6 +69,7 @@
 Unpacker::Unpacker(std::string_view bytes) {
   msgpack_unpacked_init(&unpacked_);
   std::size_t at = 0;
+  if (!lengths_fit(bytes)) return;
   if (msgpack_unpack_next(&unpacked_, bytes.data(), bytes.size(), &at) != MSGPACK_UNPACK_SUCCESS ||
       at != bytes.size() || unpacked_.data.type != MSGPACK_OBJECT_ARRAY)
     return;
