--- /dev/null
+++ b/src/biella/cluster_nodes.cpp
@@ -0,0 +1,113 @@
+// Index servers in the rig: beats, work, troubles, leaving.
+#include "biella/cluster_parts.h"
+
+namespace pearspar::biella {
+namespace {
+
+constexpr double node_patience = 1.0;
+
+}  // namespace
+
+void Cluster::start_node(Node& node) {
+  ++node.starts;
+  node.id = "n" + std::to_string(world_.number() % 1000000000);
+  node.up = true;
+  node.dark = node.closing = node.acknowledged = false;
+  node.calls = 0;
+  node.busy = 0;
+  node.queue.clear();
+  node.asks = world_.below(cores_.size());
+  beat(node);
+}
+
+void Cluster::beat(Node& node) {
+  std::uint64_t life = node.starts;
+  std::string body =
+      "{\"depot\":\"" + node.depot + "\",\"address\":\"" + node.address +
+      "\",\"zoneName\":\"z\",\"edition\":\"v1\",\"slotCount\":" + std::to_string(options_.slots) +
+      ",\"nodeState\":\"" + (node.closing ? "closing_out" : "at_post") +
+      "\",\"coldLeftMs\":0,\"callSeq\":" + std::to_string(++node.calls) + "}";
+  auto done = std::make_shared<bool>(false);
+  bool closing = node.closing;
+  auto next = [this, &node, life](double in) {
+    world_.in(Duration(in), [this, &node, life] {
+      if (node.starts == life && node.up) beat(node);
+    });
+  };
+  call(node.asks, "PUT", "/pearspar/nodes/" + node.id, "", body,
+       [this, &node, life, done, closing, next, id = node.id](int status, const std::string&) {
+         if (*done) return;
+         *done = true;
+         if (status == 200 && closing) checker_.leaving_acknowledged(seconds(), id);
+         if (node.starts != life) return;
+         if (status == 200) {
+           if (closing) node.acknowledged = true;
+           next(options_.beat_s * world_.uniform(0.9, 1.1));
+         } else {
+           node.asks = (node.asks + 1) % cores_.size();
+           next(0.1);
+         }
+       });
+  world_.in(Duration(node_patience), [this, &node, done, next, life] {
+    if (*done) return;
+    *done = true;
+    if (node.starts != life) return;
+    node.asks = (node.asks + 1) % cores_.size();
+    next(0.05);
+  });
+}
+
+void Cluster::crash_node(std::size_t index, double back_s, bool dark) {
+  Node& node = *nodes_[index];
+  if (!node.up) return;
+  node.up = false;
+  node.dark = dark;
+  world_.in(Duration(back_s), [this, &node] {
+    if (!node.up) start_node(node);
+  });
+}
+
+void Cluster::slow_node(std::size_t index, double factor, double for_s) {
+  Node& node = *nodes_[index];
+  node.factor = factor;
+  world_.in(Duration(for_s), [&node] { node.factor = 1; });
+}
+
+// In order: says so, serves on for the drain and a little longer, takes its leave, ends.
+void Cluster::leave_node(std::size_t index, double back_s) {
+  Node& node = *nodes_[index];
+  if (!node.up || node.closing) return;
+  node.closing = true;
+  std::uint64_t life = node.starts;
+  beat(node);
+  world_.in(Duration(4.2), [this, &node, life, back_s] {
+    if (node.starts != life || !node.up) return;
+    call(node.asks, "DELETE", "/pearspar/nodes/" + node.id, "", "", [](int, const std::string&) {});
+    node.up = false;
+    world_.in(Duration(back_s), [this, &node] {
+      if (!node.up) start_node(node);
+    });
+  });
+}
+
+void Cluster::cut_index(int shards) {
+  int from = static_cast<int>(depots_.size());
+  std::vector<std::string> next;
+  for (int i = 0; i < shards; ++i) {
+    std::string depot = "shard" + std::to_string(from + i);
+    next.push_back(depot);
+    depots_.push_back(depot);
+    for (int n = 0; n < options_.nodes_per_shard; ++n) {
+      nodes_.push_back(std::make_unique<Node>());
+      nodes_.back()->depot = depot;
+      nodes_.back()->address = "10.2.0." + std::to_string(next_address_++) + ":8080";
+      start_node(*nodes_.back());
+    }
+  }
+  world_.in(Duration(3), [this, next] {
+    shards_ = next;
+    change(0);
+  });
+}
+
+}  // namespace pearspar::biella
--- /dev/null
+++ b/src/biella/cluster_parts.h
@@ -0,0 +1,144 @@
+// The processes of a simulated cluster; inside this package only.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+
+#include "biella/cluster.h"
+
+namespace pearspar::biella {
+
+constexpr std::size_t top_records = 20;
+constexpr double least_share = 0.5;
+
+std::string between(const std::string& text, const std::string& from, const std::string& to);
+
+// A process that can be killed, frozen, or made to wait for its disk. What happens to it meanwhile waits.
+struct Life {
+  World& world;
+  std::function<Time()> busy_until = [] { return Time{}; };
+  std::function<void()> after = [] {};
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Time frozen_until{};
+  std::deque<std::function<void()>> waiting;
+  bool draining = false;
+
+  explicit Life(World& to) : world(to) {}
+  ~Life() { *alive = false; }
+  void run(std::function<void()> what) {
+    waiting.push_back(std::move(what));
+    drain();
+  }
+  void drain() {
+    if (draining) return;
+    Time ready = std::max(frozen_until, busy_until());
+    if (ready > world.now()) {
+      draining = true;
+      world.at(ready, [this, alive = alive] {
+        if (!*alive) return;
+        draining = false;
+        drain();
+      });
+      return;
+    }
+    draining = true;
+    while (!waiting.empty() && std::max(frozen_until, busy_until()) <= world.now()) {
+      auto what = std::move(waiting.front());
+      waiting.pop_front();
+      what();
+      after();
+    }
+    draining = false;
+    if (!waiting.empty()) drain();
+  }
+};
+
+struct Cluster::Core {
+  std::string address;
+  SimDisk disk;
+  bool first_start = true;
+  bool gone = false;
+  std::uint64_t starts = 0;
+  struct Process : puez::LinksUser {
+    Life life;
+    Port port;
+    std::unique_ptr<sennes::Member> member;
+    std::map<sennes::Asker, std::pair<Answer, std::string>> askers;
+    sennes::Asker next = 0;
+    Time wake{};
+    Process(World& world, Net& net, const std::string& address) : life(world), port(net, address, *this) {}
+    void link_up(puez::LinkId link, const std::string&) override { member->link_up(link); }
+    void link_frame(puez::LinkId link, std::string_view frame) override {
+      member->link_frame(life.world.now(), link, frame);
+    }
+    void link_down(puez::LinkId link) override { member->link_down(link); }
+  };
+  std::unique_ptr<Process> process;
+  explicit Core(World& world) : disk(world) {}
+};
+
+struct Cluster::Edge {
+  std::string address;
+  std::string name;
+  std::uint64_t starts = 0;
+  struct Process : puez::LinksUser, pederu::Calls {
+    Cluster& cluster;
+    Edge& edge;
+    Life life;
+    Port port;
+    vazzoler::Follower follower;
+    pederu::Desk desk{*this};
+    averau::Edition routed = 0;
+    Time wake{};
+    std::unordered_map<std::uint64_t, std::string> open;  // request -> its id
+    Process(Cluster& to, Edge& of, std::uint64_t number)
+        : cluster(to),
+          edge(of),
+          life(to.world_),
+          port(to.net_, of.address, *this),
+          follower(port, {number, of.name, "z", to.seeds()}) {}
+    void link_up(puez::LinkId link, const std::string&) override { follower.link_up(link); }
+    void link_down(puez::LinkId link) override { follower.link_down(link); }
+    void link_frame(puez::LinkId link, std::string_view frame) override {
+      if (follower.frame(life.world.now(), link, frame)) take_news();
+    }
+    void take_news() {
+      vazzoler::View& view = follower.view();
+      for (const std::string& id : view.take_touched()) desk.nodes().update(id, view.nodes().find(id));
+      desk.set_edges(view.edges());
+      if (view.edition() == routed) return;
+      routed = view.edition();
+      desk.set_routes(std::make_shared<const pederu::Routes>(view.configuration()));
+      cluster.checker_.edge_routes_by(cluster.seconds(), edge.name, edge.starts, routed,
+                                      view.configuration()->text);
+    }
+    bool start(pederu::CallId call, const pederu::KnownNode& node, int most, std::string request,
+               pederu::Time end) override;
+    void finish(const std::string& id, const pederu::FinalAnswer& answer);
+  };
+  std::unique_ptr<Process> process;
+};
+
+struct Cluster::Node {
+  std::string depot;
+  std::string address;
+  std::string id;
+  std::uint64_t starts = 0;
+  bool up = false;
+  bool dark = false;
+  bool closing = false;
+  bool acknowledged = false;
+  std::uint64_t calls = 0;
+  int busy = 0;
+  double factor = 1;
+  std::deque<std::function<void()>> queue;
+  std::size_t asks = 0;  // the member that it calls
+};
+
+struct Cluster::Operator {
+  int number = 0;
+  std::uint64_t seen = 0;  // newest edition it knows of
+  bool busy = false;
+};
+
+}  // namespace pearspar::biella
--- /dev/null
+++ b/src/lagazuoi/election.cpp
@@ -0,0 +1,158 @@
+// Who leads: standing, votes, the lease, and handing over.
+#include <algorithm>
+
+#include "lagazuoi/core.h"
+
+namespace pearspar::lagazuoi {
+
+// A pre-vote first: nobody's term rises while most still hear a leader.
+void Core::stand(Time now, bool handed_over) {
+  role_ = Role::pre_candidate;
+  leader_ = 0;
+  leader_address_.clear();
+  votes_.clear();
+  votes_[self_] = true;
+  draw_patience(now);
+  if (handed_over || log_.membership().majority() == 1) return ask_for_votes(now, handed_over);
+  Message ask;
+  ask.kind = MessageKind::ask_pre_vote;
+  ask.term = vote_.term + 1;
+  ask.index = log_.last();
+  ask.log_term = log_.last_term();
+  for (const Member& voter : log_.membership().voters) {
+    if (voter.id == self_) continue;
+    ask.to = voter.id;
+    send(voter.address, ask);
+  }
+}
+
+void Core::ask_for_votes(Time now, bool handed_over) {
+  if (!save_term(vote_.term + 1, self_)) return step_down(now);
+  role_ = Role::candidate;
+  votes_.clear();
+  votes_[self_] = true;
+  draw_patience(now);
+  if (log_.membership().majority() == 1) return lead(now);
+  Message ask;
+  ask.kind = MessageKind::ask_vote;
+  ask.term = vote_.term;
+  ask.index = log_.last();
+  ask.log_term = log_.last_term();
+  ask.yes = handed_over;
+  for (const Member& voter : log_.membership().voters) {
+    if (voter.id == self_) continue;
+    ask.to = voter.id;
+    send(voter.address, ask);
+  }
+}
+
+bool Core::up_to_date(const Message& ask) const {
+  return std::pair(ask.log_term, ask.index) >= std::pair(log_.last_term(), log_.last());
+}
+
+void Core::on_ask(Time now, const Message& ask) {
+  bool pre = ask.kind == MessageKind::ask_pre_vote;
+  // Who still hears a leader helps nobody against it, and does not take over the term either, unless the
+  // leader itself wants to go.
+  bool held = leader_lives(now) || (role_ == Role::leader && may_speak(now));
+  if (held && !(ask.kind == MessageKind::ask_vote && ask.yes)) return;
+  Message answer;
+  answer.kind = pre ? MessageKind::pre_vote : MessageKind::vote;
+  answer.to = ask.from;
+  if (pre) {
+    answer.term = ask.term;
+    answer.yes = ask.term > vote_.term && up_to_date(ask);
+    if (!answer.yes) answer.term = vote_.term;
+    return send(ask.from_address, answer);
+  }
+  if (ask.term < vote_.term) return;
+  bool free = ask.term > vote_.term || vote_.given_to == 0 || vote_.given_to == ask.from;
+  bool yes = free && up_to_date(ask) && role_ != Role::leader;
+  if (ask.term > vote_.term) {
+    yes = up_to_date(ask);
+    if (!save_term(ask.term, yes ? ask.from : 0)) return;
+    step_down(now);
+  } else if (yes) {
+    if (!save_term(ask.term, ask.from)) return;
+    draw_silence(now);
+  }
+  answer.term = vote_.term;
+  answer.yes = yes;
+  send(ask.from_address, answer);
+}
+
+void Core::on_vote(Time now, const Message& vote) {
+  bool pre = vote.kind == MessageKind::pre_vote;
+  if (!vote.yes) {
+    if (vote.term > vote_.term && role_ != Role::leader && save_term(vote.term, 0)) step_down(now);
+    return;
+  }
+  if (pre ? role_ != Role::pre_candidate || vote.term != vote_.term + 1
+          : role_ != Role::candidate || vote.term != vote_.term)
+    return;
+  if (!log_.membership().has(vote.from)) return;
+  votes_[vote.from] = true;
+  if (votes_.size() < log_.membership().majority()) return;
+  if (pre)
+    ask_for_votes(now, false);
+  else
+    lead(now);
+}
+
+void Core::lead(Time now) {
+  role_ = Role::leader;
+  leader_ = self_;
+  leader_address_ = options_.address;
+  peers_.clear();
+  rounds_.clear();
+  Entry first;
+  first.kind = EntryKind::start_of_term;
+  if (!append_own(std::move(first))) return step_down(now);
+  term_start_ = log_.last();
+  sync_peers(now);
+  broadcast(now);
+  advance_commit(now);
+}
+
+void Core::hand_over(Time now) {
+  if (role_ != Role::leader) return;
+  const Peer* best = nullptr;
+  MemberId to = 0;
+  for (const auto& [id, peer] : peers_)
+    if (peer.voter && now - peer.heard < options_.timing.least_silence && (!best || peer.match > best->match))
+      best = &peer, to = id;
+  if (best) {
+    Message message;
+    message.kind = MessageKind::take_over;
+    message.to = to;
+    message.term = vote_.term;
+    send(best->address, message);
+  }
+  step_down(now);
+  // What this lease still covers is over by this word: nothing more is said as a leader.
+  due_ += options_.timing.least_silence;
+}
+
+bool Core::may_speak(Time now) const {
+  if (role_ != Role::leader || commit_ < term_start_ || applied_ < commit_) return false;
+  return now < majority_heard(now, true) + options_.timing.lease;
+}
+
+// The latest moment by which a majority, we among it, had been heard of (or had answered a round sent then).
+Time Core::majority_heard(Time now, bool rounds) const {
+  const Membership& membership = log_.membership();
+  std::vector<Time> times;
+  for (const Member& voter : membership.voters) {
+    if (voter.id == self_) {
+      times.push_back(now);
+      continue;
+    }
+    auto peer = peers_.find(voter.id);
+    times.push_back(peer == peers_.end() ? Time{} : rounds ? peer->second.round_sent : peer->second.heard);
+  }
+  if (times.size() < membership.majority()) return Time{};
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[membership.majority() - 1];
+}
+
+}  // namespace pearspar::lagazuoi
--- /dev/null
+++ b/src/pederu/desk_calls.cpp
@@ -0,0 +1,190 @@
+// The desk's calls to nodes: sending, what becomes of each, a second one where it pays.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "pederu/desk.h"
+
+namespace pearspar::pederu {
+namespace {
+
+constexpr double share_of_connections = 0.9;
+
+}  // namespace
+
+// A node takes so many connections from all callers together; each edge keeps to its part.
+int Desk::connections_for(const Request& request, const std::string& depot) const {
+  const averau::Depot* known = request.routes->depot(depot);
+  if (!known || known->connections <= 0) return 64;
+  return std::max(1, static_cast<int>(known->connections * share_of_connections / edges_));
+}
+
+// One call more for the part. False where no node has room for it.
+bool Desk::send(Time now, RequestId id, std::size_t index) {
+  Request& request = *requests_.find(id);
+  Part& part = request.parts[index];
+  int most = connections_for(request, part.depot);
+  // A node without a free connection is passed over for this time.
+  std::vector<NodePtr> passed = part.tried;
+  for (int looks = 0; looks < 4; ++looks) {
+    NodePtr node = nodes_.choose(now, part.depot, passed, ++turn_, book_.away_factor(*request.route));
+    if (!node) break;
+    CallId call = out_.add();
+    double left = Duration(request.end - now).count() * 1000;
+    std::string text = request.head;
+    text +=
+        fmt::format("Addressee: {}\r\nDeadline-Ms: {}\r\n", node->id, std::max<long>(1, std::lround(left)));
+    if (!request.payload.empty()) text += fmt::format("Content-Length: {}\r\n", request.payload.size());
+    text += "\r\n";
+    text += request.payload;
+    std::size_t size = text.size();
+    if (!calls_.start(call, *node, most, std::move(text), request.end)) {
+      out_.release(call);
+      passed.push_back(node);
+      continue;
+    }
+    Out& out = *out_.find(call);
+    out.request = id;
+    out.part = index;
+    out.node = node;
+    out.started = now;
+    out.sent = size;
+    nodes_.started(*node);
+    part.tried.push_back(node);
+    part.calls.push_back(call);
+    ++part.tries;
+    ++counters_.calls;
+    return true;
+  }
+  if (part.calls.empty()) part.over = true;
+  return false;
+}
+
+void Desk::outcome(Time now, Out& out, bool bad) {
+  if (out.counted) return;
+  out.counted = true;
+  Request* request = requests_.find(out.request);
+  if (request && request->route->gathers()) coverage_.outcome(now, bad);
+}
+
+void Desk::ended(Time now, CallId call, const CallEnd& end) {
+  Out* found = out_.find(call);
+  if (!found) return;
+  KnownNode& node = *found->node;
+  bool answer = end.ending == Ending::answered && end.status < 500;
+  switch (end.ending) {
+    case Ending::answered:
+      if (answer)
+        nodes_.answered(now, node, now - found->started);
+      else
+        nodes_.failed(now, node);
+      break;
+    case Ending::not_run:
+      ++counters_.not_run;
+      nodes_.refused(now, node);
+      break;
+    case Ending::misplaced:
+      ++counters_.misplaced;
+      nodes_.misplaced(node);
+      break;
+    case Ending::no_way:
+      ++counters_.no_way;
+      nodes_.failed(now, node);
+      break;
+    case Ending::broken:
+      ++counters_.broken;
+      nodes_.failed(now, node);
+      break;
+  }
+  outcome(now, *found, end.ending == Ending::not_run);
+  if (answer && !end.stamp.empty())
+    if (const Request* request = requests_.find(found->request))
+      book_.answered(*request->route, now - found->started, found->sent + end.body.size());
+  Out out = *found;
+  out_.release(call);
+  nodes_.ended(node);
+  Request* request = requests_.find(out.request);
+  if (!request) return;
+  std::erase(request->parts[out.part].calls, call);
+  if (!request->done) {
+    settle_part(now, out.request, out.part, end);
+    look(now, out.request);
+  }
+  release(out.request);
+}
+
+void Desk::settle_part(Time now, RequestId id, std::size_t index, const CallEnd& end) {
+  Request& request = *requests_.find(id);
+  Part& part = request.parts[index];
+  if (part.in || part.over) return;
+  bool good = end.ending == Ending::answered && end.status >= 200 && end.status < 300 && !end.stamp.empty();
+  if (end.ending == Ending::answered || end.ending == Ending::broken) part.ran = true;
+  if (good) {
+    part.in = true;
+    part.stamp = end.stamp;
+    part.body = end.body;
+    if (!request.route->gathers()) {
+      FinalAnswer answer;
+      answer.status = end.status;
+      answer.type = end.type;
+      answer.headers =
+          fmt::format("Request-Id: {}\r\nPostmark: {}\r\n{}", request.id, end.stamp, end.headers);
+      answer.body = std::move(part.body);
+      ++counters_.single;
+      finish(now, id, std::move(answer));
+    }
+    return;
+  }
+  if (!part.calls.empty()) return;  // another call of it is out
+  bool may_repeat = request.route->safe || !part.ran;
+  if (may_repeat && part.tries < request.route->tries && now < request.end &&
+      allowance_.spend(now, part.depot)) {
+    ++counters_.second_calls;
+    if (send(now, id, index)) return;
+  }
+  part.over = true;
+  if (request.route->gathers()) return;
+  if (end.ending == Ending::answered) {
+    // The node's own failure, as it stands.
+    FinalAnswer answer;
+    answer.status = end.status >= 200 && end.status < 300 ? 502 : end.status;
+    answer.type = end.type;
+    answer.headers = fmt::format("Request-Id: {}\r\n", request.id);
+    if (!end.stamp.empty()) answer.headers += fmt::format("Postmark: {}\r\n", end.stamp);
+    answer.headers += end.headers;
+    answer.body = end.body;
+    ++counters_.failed;
+    return finish(now, id, std::move(answer));
+  }
+  finish(now, id, part.ran ? failure(now, request) : refusal(request));
+}
+
+// A second call where the first takes longer than nearly all do, there is time for it, and the budget allows
+// it.
+void Desk::second_calls(Time now, RequestId id) {
+  Request& request = *requests_.find(id);
+  for (std::size_t i = 0; i < request.parts.size(); ++i) {
+    Part& part = request.parts[i];
+    if (part.in || part.over || now < part.second_due) continue;
+    part.second_due = Time::max();
+    if (!request.route->safe || part.tries >= request.route->tries || part.calls.empty()) continue;
+    if (now + book_.typical(*request.route) > request.soft_end) continue;
+    if (!nodes_.other(now, part.depot, part.tried) || !allowance_.spend(now, part.depot)) continue;
+    ++counters_.second_calls;
+    send(now, id, i);
+  }
+}
+
+// At the aim: what is out is late, for the node's record and for the strain.
+void Desk::note_late(Time now, Request& request) {
+  for (Part& part : request.parts)
+    for (CallId call : part.calls)
+      if (Out* out = out_.find(call); out && !out->counted) {
+        ++counters_.late;
+        nodes_.late(now, *out->node, now - out->started);
+        outcome(now, *out, true);
+      }
+}
+
+}  // namespace pearspar::pederu
