Desk: second calls that the allowance did not cover are counted

Cause: nothing told whether the fixed parts of the shared budget ever held back a call that would have paid. Ruled out: the refusals' counter, which also holds full nodes. Change: a counter, altavia_withheld_total.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -216,6 +216,7 @@
       {"altavia_no_route_total", "404", n(desk.no_route)},
       {"altavia_calls_total", "requests sent to nodes", n(desk.calls)},
       {"altavia_second_calls_total", "of those past the first of a part", n(desk.second_calls)},
+      {"altavia_withheld_total", "second calls that the allowance did not cover", n(desk.withheld)},
       {"altavia_not_run_total", "calls that a node turned away", n(desk.not_run)},
       {"altavia_misplaced_total", "calls that met another node (421)", n(desk.misplaced)},
       {"altavia_no_way_total", "calls without a connection", n(desk.no_way)},
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -49,6 +49,7 @@
   std::uint64_t no_route = 0;
   std::uint64_t calls = 0;
   std::uint64_t second_calls = 0;
+  std::uint64_t withheld = 0;  // second calls that the allowance did not cover
   std::uint64_t not_run = 0;
   std::uint64_t misplaced = 0;
   std::uint64_t no_way = 0;
--- a/src/pederu/desk_calls.cpp
+++ b/src/pederu/desk_calls.cpp
@@ -138,10 +138,13 @@
   }
   if (!part.calls.empty()) return;  // another call of it is out
   bool may_repeat = request.route->safe || !part.ran;
-  if (may_repeat && part.tries < request.route->tries && now < request.end &&
-      allowance_.spend(now, part.depot)) {
-    ++counters_.second_calls;
-    if (send(now, id, index)) return;
+  if (may_repeat && part.tries < request.route->tries && now < request.end) {
+    if (allowance_.spend(now, part.depot)) {
+      ++counters_.second_calls;
+      if (send(now, id, index)) return;
+    } else {
+      ++counters_.withheld;
+    }
   }
   part.over = true;
   if (request.route->gathers()) return;
@@ -170,7 +173,11 @@
     part.second_due = Time::max();
     if (!request.route->safe || part.tries >= request.route->tries || part.calls.empty()) continue;
     if (now + book_.typical(*request.route) > request.soft_end) continue;
-    if (!nodes_.other(now, part.depot, part.tried) || !allowance_.spend(now, part.depot)) continue;
+    if (!nodes_.other(now, part.depot, part.tried)) continue;
+    if (!allowance_.spend(now, part.depot)) {
+      ++counters_.withheld;
+      continue;
+    }
     ++counters_.second_calls;
     send(now, id, i);
   }
