--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -47,19 +47,14 @@
       front_(loop, warn, most_clients(settings), front_user_, {3s, 10s}, {16 * 1024, 256 * 1024}),
       check_(loop, warn, 64, check_user_, {30s, 5s}),
       links_(loop, *this),
-      follower_(links_, {life, settings.node_name, settings.zone, settings.inner_seeds()}),
       nodes_(loop, [this](pederu::CallId call,
-                          const pederu::CallEnd& end) { desk_.ended(loop_.now(), call, end); }),
-      desk_(nodes_) {
-  pederu::AllowanceRules rules;
-  rules.ratio = settings.retry_ratio;
-  rules.slack = settings.retry_slack;
-  rules.window = net::Duration(settings.retry_window_s);
-  desk_.set_allowance(rules);
-  desk_.nodes().set_home(settings.zone);
+                          const pederu::CallEnd& end) { station_.desk().ended(loop_.now(), call, end); }),
+      station_(links_, {life, settings.node_name, settings.zone, settings.inner_seeds()}, nodes_,
+               {settings.retry_ratio, settings.retry_slack, net::Duration(settings.retry_window_s)}) {
+  station_.desk().nodes().set_home(settings.zone);
   front_.listen(*net::Address::parse(settings.front_door));
   if (!settings.ready_check.empty()) check_.listen(*net::Address::parse(settings.ready_check));
-  follower_.start(loop.now());
+  station_.start(loop.now());
   each_second();
 }
 
@@ -71,7 +66,7 @@
   if (checks_) return;
   auto found = edge_.requests_.find(key(connection));
   if (found == edge_.requests_.end()) return;
-  edge_.desk_.left(found->second);
+  edge_.station_.desk().left(found->second);
   edge_.clients_.erase(key(found->second));
   edge_.requests_.erase(found);
 }
@@ -117,7 +112,7 @@
     final.status = 400;
     return answer(connection, std::move(final));
   }
-  pederu::RequestId request = desk_.arrive(loop_.now(), arrival, final);
+  pederu::RequestId request = station_.desk().arrive(loop_.now(), arrival, final);
   if (!request) return answer(connection, std::move(final));
   clients_[key(request)] = connection;
   requests_[key(connection)] = request;
@@ -133,36 +128,34 @@
   front_.answer(connection, answer);
 }
 
-void Edge::link_up(puez::LinkId link, const std::string&) { follower_.link_up(link); }
-void Edge::link_down(puez::LinkId link) { follower_.link_down(link); }
+void Edge::link_up(puez::LinkId link, const std::string&) { station_.link_up(link); }
+void Edge::link_down(puez::LinkId link) { station_.link_down(link); }
 void Edge::link_frame(puez::LinkId link, std::string_view frame) {
-  if (follower_.frame(loop_.now(), link, frame)) take_news();
+  station_.link_frame(loop_.now(), link, frame);
+  take_configuration();
 }
 
-void Edge::take_news() {
-  vazzoler::View& view = follower_.view();
-  for (const std::string& id : view.take_touched()) desk_.nodes().update(id, view.nodes().find(id));
-  desk_.set_edges(view.edges());
-  if (view.edition() == routed_) return;
-  routed_ = view.edition();
-  desk_.set_routes(std::make_shared<const pederu::Routes>(view.configuration()));
-  const averau::Limits& limits = view.configuration()->limits;
+void Edge::take_configuration() {
+  if (station_.routed() == routed_) return;
+  routed_ = station_.routed();
+  const auto& configuration = station_.follower().view().configuration();
+  const averau::Limits& limits = configuration->limits;
   front_.set_bounds({pederu::from_ms(limits.header_wait_ms), 10s}, {limits.header_bytes, limits.body_bytes});
-  log(Level::info, "configuration", {{"edition", routed_}, {"routes", view.configuration()->routes.size()}});
+  log(Level::info, "configuration", {{"edition", routed_}, {"routes", configuration->routes.size()}});
 }
 
 void Edge::each_second() {
   second_ = loop_.at(loop_.now() + 1s, [this] { each_second(); });
   nodes_.sweep();
-  if (const auto& configuration = follower_.view().configuration())
+  if (const auto& configuration = station_.follower().view().configuration())
     front_.close_idle_since(loop_.now() - pederu::from_ms(configuration->limits.idle_ms));
 }
 
 void Edge::after_turn() {
   net::Time now = loop_.now();
-  if (follower_.tick(now)) take_news();
-  desk_.advance(now);
-  for (auto& [request, final] : desk_.take_answers()) {
+  station_.advance(now);
+  take_configuration();
+  for (auto& [request, final] : station_.desk().take_answers()) {
     auto found = clients_.find(key(request));
     if (found == clients_.end()) continue;
     net::SlotId connection = found->second;
@@ -171,14 +164,14 @@
     answer(connection, std::move(final));
   }
   if (stopping_) wind_down();
-  net::Time due = std::min(desk_.due(), follower_.due());
+  net::Time due = station_.due();
   if (stopping_) due = std::min(due, now + net::Duration(0.05));
   due_ = loop_.at(std::max(due, now), [] {});
 }
 
 void Edge::settings_changed(const coldai::Settings& settings) {
   settings_.seeds = settings.seeds;
-  follower_.set_seeds(settings_.inner_seeds());
+  station_.follower().set_seeds(settings_.inner_seeds());
 }
 
 void Edge::stop() {
@@ -188,7 +181,7 @@
   stop_at_ = loop_.now() + std::min(leave_after, grace * leave_share);
   end_at_ = loop_.now() + std::max(grace - leave_before, grace * leave_share);
   front_.wind_down();
-  log(Level::info, "edge_stops", {{"open", desk_.open()}});
+  log(Level::info, "edge_stops", {{"open", station_.desk().open()}});
 }
 
 void Edge::wind_down() {
@@ -196,12 +189,12 @@
   front_.stop_listening();
   front_.close_idle();
   if (front_.busy() > 0 && loop_.now() < end_at_) return;
-  follower_.farewell();
+  station_.follower().farewell();
   ended_ = true;
 }
 
 std::vector<scoiattoli::Sample> Edge::samples() const {
-  const pederu::DeskCounters& desk = desk_.counters();
+  const pederu::DeskCounters& desk = station_.desk().counters();
   const croda::LinkCounters& links = nodes_.counters();
   const clients::FrontCounters& front = front_.counters();
   auto n = [](auto value) { return static_cast<double>(value); };
@@ -231,12 +224,12 @@
       {"altavia_accepted_total", "connections of clients", n(front.accepted)},
       {"altavia_bad_requests_total", "what was no request", n(front.bad_requests)},
       {"altavia_closed_for_room_total", "idle clients that made way", n(front.closed_for_room)},
-      {"altavia_unread_total", "frames that could not be read", n(follower_.unread())},
-      {"altavia_open", "requests under way", n(desk_.open())},
-      {"altavia_coverage", "share of the weight that is asked", desk_.coverage()},
-      {"altavia_edition", "configuration in force", n(follower_.view().edition())},
-      {"altavia_nodes", "nodes known", n(follower_.view().nodes().all().size())},
-      {"altavia_edges", "edges that hold a lease", n(follower_.view().edges())},
+      {"altavia_unread_total", "frames that could not be read", n(station_.follower().unread())},
+      {"altavia_open", "requests under way", n(station_.desk().open())},
+      {"altavia_coverage", "share of the weight that is asked", station_.desk().coverage()},
+      {"altavia_edition", "configuration in force", n(station_.follower().view().edition())},
+      {"altavia_nodes", "nodes known", n(station_.follower().view().nodes().all().size())},
+      {"altavia_edges", "edges that hold a lease", n(station_.follower().view().edges())},
       {"altavia_ready", "whether it takes clients", ready() ? 1.0 : 0.0},
   };
 }
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -1,5 +1,5 @@
 // A process that clients reach: the front door, the check of its readiness, the connections to nodes and the
-// links to the core; it joins pederu (the desk) and vazzoler (who follows the core) with them.
+// links to the core; vandelli's station decides.
 #pragma once
 
 #include <string>
@@ -10,10 +10,9 @@
 #include "coldai/settings.h"
 #include "croda/node_links.h"
 #include "net/loop.h"
-#include "pederu/desk.h"
 #include "puez/links.h"
 #include "scoiattoli/metrics.h"
-#include "vazzoler/follower.h"
+#include "vandelli/station.h"
 
 namespace pearspar::altavia {
 
@@ -27,7 +26,7 @@
   // No more ready; serves on while clients go elsewhere, then ends.
   void stop();
   bool stopped() const { return ended_; }
-  bool ready() const { return !stopping_ && follower_.knows_enough(); }
+  bool ready() const { return !stopping_ && station_.ready(); }
 
  private:
   // The two listening sockets, told apart.
@@ -49,7 +48,7 @@
   void serve(net::SlotId connection, const http::Message& message);
   void check(net::SlotId connection, const http::Message& message);
   void answer(net::SlotId connection, pederu::FinalAnswer answer);
-  void take_news();
+  void take_configuration();
   void each_second();
   void wind_down();
   std::vector<scoiattoli::Sample> samples() const;
@@ -61,10 +60,9 @@
   clients::Front front_;
   clients::Front check_;
   puez::Links links_;
-  vazzoler::Follower follower_;
   croda::NodeLinks nodes_;
-  pederu::Desk desk_;
-  averau::Edition routed_ = 0;                                     // edition that the desk routes by
+  vandelli::Station station_;
+  averau::Edition routed_ = 0;                                     // edition whose limits hold at the door
   std::unordered_map<std::uint64_t, net::SlotId> clients_;         // of open requests
   std::unordered_map<std::uint64_t, pederu::RequestId> requests_;  // the other way
   net::Timer second_;
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -30,6 +30,7 @@
 
 sennes::OfficeOptions office_options(const coldai::Settings& settings, std::uint64_t seed) {
   sennes::OfficeOptions options;
+  options.pool = {settings.retry_slack, net::Duration(settings.retry_window_s)};
   options.inner_address = settings.inner_address();
   options.control_address = settings.control_port;
   options.life = seed;
@@ -125,6 +126,9 @@
       {"altavia_nodes", "nodes known", n(member_.office().view().nodes().all().size())},
       {"altavia_edges", "edges that hold a lease here",
        n(member_.office().followers().edges(loop_.read_clock()))},
+      {"altavia_tokens_granted_total", "of the budget that edges share",
+       n(member_.office().pool().granted())},
+      {"altavia_tokens_refused_total", "asked for and not there", n(member_.office().pool().refused())},
       {"altavia_links", "links to other processes", n(links_.count())},
       {"altavia_frames_dropped_total", "frames for which there was no link, or no room", n(links_.dropped())},
       {"altavia_unread_total", "frames that could not be read", n(member_.unread())},
--- a/src/biella/cluster.cpp
+++ b/src/biella/cluster.cpp
@@ -63,10 +63,10 @@
 std::string Cluster::core_address(std::size_t core) const { return cores_[core]->address; }
 std::string Cluster::edge_address(std::size_t edge) const { return edges_[edge]->address; }
 const vazzoler::Follower* Cluster::follower(std::size_t edge) const {
-  return edges_[edge]->process ? &edges_[edge]->process->follower : nullptr;
+  return edges_[edge]->process ? &edges_[edge]->process->station.follower() : nullptr;
 }
 const pederu::Desk* Cluster::desk(std::size_t edge) const {
-  return edges_[edge]->process ? &edges_[edge]->process->desk : nullptr;
+  return edges_[edge]->process ? &edges_[edge]->process->station.desk() : nullptr;
 }
 std::string Cluster::node_depot(std::size_t node) const { return nodes_[node]->depot; }
 
@@ -74,15 +74,15 @@
   if (leader() < 0) checker_.broken("ACKS", "nobody leads long after everything was mended");
   for (auto& edge : edges_) {
     if (!edge->process) continue;
-    checker_.settled(edge->name, edge->process->follower.view().edition());
+    checker_.settled(edge->name, edge->process->station.follower().view().edition());
     std::size_t up = 0;
     for (auto& node : nodes_)
       if (node->up && !node->closing) {
         ++up;
-        if (!edge->process->follower.view().nodes().find(node->id))
+        if (!edge->process->station.follower().view().nodes().find(node->id))
           checker_.broken("LIST", edge->name + " does not know " + node->id);
       }
-    std::size_t known = edge->process->follower.view().nodes().all().size();
+    std::size_t known = edge->process->station.follower().view().nodes().all().size();
     if (known > nodes_.size()) checker_.broken("LIST", edge->name + " knows too many nodes");
   }
   checker_.finish();
--- a/src/biella/cluster.h
+++ b/src/biella/cluster.h
@@ -31,6 +31,8 @@
   double beat_s = 1.2;
   double retry_ratio = 0.2;
   double retry_slack = 56;
+  bool shared_budget = true;  // the leader hands out tokens of the slack
+  double first_edge = 0;      // share of the requests that go to the first edge beside its own part
 };
 
 class Cluster {
--- a/src/biella/cluster_core.cpp
+++ b/src/biella/cluster_core.cpp
@@ -21,6 +21,7 @@
   office.life = number;
   office.name = core.address;
   office.beat = Duration(options_.beat_s);
+  office.pool = {options_.shared_budget ? options_.retry_slack : 0, std::chrono::seconds(10)};
   core.first_start = false;
   process.member =
       std::make_unique<sennes::Member>(process.port, core.disk, std::move(agreement), std::move(office));
--- a/src/biella/cluster_edges.cpp
+++ b/src/biella/cluster_edges.cpp
@@ -9,29 +9,25 @@
   edge.process = std::make_unique<Edge::Process>(*this, edge, world_.number());
   Edge::Process& process = *edge.process;
   process.port.run = [&process](std::function<void()> what) { process.life.run(std::move(what)); };
-  pederu::AllowanceRules rules;
-  rules.ratio = options_.retry_ratio;
-  rules.slack = options_.retry_slack;
-  process.desk.set_allowance(rules);
   process.life.after = [this, &process] {
     Time now = world_.now();
-    if (process.follower.tick(now)) process.take_news();
-    process.desk.advance(now);
-    for (auto& [request, answer] : process.desk.take_answers()) {
+    process.station.advance(now);
+    process.tell_routes();
+    for (auto& [request, answer] : process.station.desk().take_answers()) {
       auto open = process.open.find(std::uint64_t{request.index} << 32 | request.generation);
       if (open == process.open.end()) continue;
       std::string id = open->second;
       process.open.erase(open);
       process.finish(id, answer);
     }
-    Time due = std::max(std::min(process.desk.due(), process.follower.due()), now + Duration(0.0005));
+    Time due = std::max(process.station.due(), now + Duration(0.0005));
     if (process.wake > now && process.wake <= due) return;
     process.wake = due;
     world_.at(due, [&process, due, alive = process.life.alive] {
       if (*alive && process.wake == due) process.life.run([] {});
     });
   };
-  process.follower.start(world_.now());
+  process.station.start(world_.now());
   process.life.run([] {});
 }
 
@@ -51,7 +47,7 @@
       done.status = status;
       done.stamp = stamp;
       done.body = body;
-      desk.ended(cluster.world_.now(), call, done);
+      station.desk().ended(cluster.world_.now(), call, done);
     });
   };
   // The request goes its way whatever becomes of the edge that sent it.
@@ -136,8 +132,10 @@
 
 void Cluster::ask() {
   world_.in(Duration(world_.uniform(0.5, 1.5) / options_.requests_per_s), [this] { ask(); });
-  Edge& edge = *edges_[world_.below(edges_.size())];
-  if (!edge.process || !edge.process->follower.knows_enough()) return;
+  Edge& edge =
+      *edges_[options_.first_edge > 0 && world_.chance(options_.first_edge) ? 0
+                                                                            : world_.below(edges_.size())];
+  if (!edge.process || !edge.process->station.ready()) return;
   Edge::Process& process = *edge.process;
   bool gathers = world_.chance(0.6);
   std::string id = std::string(gathers ? "g" : "s") + std::to_string(++next_request_);
@@ -153,14 +151,14 @@
     arrival.head = "GET " + target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\n";
     pederu::FinalAnswer answer;
     // A request counts for every service that its route names, sent there or not.
-    const auto& configuration = process.follower.view().configuration();
+    const auto& configuration = process.station.follower().view().configuration();
     for (const averau::Route& route : configuration->routes)
       if (target.starts_with(route.prefix)) {
         std::vector<std::string> depots = route.shards;
         for (const averau::Share& share : route.depots) depots.push_back(share.depot);
         checker_.request_made(seconds(), id, depots);
       }
-    pederu::RequestId request = process.desk.arrive(world_.now(), arrival, answer);
+    pederu::RequestId request = process.station.desk().arrive(world_.now(), arrival, answer);
     if (request)
       process.open[std::uint64_t{request.index} << 32 | request.generation] = id;
     else
--- a/src/biella/cluster_parts.h
+++ b/src/biella/cluster_parts.h
@@ -5,6 +5,7 @@
 #include <deque>
 
 #include "biella/cluster.h"
+#include "vandelli/station.h"
 
 namespace pearspar::biella {
 
@@ -86,8 +87,7 @@
     Edge& edge;
     Life life;
     Port port;
-    vazzoler::Follower follower;
-    pederu::Desk desk{*this};
+    vandelli::Station station;
     averau::Edition routed = 0;
     Time wake{};
     std::unordered_map<std::uint64_t, std::string> open;  // request -> its id
@@ -96,21 +96,19 @@
           edge(of),
           life(to.world_),
           port(to.net_, of.address, *this),
-          follower(port, {number, of.name, "z", to.seeds()}) {}
-    void link_up(puez::LinkId link, const std::string&) override { follower.link_up(link); }
-    void link_down(puez::LinkId link) override { follower.link_down(link); }
+          station(port, {number, of.name, "z", to.seeds()}, *this,
+                  {to.options_.retry_ratio, to.options_.retry_slack, std::chrono::seconds(10)}) {}
+    void link_up(puez::LinkId link, const std::string&) override { station.link_up(link); }
+    void link_down(puez::LinkId link) override { station.link_down(link); }
     void link_frame(puez::LinkId link, std::string_view frame) override {
-      if (follower.frame(life.world.now(), link, frame)) take_news();
+      station.link_frame(life.world.now(), link, frame);
+      tell_routes();
     }
-    void take_news() {
-      vazzoler::View& view = follower.view();
-      for (const std::string& id : view.take_touched()) desk.nodes().update(id, view.nodes().find(id));
-      desk.set_edges(view.edges());
-      if (view.edition() == routed) return;
-      routed = view.edition();
-      desk.set_routes(std::make_shared<const pederu::Routes>(view.configuration()));
+    void tell_routes() {
+      if (station.routed() == routed) return;
+      routed = station.routed();
       cluster.checker_.edge_routes_by(cluster.seconds(), edge.name, edge.starts, routed,
-                                      view.configuration()->text);
+                                      station.follower().view().configuration()->text);
     }
     bool start(pederu::CallId call, const pederu::KnownNode& node, int most, std::string request,
                pederu::Time end) override;
--- a/src/fanes/messages.cpp
+++ b/src/fanes/messages.cpp
@@ -1,5 +1,7 @@
 #include "fanes/messages.h"
 
+#include <algorithm>
+
 #include "fanes/agreement.h"
 #include "fanes/pack.h"
 
@@ -17,12 +19,15 @@
   ack,
   farewell,
   call,
-  call_answer
+  call_answer,
+  want,
+  grant
 };
 
 constexpr std::size_t most_fields = 32;
 constexpr std::size_t most_nodes = 65536;
 constexpr std::size_t most_changes = 65536;
+constexpr std::size_t most_tokens = 4096;
 
 void begin(Packer& packer, Tag tag, std::size_t fields) {
   packer.array(fields + 1);
@@ -82,6 +87,33 @@
   return texts;
 }
 
+void put(Packer& packer, const std::vector<Tokens>& tokens) {
+  packer.array(tokens.size());
+  for (const Tokens& each : tokens) {
+    packer.array(2);
+    packer.text(each.depot);
+    packer.number(each.count);
+  }
+}
+std::vector<Tokens> get_tokens(Unpacker& in) {
+  std::vector<Tokens> tokens;
+  std::size_t count = in.enter(most_tokens);
+  for (std::size_t i = 0; i < count && in.good(); ++i) {
+    in.enter(most_fields);
+    Tokens each;
+    each.depot = in.text();
+    each.count = static_cast<std::uint32_t>(in.number());
+    in.leave();
+    tokens.push_back(std::move(each));
+  }
+  in.leave();
+  return tokens;
+}
+
+std::uint32_t get_coverage(Unpacker& in) {
+  return in.more() ? static_cast<std::uint32_t>(std::min<std::uint64_t>(100, in.number())) : 100;
+}
+
 struct Put {
   Packer& packer;
   void operator()(const lagazuoi::Message& message) const {
@@ -104,7 +136,7 @@
     put(packer, welcome.cores);
   }
   void operator()(const Standing& standing) const {
-    begin(packer, Tag::standing, 8);
+    begin(packer, Tag::standing, 9);
     put(packer, standing.at);
     packer.flag(standing.complete);
     packer.number(standing.edges);
@@ -113,6 +145,7 @@
     packer.array(standing.nodes.size());
     for (const NodeNews& news : standing.nodes) put(packer, news);
     put(packer, standing.ended);
+    packer.number(standing.coverage);
   }
   void operator()(const Changes& changes) const {
     begin(packer, Tag::changes, 3);
@@ -127,20 +160,33 @@
     }
   }
   void operator()(const Ping& ping) const {
-    begin(packer, Tag::ping, 3);
+    begin(packer, Tag::ping, 4);
     put(packer, ping.at);
     packer.number(ping.edges);
+    packer.number(ping.coverage);
   }
   void operator()(const Ack& ack) const {
-    begin(packer, Tag::ack, 4);
+    begin(packer, Tag::ack, 5);
     packer.number(ack.life);
     put(packer, ack.at);
     packer.number(ack.edition);
+    packer.number(ack.coverage);
   }
   void operator()(const Farewell& farewell) const {
     begin(packer, Tag::farewell, 1);
     packer.number(farewell.life);
   }
+  void operator()(const Want& want) const {
+    begin(packer, Tag::want, 3);
+    packer.number(want.life);
+    packer.number(want.number);
+    put(packer, want.tokens);
+  }
+  void operator()(const Grant& grant) const {
+    begin(packer, Tag::grant, 2);
+    packer.number(grant.number);
+    put(packer, grant.tokens);
+  }
   void operator()(const Call& call) const {
     begin(packer, Tag::call, 6);
     packer.number(call.number);
@@ -180,6 +226,7 @@
   for (std::size_t i = 0; i < count && in.good(); ++i) standing.nodes.push_back(get_news(in));
   in.leave();
   standing.ended = get_texts(in, most_nodes);
+  standing.coverage = get_coverage(in);
   return standing;
 }
 
@@ -197,7 +244,7 @@
     change.news = get_news(in);
     in.leave();
     // One that a newer program has put here is counted and passed over.
-    if (kind <= static_cast<std::uint64_t>(ChangeKind::complete))
+    if (kind <= static_cast<std::uint64_t>(ChangeKind::configuration_delta))
       changes.changes.push_back(std::move(change));
   }
   in.leave();
@@ -239,6 +286,7 @@
       Ping ping;
       ping.at = get_position(in);
       ping.edges = static_cast<std::uint32_t>(in.number());
+      ping.coverage = get_coverage(in);
       return ping;
     }
     case Tag::ack: {
@@ -246,12 +294,26 @@
       ack.life = in.number();
       ack.at = get_position(in);
       ack.edition = in.number();
+      ack.coverage = get_coverage(in);
       return ack;
     }
     case Tag::farewell:
       return Farewell{in.number()};
     case Tag::call:
       return get_call(in);
+    case Tag::want: {
+      Want want;
+      want.life = in.number();
+      want.number = in.number();
+      want.tokens = get_tokens(in);
+      return want;
+    }
+    case Tag::grant: {
+      Grant grant;
+      grant.number = in.number();
+      grant.tokens = get_tokens(in);
+      return grant;
+    }
     case Tag::call_answer: {
       CallAnswer answer;
       answer.number = in.number();
--- a/src/fanes/messages.h
+++ b/src/fanes/messages.h
@@ -60,14 +60,17 @@
   std::string configuration;    // empty where the follower has that edition
   std::vector<NodeNews> nodes;
   std::vector<std::string> ended;  // ids of nodes that are gone for good
+  std::uint32_t coverage = 100;    // percent: mean share of the weight that edges ask
 };
 
-enum class ChangeKind : std::uint8_t { configuration, node, gone, lost, complete };
+// A delta is made of the configuration before (delta.h): who can't apply it stays behind in its edition, says
+// so when it acknowledges, and is told everything.
+enum class ChangeKind : std::uint8_t { configuration, node, gone, lost, complete, configuration_delta };
 
 struct Change {
   ChangeKind kind = ChangeKind::complete;
   averau::Edition edition = 0;
-  std::string text;  // the configuration, or a node's id
+  std::string text;  // the configuration, its delta, or a node's id
   NodeNews news;
 };
 
@@ -81,6 +84,7 @@
 struct Ping {
   Position at;
   std::uint32_t edges = 0;
+  std::uint32_t coverage = 100;  // percent, as in Standing
 };
 
 // Follower to leader: all up to `at` is in force here.
@@ -88,6 +92,7 @@
   Life life = 0;
   Position at;
   averau::Edition edition = 0;
+  std::uint32_t coverage = 100;  // percent of the weight that it asks; of no meaning for members
 };
 
 // Follower to leader: this life ends by itself.
@@ -95,6 +100,22 @@
   Life life = 0;
 };
 
+// Of the slack that a service's second calls may use over all edges (nuvolau): what an edge asks the leader
+// for, and what it gets. Tokens live from the asking on.
+struct Tokens {
+  std::string depot;
+  std::uint32_t count = 0;
+};
+struct Want {
+  Life life = 0;
+  std::uint64_t number = 0;  // comes back with the answer
+  std::vector<Tokens> tokens;
+};
+struct Grant {
+  std::uint64_t number = 0;
+  std::vector<Tokens> tokens;
+};
+
 // A control call passed on to the member that can settle it, and the answer.
 struct Call {
   std::uint64_t number = 0;
@@ -110,8 +131,8 @@
   std::string body;
 };
 
-using Message =
-    std::variant<lagazuoi::Message, Hello, Welcome, Standing, Changes, Ping, Ack, Farewell, Call, CallAnswer>;
+using Message = std::variant<lagazuoi::Message, Hello, Welcome, Standing, Changes, Ping, Ack, Farewell, Call,
+                             CallAnswer, Want, Grant>;
 
 std::string pack(const Message& message);
 // Nothing where the bytes are no message that this program knows.
--- a/src/fanes/pack.h
+++ b/src/fanes/pack.h
@@ -44,6 +44,8 @@
   double real();
   bool flag();
   std::string text();
+  // Whether the array that it stands in holds more: a field that an older program did not send.
+  bool more() const { return good_ && at_[depth_ - 1] < arrays_[depth_ - 1].size; }
   // Steps into an array, `most` long at the most; out again with leave(), which passes over what a newer
   // program put behind the fields that we know.
   std::size_t enter(std::size_t most);
--- a/src/pederu/allowance.cpp
+++ b/src/pederu/allowance.cpp
@@ -23,9 +23,40 @@
   double requests = 0, extra = 0;
   for (const Bucket& bucket : found.buckets) requests += bucket.requests, extra += bucket.extra;
   double most = of_ratio * rules_.ratio * requests + of_slack * rules_.slack / edges_;
-  if (extra + 1 > most) return false;
+  if (most - extra - 1 < low) want(found, depot);
+  if (extra + 1 > most) return spend_token(now, found);
   found.buckets[at_].extra += 1;
   return true;
 }
 
+bool Allowance::spend_token(Time now, Account& account) {
+  std::erase_if(account.tokens, [&](const auto& each) { return each.first <= now || each.second == 0; });
+  if (account.tokens.empty()) return false;
+  --account.tokens.front().second;
+  return true;
+}
+
+void Allowance::want(Account& account, const std::string& depot) {
+  if (account.wanting || rules_.slack <= 0) return;
+  account.wanting = true;
+  wanted_.push_back(depot);
+}
+
+std::vector<std::pair<std::string, std::uint32_t>> Allowance::take_wanted(Time now) {
+  std::vector<std::pair<std::string, std::uint32_t>> wanted;
+  for (const std::string& depot : std::exchange(wanted_, {})) {
+    Account& account = accounts_[depot];
+    account.wanting = false;
+    std::erase_if(account.tokens, [&](const auto& each) { return each.first <= now; });
+    std::uint32_t held = 0;
+    for (const auto& each : account.tokens) held += each.second;
+    if (held < batch) wanted.emplace_back(depot, batch - held);
+  }
+  return wanted;
+}
+
+void Allowance::granted(Time until, const std::string& depot, std::uint32_t count) {
+  if (count > 0) accounts_[depot].tokens.emplace_back(until, std::min(count, batch));
+}
+
 }  // namespace pearspar::pederu
--- a/src/pederu/coverage.h
+++ b/src/pederu/coverage.h
@@ -3,6 +3,8 @@
 // tenth gives 0.1 back, and with fewer than 20 outcomes nothing moves.
 #pragma once
 
+#include <algorithm>
+
 #include "pederu/types.h"
 
 namespace pearspar::pederu {
@@ -10,6 +12,8 @@
 class Coverage {
  public:
   double share() const { return share_; }
+  // Where an edge begins: at what its neighbours ask, not whole into an overload that they have narrowed for.
+  void begin(double share) { share_ = std::clamp(share, step, 1.0); }
   void outcome(Time now, bool refused_or_late);
 
  private:
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -79,6 +79,8 @@
   std::size_t open() const { return requests_.size(); }
   const DeskCounters& counters() const { return counters_; }
   double coverage() const { return coverage_.share(); }
+  void begin_coverage(double share) { coverage_.begin(share); }
+  Allowance& allowance() { return allowance_; }
 
  private:
   struct Out {
--- a/src/sennes/followers.cpp
+++ b/src/sennes/followers.cpp
@@ -1,6 +1,9 @@
 #include "sennes/followers.h"
 
 #include <algorithm>
+#include <cmath>
+
+#include "fanes/delta.h"
 
 namespace pearspar::sennes {
 namespace {
@@ -23,6 +26,7 @@
   complete_ = complete;
   term_ = term;
   first_ = 1;
+  configured_ = {};
   journal_.clear();
   for (auto& [link, follower] : followers_) follower.knows = false;
   ping_due_ = now;
@@ -38,6 +42,21 @@
   return end();
 }
 
+void Followers::add_configuration(Time now, const averau::ConfigurationPtr& configuration) {
+  fanes::Change change;
+  change.kind = fanes::ChangeKind::configuration;
+  change.edition = configuration->edition;
+  change.text = configuration->text;
+  if (const auto& before = view_.configuration()) {
+    std::string delta = fanes::make_delta(before->text, configuration->text);
+    if (delta.size() < change.text.size()) {
+      change.kind = fanes::ChangeKind::configuration_delta;
+      change.text = std::move(delta);
+    }
+  }
+  configured_ = add(now, std::move(change));
+}
+
 void Followers::complete(Time now) {
   if (complete_) return;
   complete_ = true;
@@ -60,7 +79,7 @@
   follower.heard = now;
   follower.sent = follower.acked = hello.have;
   follower.knows = open_ && complete_ && hello.have.term == term_ && hello.have.number + 1 >= first_ &&
-                   hello.have <= end();
+                   hello.have <= end() && (hello.have < configured_ || hello.edition >= view_.edition());
 }
 
 void Followers::on_ack(Time now, LinkId link, const fanes::Ack& ack) {
@@ -69,6 +88,11 @@
   found->second.heard = now;
   found->second.acked = std::max(found->second.acked, ack.at);
   found->second.edition = ack.edition;
+  found->second.coverage = ack.coverage;
+  // It has passed over a change that it could not read or fit to what it has.
+  if (open_ && configured_ != fanes::Position{} && ack.at >= configured_ && ack.at.term == term_ &&
+      ack.edition < view_.edition())
+    found->second.knows = false;
 }
 
 void Followers::on_farewell(LinkId link) { followers_.erase(link); }
@@ -94,6 +118,7 @@
   standing.at = end();
   standing.complete = complete_;
   standing.edges = edges(now);
+  standing.coverage = coverage(now);
   standing.edition = view_.edition();
   if (view_.edition() > known) standing.configuration = view_.configuration()->text;
   list(now, standing);
@@ -129,7 +154,7 @@
       out.push_back({link, bytes});
       follower.sent = end();
     } else if (ping) {
-      if (ping_bytes.empty()) ping_bytes = fanes::pack(fanes::Ping{end(), edges(now)});
+      if (ping_bytes.empty()) ping_bytes = fanes::pack(fanes::Ping{end(), edges(now), coverage(now)});
       out.push_back({link, ping_bytes});
     }
   }
@@ -149,4 +174,12 @@
       }));
 }
 
+std::uint32_t Followers::coverage(Time now) const {
+  double sum = 0, count = 0;
+  for (const auto& [link, follower] : followers_)
+    if (follower.kind == fanes::FollowerKind::edge && follower.coverage > 0 && lives(now, follower))
+      sum += follower.coverage, ++count;
+  return count > 0 ? static_cast<std::uint32_t>(std::lround(sum / count)) : 100;
+}
+
 }  // namespace pearspar::sennes
--- a/src/sennes/followers.h
+++ b/src/sennes/followers.h
@@ -35,6 +35,8 @@
   void close() { open_ = false; }
   bool is_open() const { return open_; }
 
+  // The configuration that has been taken, as a change of the one before where that is shorter.
+  void add_configuration(Time now, const averau::ConfigurationPtr& configuration);
   // One change more, in force here at once.
   fanes::Position add(Time now, fanes::Change change);
   // The list of nodes is whole from here on: what stands is told anew.
@@ -58,6 +60,8 @@
   // Whether all that hold a lease have acknowledged it.
   bool acknowledged(Time now, fanes::Position at) const;
   std::uint32_t edges(Time now) const;
+  // Mean of what edges that hold a lease ask of the weight, in percent; whole where none has told.
+  std::uint32_t coverage(Time now) const;
   struct Follower {
     fanes::Life life = 0;
     fanes::FollowerKind kind = fanes::FollowerKind::edge;
@@ -66,6 +70,7 @@
     fanes::Position sent;
     fanes::Position acked;
     averau::Edition edition = 0;
+    std::uint32_t coverage = 0;  // percent; 0 = not told
     Time heard{};
     bool knows = false;  // was told what stands in this term
   };
@@ -83,6 +88,7 @@
   lagazuoi::Term term_ = 0;
   std::uint64_t first_ = 1;  // number of the journal's front
   std::deque<fanes::Change> journal_;
+  fanes::Position configured_;  // where the newest configuration stands in it
   std::map<LinkId, Follower> followers_;
   Time ping_due_{};
 };
--- a/src/sennes/office.cpp
+++ b/src/sennes/office.cpp
@@ -33,7 +33,9 @@
 }  // namespace
 
 Office::Office(OfficeOptions options, lagazuoi::Core& core, State& state)
-    : options_(std::move(options)), core_(core), state_(state), followers_(view_) {}
+    : options_(std::move(options)), core_(core), state_(state), followers_(view_) {
+  pool_.set(options_.pool);
+}
 
 fanes::Hello Office::hello() const {
   return {options_.life,  fanes::FollowerKind::core, options_.name, options_.zone, view_.at(),
@@ -234,11 +236,7 @@
 
 void Office::tell_configuration(Time now) {
   if (!in_office() || state_.edition() <= view_.edition()) return;
-  fanes::Change change;
-  change.kind = fanes::ChangeKind::configuration;
-  change.edition = state_.edition();
-  change.text = state_.current()->text;
-  followers_.add(now, std::move(change));
+  followers_.add_configuration(now, state_.current());
 }
 
 // Those that follow have to find the core when all that they began with are gone.
@@ -258,6 +256,7 @@
   gathered_ = now + options_.beat * gather_beats;
   expire_due_ = now;
   followers_.open(now, core_.term(), false);
+  pool_.open(now);
   // The first change of the term: it moves this member's own position to it.
   followers_.add(now, {});
 }
@@ -349,6 +348,22 @@
   return out;
 }
 
+// Only a leader hands out, and only for services that the configuration names.
+void Office::grant(Time now, LinkId link, const fanes::Want& want) {
+  if (!in_office() || !core_.may_speak(now) || !view_.configuration()) return;
+  fanes::Grant grant;
+  grant.number = want.number;
+  for (const fanes::Tokens& each : want.tokens) {
+    const auto& depots = view_.configuration()->depots;
+    if (std::none_of(depots.begin(), depots.end(),
+                     [&](const auto& depot) { return depot.name == each.depot; }))
+      continue;
+    if (std::uint32_t count = pool_.grant(now, each.depot, each.count))
+      grant.tokens.push_back({each.depot, count});
+  }
+  to_links_.push_back({link, fanes::pack(std::move(grant))});
+}
+
 // Ours as a follower of the member at the other end of the link.
 void Office::follow(LinkId link, vazzoler::View::Taken taken) {
   if (taken == vazzoler::View::Taken::behind)
@@ -372,6 +387,8 @@
     followers_.on_ack(now, link, *ack);
   } else if (std::get_if<fanes::Farewell>(&message)) {
     followers_.on_farewell(link);
+  } else if (const auto* want = std::get_if<fanes::Want>(&message)) {
+    grant(now, link, *want);
   } else if (const auto* call = std::get_if<fanes::Call>(&message)) {
     Request request;
     request.from = call->from;
--- a/src/sennes/office.h
+++ b/src/sennes/office.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "nuvolau/pool.h"
 #include "sennes/followers.h"
 #include "sennes/state.h"
 
@@ -28,6 +29,7 @@
   std::string name;
   std::string zone;
   Duration beat = std::chrono::milliseconds(1200);
+  nuvolau::PoolRules pool;  // of the budget that all edges share
 };
 
 struct Reply {
@@ -70,6 +72,7 @@
 
   const vazzoler::View& view() const { return view_; }
   const Followers& followers() const { return followers_; }
+  const nuvolau::Pool& pool() const { return pool_; }
   bool in_office() const { return followers_.is_open(); }
 
  private:
@@ -111,6 +114,7 @@
   void expire(Time now);
   void tell_configuration(Time now);
   void tell_members();
+  void grant(Time now, LinkId link, const fanes::Want& want);
   void follow(LinkId link, vazzoler::View::Taken taken);
 
   OfficeOptions options_;
@@ -118,6 +122,7 @@
   State& state_;
   vazzoler::View view_;
   Followers followers_;
+  nuvolau::Pool pool_;
   std::deque<Request> waiting_;  // for a leader, or for the proposal before
   std::optional<Proposal> proposal_;
   std::vector<Proposal> same_;  // the same change, asked again while it is under way
--- a/src/vazzoler/follower.cpp
+++ b/src/vazzoler/follower.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "nuvolau/pool.h"
+
 namespace pearspar::vazzoler {
 namespace {
 
@@ -11,6 +13,8 @@
 constexpr Duration leader_silent = 3500ms;   // three pings and a half
 constexpr Duration leader_may_come = 120ms;  // before members that do not lead are believed
 constexpr std::size_t most_provisional = 8;
+constexpr Duration want_every = 100ms;
+constexpr Duration want_for = 500ms;         // an answer comes in that time, or the question is asked anew
 constexpr Duration gather_at_most = 1500ms;  // a list that is still being gathered will do after it
 
 }  // namespace
@@ -34,7 +38,7 @@
 }
 
 std::string Follower::ack() const {
-  return fanes::pack(fanes::Ack{options_.life, view_.at(), view_.edition()});
+  return fanes::pack(fanes::Ack{options_.life, view_.at(), view_.edition(), coverage_});
 }
 
 void Follower::link_up(puez::LinkId link) {
@@ -42,6 +46,18 @@
   wire_.send(link, hello());
 }
 
+void Follower::link_down(puez::LinkId link) {
+  std::erase(up_, link);
+  if (link == leader_link_) leader_link_ = 0;
+}
+
+bool Follower::want(Time now, std::vector<fanes::Tokens> tokens) {
+  if (!may_want(now)) return false;
+  asked_at_ = now;
+  want_due_ = now + want_for;
+  return wire_.send(leader_link_, fanes::pack(fanes::Want{options_.life, ++asked_, std::move(tokens)}));
+}
+
 bool Follower::frame(Time now, puez::LinkId link, std::string_view bytes) {
   auto message = fanes::unpack(bytes);
   if (!message) {
@@ -62,6 +78,14 @@
   if (const auto* changes = std::get_if<fanes::Changes>(&*message))
     return taken(now, link, view_.apply(now, *changes));
   if (const auto* ping = std::get_if<fanes::Ping>(&*message)) return taken(now, link, view_.apply(*ping));
+  if (const auto* grant = std::get_if<fanes::Grant>(&*message)) {
+    // Their life is counted from the asking: the leader's count of them begins later.
+    if (grant->number != asked_) return false;
+    want_due_ = asked_at_ + want_every;
+    for (const fanes::Tokens& each : grant->tokens)
+      granted_.emplace_back(asked_at_ + nuvolau::token_life, each);
+    return false;
+  }
   if (const auto* welcome = std::get_if<fanes::Welcome>(&*message)) {
     // A member that is behind must not take us back to members that are gone.
     if (welcome->cores.empty() || welcome->term < cores_term_) return false;
@@ -76,6 +100,7 @@
 bool Follower::taken(Time now, puez::LinkId link, View::Taken taken) {
   if (taken == View::Taken::old) return false;
   news_ = now;
+  leader_link_ = link;
   if (taken == View::Taken::behind) {
     wire_.send(link, hello());
     return false;
--- a/src/vazzoler/follower.h
+++ b/src/vazzoler/follower.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "puez/wire.h"
@@ -25,7 +26,7 @@
   void start(Time now);
   void set_seeds(std::vector<std::string> seeds);
   void link_up(puez::LinkId link);
-  void link_down(puez::LinkId link) { std::erase(up_, link); }
+  void link_down(puez::LinkId link);
   // True where the view has changed; false too for what is no frame of ours.
   bool frame(Time now, puez::LinkId link, std::string_view bytes);
   // True where the view has changed.
@@ -37,6 +38,13 @@
   View& view() { return view_; }
   const View& view() const { return view_; }
   // A configuration, and a list of nodes that is whole, or has been gathered for long enough.
+  // What acknowledgements tell of us: the share of the weight that we ask, in percent.
+  void tell_coverage(std::uint32_t percent) { coverage_ = percent; }
+  // Asks the leader for tokens, where one is known and the question before was answered or is old.
+  bool want(Time now, std::vector<fanes::Tokens> tokens);
+  bool may_want(Time now) const { return leader_link_ != 0 && now >= want_due_; }
+  // What was granted since the last call, each good until the time with it.
+  std::vector<std::pair<Time, fanes::Tokens>> take_granted() { return std::exchange(granted_, {}); }
   bool knows_enough() const { return view_.knows_enough() && listed_; }
   std::uint64_t unread() const { return unread_; }
   const std::vector<std::string>& cores() const { return cores_; }
@@ -60,6 +68,12 @@
   Time first_nodes_{};
   Time news_{};  // last heard of a leader
   Time touch_due_{};
+  puez::LinkId leader_link_ = 0;  // by which the newest news came; 0 = none
+  std::uint32_t coverage_ = 100;
+  std::uint64_t asked_ = 0;  // number of the newest question
+  Time asked_at_{};
+  Time want_due_{};
+  std::vector<std::pair<Time, fanes::Tokens>> granted_;
   std::uint64_t unread_ = 0;
 };
 
--- a/src/vazzoler/view.cpp
+++ b/src/vazzoler/view.cpp
@@ -2,6 +2,8 @@
 
 #include <set>
 
+#include "fanes/delta.h"
+
 namespace pearspar::vazzoler {
 
 using fanes::ChangeKind;
@@ -16,6 +18,12 @@
   take(averau::read_configuration(text, fault));
 }
 
+// One that does not fit leaves the edition as it was; the leader sees it in what we acknowledge.
+void View::take_delta(const std::string& delta, averau::Edition edition_told) {
+  if (!configuration_ || edition_told <= edition()) return;
+  if (auto text = fanes::apply_delta(configuration_->text, delta)) take_text(*text, edition_told);
+}
+
 void View::put(Time now, const fanes::NodeNews& news) {
   averau::Node node = news.node;
   node.cold_until = now + std::chrono::milliseconds(news.cold_ms);
@@ -28,6 +36,7 @@
   if (standing.at < at_) return Taken::old;
   at_ = standing.at;
   edges_ = standing.edges;
+  coverage_ = standing.coverage / 100.0;
   take_text(standing.configuration, standing.edition);
   for (const std::string& id : standing.ended)
     if (nodes_.gone(id)) touched_.push_back(id);
@@ -61,6 +70,7 @@
   if (ping.at.term < at_.term) return Taken::old;
   if (ping.at > at_) return Taken::behind;
   edges_ = ping.edges;
+  coverage_ = ping.coverage / 100.0;
   return Taken::news;
 }
 
@@ -73,6 +83,8 @@
   switch (change.kind) {
     case ChangeKind::configuration:
       return take_text(change.text, change.edition);
+    case ChangeKind::configuration_delta:
+      return take_delta(change.text, change.edition);
     case ChangeKind::node:
       return put(now, change.news);
     case ChangeKind::gone:
--- a/src/vazzoler/view.h
+++ b/src/vazzoler/view.h
@@ -37,6 +37,8 @@
   const averau::NodeList& nodes() const { return nodes_; }
   averau::NodeList& nodes() { return nodes_; }
   std::uint32_t edges() const { return edges_; }
+  // Share of the weight that edges ask on average, as the leader told last.
+  double coverage() const { return coverage_; }
   // Nodes that have changed since the last call: found in nodes(), or not any more.
   std::vector<std::string> take_touched() { return std::exchange(touched_, {}); }
   bool knows_enough() const { return configuration_ && !nodes_.all().empty(); }
@@ -45,11 +47,13 @@
   void apply(Time now, const fanes::Change& change);
   void put(Time now, const fanes::NodeNews& news);
   void take_text(const std::string& text, averau::Edition edition);
+  void take_delta(const std::string& delta, averau::Edition edition);
 
   fanes::Position at_;
   averau::ConfigurationPtr configuration_;
   averau::NodeList nodes_;
   std::uint32_t edges_ = 0;
+  double coverage_ = 1;
   std::vector<std::string> touched_;
 };
 
--- /dev/null
+++ b/tests/system/news_test.cpp
@@ -0,0 +1,238 @@
+// What goes between the leader and the edges beside the list: configurations as deltas, the shared part of
+// the budget, the coverage that an edge begins with.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <random>
+
+#include "biella/cluster.h"
+#include "fanes/delta.h"
+#include "nuvolau/pool.h"
+#include "sennes/followers.h"
+
+namespace pearspar {
+
+namespace {
+
+std::string configuration(int edition, int routes, int changed = -1) {
+  std::string text = "{\"edition\":" + std::to_string(edition) + ",\"postalRoutes\":[";
+  for (int i = 0; i < routes; ++i)
+    text += std::string(i > 0 ? "," : "") + "{\"name\":\"r" + std::to_string(i) +
+            "\",\"hostName\":\"h\",\"pathPrefix\":\"/" + std::to_string(i) +
+            "/\",\"lineKind\":\"safe\",\"deadlineMs\":" + (i == changed ? "900" : "1200") +
+            ",\"depot\":\"d\",\"tries\":2}";
+  return text + "],\"depots\":[{\"name\":\"d\"}],\"limits\":{}}";
+}
+
+averau::ConfigurationPtr read(const std::string& text) {
+  averau::Fault fault;
+  auto found = averau::read_configuration(text, fault);
+  CPPUNIT_ASSERT_EQUAL(std::string(), fault.text());
+  return found;
+}
+
+}  // namespace
+
+class NewsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NewsTest);
+  CPPUNIT_TEST(aDeltaMakesTheNewTextOutOfTheOld);
+  CPPUNIT_TEST(aSpoiltDeltaMakesNothing);
+  CPPUNIT_TEST(aChangeGoesOutAsADelta);
+  CPPUNIT_TEST(whoCannotUseADeltaIsToldEverything);
+  CPPUNIT_TEST(tokensOfAnyWindowStayUnderTheShare);
+  CPPUNIT_TEST(aNewLeaderHandsOutNothingUntilTheOldTokensAreOver);
+  CPPUNIT_TEST(aBusyEdgeGetsOfTheShared);
+  CPPUNIT_TEST(anEdgeBeginsAtWhatItsNeighboursAsk);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void aDeltaMakesTheNewTextOutOfTheOld() {
+    std::string before = configuration(3, 200);
+    for (const std::string& after : {configuration(4, 200, 77), configuration(4, 190),
+                                     configuration(9, 260, 3), std::string("{}"), before}) {
+      std::string delta = fanes::make_delta(before, after);
+      CPPUNIT_ASSERT(fanes::apply_delta(before, delta) == after);
+      CPPUNIT_ASSERT(!fanes::apply_delta(before + " ", delta));
+    }
+    CPPUNIT_ASSERT(fanes::make_delta(before, configuration(4, 200, 77)).size() < before.size() / 20);
+  }
+
+  void aSpoiltDeltaMakesNothing() {
+    std::mt19937 random(3);
+    std::string before = configuration(3, 20), after = configuration(4, 22, 5);
+    std::string whole = fanes::make_delta(before, after);
+    for (int i = 0; i < 20000; ++i) {
+      std::string bytes = whole;
+      if (i % 3 == 0) bytes.resize(random() % whole.size());
+      for (unsigned flips = 1 + random() % 4; flips > 0 && !bytes.empty(); --flips)
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      auto made = fanes::apply_delta(before, bytes);
+      CPPUNIT_ASSERT(!made || *made == after);
+    }
+  }
+
+  struct Leader {
+    averau::Time now{averau::Duration(50)};
+    vazzoler::View view;
+    sennes::Followers followers{view};
+    vazzoler::View edge;
+    std::size_t bytes = 0;
+    Leader() {
+      followers.open(now, 2, true);
+      followers.add(now, {});
+      followers.on_hello(now, 7, {77, fanes::FollowerKind::edge, "e", "z", {}, 0});
+    }
+    // What is due goes to the edge, and what it acknowledges back.
+    void exchange() {
+      for (int rounds = 0; rounds < 3; ++rounds)
+        for (const sennes::ToLink& out : followers.take_out(now)) {
+          bytes += out.bytes.size();
+          auto message = fanes::unpack(out.bytes);
+          CPPUNIT_ASSERT(message);
+          if (const auto* standing = std::get_if<fanes::Standing>(&*message)) edge.apply(now, *standing);
+          if (const auto* changes = std::get_if<fanes::Changes>(&*message)) edge.apply(now, *changes);
+          followers.on_ack(now, 7, {77, edge.at(), edge.edition()});
+        }
+    }
+  };
+
+  void aChangeGoesOutAsADelta() {
+    Leader leader;
+    leader.followers.add_configuration(leader.now, read(configuration(3, 300)));
+    leader.exchange();
+    CPPUNIT_ASSERT_EQUAL(averau::Edition{3}, leader.edge.edition());
+    std::size_t first = leader.bytes;
+    CPPUNIT_ASSERT(first > configuration(3, 300).size());
+    leader.followers.add_configuration(leader.now, read(configuration(4, 300, 8)));
+    leader.followers.add_configuration(leader.now, read(configuration(6, 301, 9)));
+    leader.exchange();
+    CPPUNIT_ASSERT_EQUAL(configuration(6, 301, 9), leader.edge.configuration()->text);
+    CPPUNIT_ASSERT_EQUAL(configuration(6, 301, 9), leader.view.configuration()->text);
+    CPPUNIT_ASSERT(leader.bytes - first < first / 10);
+  }
+
+  // An older program passes over a change that it does not know; a text that differs does not take the delta.
+  void whoCannotUseADeltaIsToldEverything() {
+    Leader leader;
+    leader.followers.add_configuration(leader.now, read(configuration(3, 30)));
+    leader.exchange();
+    vazzoler::View other;
+    fanes::Standing standing;
+    standing.at = leader.edge.at();
+    standing.edition = 3;
+    standing.configuration = configuration(3, 31);
+    other.apply(leader.now, standing);
+    leader.edge = std::move(other);
+    leader.followers.add_configuration(leader.now, read(configuration(4, 30, 2)));
+    leader.exchange();
+    CPPUNIT_ASSERT_EQUAL(configuration(4, 30, 2), leader.edge.configuration()->text);
+    // So too one that comes back with a position behind the change, and the edition before it.
+    leader.followers.on_hello(leader.now, 8, {78, fanes::FollowerKind::edge, "f", "z", leader.edge.at(), 3});
+    bool told = false;
+    for (const sennes::ToLink& out : leader.followers.take_out(leader.now))
+      if (auto message = fanes::unpack(out.bytes); out.link == 8)
+        if (const auto* all = std::get_if<fanes::Standing>(&*message)) told = !all->configuration.empty();
+    CPPUNIT_ASSERT(told);
+  }
+
+  // Edges ask, get and spend at moments of their own, with what is on its way between; in no window of the
+  // rule is more spent than the leader may hand out.
+  void tokensOfAnyWindowStayUnderTheShare() {
+    using nuvolau::Duration;
+    using nuvolau::Time;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+      std::mt19937 random(seed);
+      auto uniform = [&](double least, double most) {
+        return std::uniform_real_distribution<double>(least, most)(random);
+      };
+      nuvolau::Pool pool;
+      pool.set({56, std::chrono::seconds(10)});
+      Time start{Duration(100)};
+      pool.open(start);
+      std::vector<double> spent;
+      for (double at = 0; at < 120; at += uniform(0, 0.05)) {
+        double arrives = at + uniform(0, 0.3);
+        std::uint32_t count = pool.grant(start + Duration(arrives), "d", 1 + random() % 4);
+        for (std::uint32_t i = 0; i < count; ++i)
+          spent.push_back(uniform(arrives, at + nuvolau::token_life.count()));
+      }
+      std::sort(spent.begin(), spent.end());
+      std::size_t most = 0;
+      for (std::size_t first = 0, last = 0; last < spent.size(); ++last) {
+        while (spent[last] - spent[first] > 10) ++first;
+        most = std::max(most, last - first + 1);
+      }
+      CPPUNIT_ASSERT(most <= 56 * nuvolau::shared_slack);
+      CPPUNIT_ASSERT(spent.size() > 8 * 56 * nuvolau::shared_slack);  // and nearly all of it, over and over
+    }
+  }
+
+  void aNewLeaderHandsOutNothingUntilTheOldTokensAreOver() {
+    nuvolau::Pool pool;
+    pool.set({56, std::chrono::seconds(10)});
+    nuvolau::Time now{nuvolau::Duration(100)};
+    pool.open(now);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, pool.grant(now + nuvolau::Duration(11.9), "d", 4));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{4}, pool.grant(now + nuvolau::Duration(12), "d", 4));
+    // Who asks for all gets half of what is left.
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{8}, pool.grant(now + nuvolau::Duration(12), "d", 100));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{4}, pool.grant(now + nuvolau::Duration(12), "d", 100));
+  }
+
+  // Most requests come to one edge, and nodes crash: with the shared part it may send more again, and the
+  // judge finds the rule kept.
+  void aBusyEdgeGetsOfTheShared() {
+    std::map<bool, std::uint64_t> withheld, second;
+    for (unsigned run = 0; run < 8; ++run) {
+      bool shared = run % 2 == 1;
+      biella::ClusterOptions options;
+      options.seed = 1 + run / 2;
+      options.requests_per_s = 150;
+      options.edges = 6;
+      options.first_edge = 0.6;
+      options.plain_nodes = 8;
+      options.retry_ratio = 0.02;
+      options.retry_slack = 60;
+      options.shared_budget = shared;
+      biella::Cluster cluster(options);
+      cluster.run(2);
+      cluster.change(0);
+      cluster.run(14);
+      for (int i = 0; i < 60; ++i) {
+        cluster.crash_node(static_cast<std::size_t>(i) % cluster.nodes(), 0.3, false);
+        cluster.run(0.25);
+      }
+      for (const std::string& fault : cluster.checker().faults()) CPPUNIT_FAIL(fault);
+      withheld[shared] += cluster.desk(0)->counters().withheld;
+      second[shared] += cluster.desk(0)->counters().second_calls;
+    }
+    CPPUNIT_ASSERT(withheld[false] > 0);
+    CPPUNIT_ASSERT(withheld[true] * 2 < withheld[false]);
+    CPPUNIT_ASSERT(second[true] > second[false]);
+  }
+
+  // Under an overload all edges have narrowed. One dies: its next life does not begin whole.
+  void anEdgeBeginsAtWhatItsNeighboursAsk() {
+    biella::ClusterOptions options;
+    options.edges = 4;
+    options.nodes_per_shard = 1;
+    options.plain_nodes = 20;
+    options.slots = 1;
+    options.requests_per_s = 150;
+    biella::Cluster cluster(options);
+    cluster.run(2);
+    cluster.change(0);
+    cluster.run(16);
+    double neighbours = 0;
+    for (std::size_t edge = 1; edge < 4; ++edge) neighbours += cluster.desk(edge)->coverage() / 3;
+    CPPUNIT_ASSERT(neighbours < 0.85);
+    cluster.kill_edge(0, 0.3);
+    while (!cluster.desk(0) || cluster.desk(0)->counters().requests == 0) cluster.run(0.05);
+    CPPUNIT_ASSERT(cluster.desk(0)->coverage() < neighbours + 0.15);
+    for (const std::string& fault : cluster.checker().faults()) CPPUNIT_FAIL(fault);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NewsTest);
+
+}  // namespace pearspar
