Desk: a service asked for more than it can do is given what is worth most for its work

Cause: past the narrowest coverage nothing decided who is served but which call found a free slot. Ruled out: giving up by the coverage's threshold of a tenth (second calls and narrowing answer that); a level for the whole edge (one strained shard would refuse requests that can do without it). A counter, altavia_given_up_total.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -205,6 +205,8 @@
       {"altavia_partial_total", "gathered answers that left parts out", n(desk.partial)},
       {"altavia_single_total", "other answers", n(desk.single)},
       {"altavia_refused_total", "given up before anything ran, with a time to come back", n(desk.refused)},
+      {"altavia_given_up_total", "of those, for services that were asked for more than they can do",
+       n(desk.given_up)},
       {"altavia_failed_total", "given up after something may have run", n(desk.failed)},
       {"altavia_no_route_total", "404", n(desk.no_route)},
       {"altavia_calls_total", "requests sent to nodes", n(desk.calls)},
--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -68,6 +68,15 @@
   return id;
 }
 
+bool Desk::admitted(Time now, const averau::Route& route, const std::vector<std::string>& depots,
+                    std::size_t least, FinalAnswer& answer, const Request& request) {
+  if (admission_.admit(now, route, depots, least, book_.typical(route).count() * 1000)) return true;
+  ++counters_.refused;
+  ++counters_.given_up;
+  answer = refusal(request);
+  return false;
+}
+
 // Which services get it. False with an answer where it is given up already.
 bool Desk::plan(Time now, Request& request, FinalAnswer& answer) {
   const averau::Route& route = *request.route;
@@ -84,6 +93,7 @@
         if ((at -= share.weight) < 0) break;
       }
     }
+    if (!admitted(now, route, {*depot}, 1, answer, request)) return false;
     request.parts.resize(1);
     request.parts[0].depot = *depot;
     request.parts[0].wanted = true;
@@ -91,6 +101,9 @@
     return true;
   }
   ++counters_.gathered;
+  if (!admitted(now, route, route.shards, least_parts(route.shards.size(), route.least_share), answer,
+                request))
+    return false;
   request.parts.resize(route.shards.size());
   for (std::size_t i = 0; i < route.shards.size(); ++i) request.parts[i].depot = route.shards[i];
   // A class without partial answers gets every shard, whatever the strain.
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "pederu/admission.h"
 #include "pederu/allowance.h"
 #include "pederu/coverage.h"
 #include "pederu/request.h"
@@ -45,6 +46,7 @@
   std::uint64_t partial = 0;
   std::uint64_t single = 0;
   std::uint64_t refused = 0;
+  std::uint64_t given_up = 0;  // of those, since the services were asked for more than they can do
   std::uint64_t failed = 0;
   std::uint64_t no_route = 0;
   std::uint64_t calls = 0;
@@ -81,6 +83,7 @@
   double coverage() const { return coverage_.share(); }
   void begin_coverage(double share) { coverage_.begin(share); }
   Allowance& allowance() { return allowance_; }
+  const Admission& admission() const { return admission_; }
 
  private:
   struct Out {
@@ -93,6 +96,8 @@
   };
 
   bool plan(Time now, Request& request, FinalAnswer& answer);
+  bool admitted(Time now, const averau::Route& route, const std::vector<std::string>& depots,
+                std::size_t least, FinalAnswer& answer, const Request& request);
   bool send(Time now, RequestId id, std::size_t part);
   void settle_part(Time now, RequestId id, std::size_t part, const CallEnd& end);
   void look(Time now, RequestId id);
@@ -112,6 +117,7 @@
   NodeBook nodes_;
   Weights weights_;
   Coverage coverage_;
+  Admission admission_;
   RouteBook book_;
   Allowance allowance_;
   std::uint32_t edges_ = 1;
--- a/src/pederu/desk_calls.cpp
+++ b/src/pederu/desk_calls.cpp
@@ -65,7 +65,11 @@
   if (out.counted) return;
   out.counted = true;
   Request* request = requests_.find(out.request);
-  if (request && request->route->gathers()) coverage_.outcome(now, bad);
+  if (!request) return;
+  const averau::Route& route = *request->route;
+  if (route.gathers()) coverage_.outcome(now, bad);
+  admission_.outcome(now, request->parts[out.part].depot, bad,
+                     !route.gathers() || coverage_.share() <= route.least_share);
 }
 
 void Desk::ended(Time now, CallId call, const CallEnd& end) {
