--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -66,7 +66,7 @@
   if (checks_) return;
   auto found = edge_.requests_.find(key(connection));
   if (found == edge_.requests_.end()) return;
-  edge_.station_.desk().left(found->second);
+  edge_.station_.left(found->second);
   edge_.clients_.erase(key(found->second));
   edge_.requests_.erase(found);
 }
@@ -112,7 +112,13 @@
     final.status = 400;
     return answer(connection, std::move(final));
   }
-  pederu::RequestId request = station_.desk().arrive(loop_.now(), arrival, final);
+  vandelli::Drawer drawer;
+  if (const averau::Allowances* allowances = station_.allowances()) {
+    drawer.holder = message.header(allowances->holder_header).value_or(std::string_view());
+    drawer.key = allowances->key_header.empty() ? arrival.id
+                                                : message.header(allowances->key_header).value_or(arrival.id);
+  }
+  pederu::RequestId request = station_.arrive(loop_.now(), arrival, drawer, final);
   if (!request) return answer(connection, std::move(final));
   clients_[key(request)] = connection;
   requests_[key(connection)] = request;
@@ -155,7 +161,7 @@
   net::Time now = loop_.now();
   station_.advance(now);
   take_configuration();
-  for (auto& [request, final] : station_.desk().take_answers()) {
+  for (auto& [request, final] : station_.take_answers(now)) {
     auto found = clients_.find(key(request));
     if (found == clients_.end()) continue;
     net::SlotId connection = found->second;
@@ -164,7 +170,7 @@
     answer(connection, std::move(final));
   }
   if (stopping_) wind_down();
-  net::Time due = station_.due();
+  net::Time due = station_.due(now);
   if (stopping_) due = std::min(due, now + net::Duration(0.05));
   due_ = loop_.at(std::max(due, now), [] {});
 }
--- a/src/averau/config.cpp
+++ b/src/averau/config.cpp
@@ -55,12 +55,52 @@
   route.precedence = static_cast<int>(in.number_or("precedence", 0, 0, 1e6));
   route.tries = static_cast<int>(in.number_or("tries", 1, 0, 1000));
   if (route.tries < 1) route.tries = 1;
+  route.kind = in.text_or("allowanceKind", {});
   read_targets(in, route, known);
   return route;
 }
 
+std::string place_of(const std::string& holder, const std::string& kind) { return holder + '\n' + kind; }
+
+std::shared_ptr<const Allowances> read_allowances(JsonReader& in, const std::vector<Route>& routes) {
+  auto read = std::make_shared<Allowances>();
+  std::set<std::string> kinds;
+  for (const Route& route : routes)
+    if (!route.kind.empty()) kinds.insert(route.kind);
+  read->window_ms = in.number_or("windowMs", read->window_ms, 1000, 32 * day_ms);
+  read->holder_header = in.text("holderHeader");
+  if (in.good() && read->holder_header.empty()) in.fail("holderHeader", "is empty");
+  read->key_header = in.text_or("keyHeader", {});
+  std::string policy = in.text_or("outOfTouch", "refuse");
+  if (policy != "refuse" && policy != "spend") in.fail("outOfTouch", "is neither refuse nor spend");
+  read->spend_out_of_touch = policy == "spend";
+  for (JsonReader& each : in.objects("accounts")) {
+    Account account;
+    std::string firm = each.text("firm"), branch = each.text_or("branch", {});
+    if (each.good() && (firm.empty() || firm.find_first_of("/\n") != firm.npos))
+      each.fail("firm", "is empty or holds a slash");
+    if (branch.find_first_of("/\n") != branch.npos) each.fail("branch", "holds a slash");
+    account.holder = branch.empty() ? firm : firm + "/" + branch;
+    account.kind = each.text("kind");
+    if (each.good() && !kinds.count(account.kind)) each.fail("kind", "is no route's allowanceKind");
+    account.limit = static_cast<std::uint64_t>(each.number("limit", 0, 1e12));
+    account.borrows = each.flag_or("borrows", false);
+    if (account.borrows && branch.empty()) each.fail("borrows", "is for branches");
+    if (!each.good()) break;
+    if (!read->places.emplace(place_of(account.holder, account.kind), read->accounts.size()).second)
+      each.fail("kind", "stands twice for this holder");
+    read->accounts.push_back(std::move(account));
+  }
+  return read;
+}
+
 }  // namespace
 
+const Account* Allowances::find(const std::string& holder, const std::string& kind) const {
+  auto found = places.find(place_of(holder, kind));
+  return found == places.end() ? nullptr : &accounts[found->second];
+}
+
 ConfigurationPtr read_configuration(std::string_view text, Fault& fault) {
   fault = {};
   Json json = parse_json(text, fault);
@@ -100,6 +140,8 @@
     to.header_wait_ms = limits->number_or("headerWaitMs", to.header_wait_ms, 1, day_ms);
     to.idle_ms = limits->number_or("idleLimitMs", to.idle_ms, 1, day_ms);
   }
+  if (auto allowances = in.object("allowances"))
+    read->allowances = read_allowances(*allowances, read->routes);
   if (!in.good()) return nullptr;
   read->text = text;
   return read;
--- a/src/averau/config.h
+++ b/src/averau/config.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "averau/json.h"
@@ -31,6 +32,7 @@
   std::vector<std::string> shards;  // empty where it does not
   int top = 0;                      // records of a gathered answer
   double least_share = 0;           // of the shards, for a success
+  std::string kind;                 // of the allowance that it draws on; empty = none
   bool gathers() const { return !shards.empty(); }
 };
 
@@ -47,12 +49,33 @@
   double idle_ms = 15000;
 };
 
+// What a holder may ask for of one kind in a window. A holder is a firm, or a branch under it
+// ("firm/branch"); what a branch draws counts on both.
+struct Account {
+  std::string holder;
+  std::string kind;
+  std::uint64_t limit = 0;
+  bool borrows = false;  // of a branch: past its limit it goes on while its firm's lasts
+};
+
+struct Allowances {
+  double window_ms = 60000;
+  std::string holder_header;  // of a request: who it is for
+  std::string key_header;     // the same over all tries of one retrieval; empty = Request-Id
+  bool spend_out_of_touch = false;
+  std::vector<Account> accounts;
+
+  const Account* find(const std::string& holder, const std::string& kind) const;
+  std::unordered_map<std::string, std::size_t> places;  // by holder and kind
+};
+
 struct Configuration {
   Edition edition = 0;
   std::vector<Route> routes;
   std::vector<Depot> depots;
   Limits limits;
-  std::string text;  // as it was sent
+  std::shared_ptr<const Allowances> allowances;  // null = there are none
+  std::string text;                              // as it was sent
 };
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
 
--- a/src/averau/json.cpp
+++ b/src/averau/json.cpp
@@ -104,6 +104,13 @@
   return has(key) ? number(key, least, most) : fallback;
 }
 
+bool JsonReader::flag_or(const char* key, bool fallback) {
+  const cJSON* found = item(key);
+  if (!found) return fallback;
+  if (!cJSON_IsBool(found)) fail(key, "is neither true nor false");
+  return cJSON_IsTrue(found);
+}
+
 std::vector<JsonReader> JsonReader::objects(const char* key) {
   std::vector<JsonReader> found;
   const cJSON* array = item(key);
--- a/src/averau/json.h
+++ b/src/averau/json.h
@@ -42,6 +42,7 @@
   // A key that may be absent.
   std::string text_or(const char* key, std::string fallback);
   double number_or(const char* key, double fallback, double least, double most);
+  bool flag_or(const char* key, bool fallback);
   // The objects of an array; none where the key is absent.
   std::vector<JsonReader> objects(const char* key);
   std::optional<JsonReader> object(const char* key);
--- a/src/biella/cluster.cpp
+++ b/src/biella/cluster.cpp
@@ -44,6 +44,7 @@
     operators_.push_back(std::make_unique<Operator>());
     operators_.back()->number = i;
   }
+  if (options.retrievals_per_s > 0) world_.in(Duration(3), [this] { retrieve(); });
   if (options.requests_per_s > 0) world_.in(Duration(3), [this] { ask(); });
 }
 
@@ -69,6 +70,9 @@
 const pederu::Desk* Cluster::desk(std::size_t edge) const {
   return edges_[edge]->process ? &edges_[edge]->process->station.desk() : nullptr;
 }
+const vandelli::Station* Cluster::station(std::size_t edge) const {
+  return edges_[edge]->process ? &edges_[edge]->process->station : nullptr;
+}
 std::string Cluster::node_depot(std::size_t node) const { return nodes_[node]->depot; }
 
 void Cluster::check_settled() {
--- a/src/biella/cluster.h
+++ b/src/biella/cluster.h
@@ -9,11 +9,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "biella/auditor.h"
 #include "biella/checker.h"
 #include "biella/disk.h"
 #include "biella/net.h"
 #include "pederu/desk.h"
 #include "sennes/member.h"
+#include "vandelli/station.h"
 #include "vazzoler/follower.h"
 
 namespace pearspar::biella {
@@ -35,7 +37,11 @@
   bool shared_budget = true;    // the leader hands out tokens of the slack
   int more_routes = 0;          // in each configuration, beside the two that are asked
   bool ask_the_living = false;  // operators call members that are up; else any
-  double first_edge = 0;        // share of the requests that go to the first edge beside its own part
+  // Retrievals under an allowance: the configuration's "allowances", as JSON; empty = none.
+  std::string allowances;
+  std::vector<std::string> holders;  // that retrieve
+  double retrievals_per_s = 0;
+  double first_edge = 0;  // share of the requests that go to the first edge beside its own part
 };
 
 class Cluster {
@@ -91,6 +97,13 @@
     std::uint64_t changes_taken = 0, changes_refused = 0, unclear = 0;
   };
   const Totals& totals() const { return totals_; }
+  // One retrieval, asked for at so many edges at once.
+  void retrieve_one(const std::string& holder, bool gathers, int copies);
+  void stop_retrieving() { retrieving_ = false; }
+  void set_allowances(const std::string& json) { options_.allowances = json; }
+  const Auditor& auditor() const { return auditor_; }
+  std::vector<std::string> audit(const std::vector<Auditor::Limit>& limits, bool exactly) const;
+  const vandelli::Station* station(std::size_t edge) const;
   // Told whenever an edge routes by another edition.
   std::function<void(std::size_t edge, std::uint64_t edition)> edge_told = [](std::size_t, std::uint64_t) {};
   std::vector<std::string> seeds() const;
@@ -104,6 +117,7 @@
   struct Edge;
   struct Node;
   struct Operator;
+  struct Retrieval;
   using Answer = std::function<void(int status, const std::string& body)>;  // status 0 = none came
 
   void start_core(Core& core);
@@ -117,6 +131,8 @@
   void push_change(Operator& who, std::uint64_t on_top_of, std::uint64_t edition, std::string text,
                    int tries);
   void ask();
+  void retrieve();
+  void try_retrieval(const std::shared_ptr<Retrieval>& retrieval);
 
   ClusterOptions options_;
   World world_;
@@ -131,6 +147,10 @@
   std::unordered_map<std::string, std::vector<std::string>> records_;  // by stamp
   std::unordered_map<std::string, std::string> stamp_depots_;
   Totals totals_;
+  Auditor auditor_;
+  bool retrieving_ = true;
+  std::uint64_t next_key_ = 0;
+  std::unordered_map<std::string, std::function<void(int status)>> ended_;  // by request
   Time calm_since_{};
   std::uint64_t next_request_ = 0;
   std::uint64_t next_change_ = 0;
--- a/src/biella/cluster_edges.cpp
+++ b/src/biella/cluster_edges.cpp
@@ -13,14 +13,14 @@
     Time now = world_.now();
     process.station.advance(now);
     process.tell_routes();
-    for (auto& [request, answer] : process.station.desk().take_answers()) {
+    for (auto& [request, answer] : process.station.take_answers(now)) {
       auto open = process.open.find(std::uint64_t{request.index} << 32 | request.generation);
       if (open == process.open.end()) continue;
       std::string id = open->second;
       process.open.erase(open);
       process.finish(id, answer);
     }
-    Time due = std::max(process.station.due(), now + Duration(0.0005));
+    Time due = std::max(process.station.due(now), now + Duration(0.0005));
     if (process.wake > now && process.wake <= due) return;
     process.wake = due;
     world_.at(due, [&process, due, alive = process.life.alive] {
@@ -37,6 +37,8 @@
   World& world = cluster.world_;
   std::string id = between(request, "Request-Id: ", "\r\n");
   std::string addressee = between(request, "Addressee: ", "\r\n");
+  std::string holder = between(request, "Holder: ", "\r\n"),
+              key = between(request, "Retrieval-Key: ", "\r\n");
   std::string address = known.address;
   auto back = [this, call, alive = life.alive](pederu::Ending ending, int status, std::string stamp,
                                                std::string body) {
@@ -52,7 +54,7 @@
   };
   // The request goes its way whatever becomes of the edge that sent it.
   Cluster& all = cluster;
-  world.in(all.net_.delay(), [&all, &world, id, addressee, address, back] {
+  world.in(all.net_.delay(), [&all, &world, id, addressee, address, holder, key, back] {
     auto found = std::find_if(all.nodes_.begin(), all.nodes_.end(),
                               [&](const auto& node) { return node->address == address && node->up; });
     if (found == all.nodes_.end()) {
@@ -68,8 +70,10 @@
     all.checker_.request_reached(all.seconds(), node.id, node.depot, id, all.edge_in_touch());
     if (node.queue.size() >= 12) return later([back] { back(pederu::Ending::not_run, 503, {}, {}); });
     std::uint64_t life_then = node.starts;
-    auto work = [&all, &world, &node, id, back, later, life_then] {
+    auto work = [&all, &world, &node, id, holder, key, back, later, life_then] {
+      if (node.starts != life_then) return;  // what waited went with the one before
       ++node.busy;
+      if (!key.empty()) all.auditor_.ran(holder, id[0] == 'g' ? "sweep" : "pull", key);
       double took = 0.02 * node.factor * world.uniform(0.5, 1.5);
       world.in(Duration(took), [&all, &world, &node, id, back, later, life_then] {
         if (node.starts != life_then || !node.up)
@@ -104,7 +108,12 @@
 
 void Cluster::Edge::Process::finish(const std::string& id, const pederu::FinalAnswer& answer) {
   Cluster::Totals& totals = cluster.totals_;
-  if (answer.status == 503) return static_cast<void>(++totals.refused);
+  if (auto ended = cluster.ended_.find(id); ended != cluster.ended_.end()) {
+    auto tell = std::move(ended->second);
+    cluster.ended_.erase(ended);
+    tell(answer.status);
+  }
+  if (answer.status == 503 || answer.status == 429) return static_cast<void>(++totals.refused);
   if (answer.status != 200) return static_cast<void>(++totals.failed);
   ++totals.served;
   if (id[0] != 'g') return;
@@ -140,30 +149,32 @@
   bool gathers = world_.chance(0.6);
   std::string id = std::string(gathers ? "g" : "s") + std::to_string(++next_request_);
   ++totals_.asked;
-  process.life.run([this, &process, id, gathers] {
-    pederu::Arrival arrival;
-    std::string target = gathers ? "/g/x" : "/s/x";
-    arrival.method = "GET";
-    arrival.target = target;
-    arrival.host = "h";
-    arrival.id = id;
-    arrival.deadline_ms = 1500;
-    arrival.head = "GET " + target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\n";
-    pederu::FinalAnswer answer;
-    // A request counts for every service that its route names, sent there or not.
-    const auto& configuration = process.station.follower().view().configuration();
-    for (const averau::Route& route : configuration->routes)
-      if (target.starts_with(route.prefix)) {
-        std::vector<std::string> depots = route.shards;
-        for (const averau::Share& share : route.depots) depots.push_back(share.depot);
-        checker_.request_made(seconds(), id, depots);
-      }
-    pederu::RequestId request = process.station.desk().arrive(world_.now(), arrival, answer);
-    if (request)
-      process.open[std::uint64_t{request.index} << 32 | request.generation] = id;
-    else
-      process.finish(id, answer);
-  });
+  process.life.run([&process, id, gathers] { process.take_request(id, gathers ? "/g/x" : "/s/x", "", {}); });
+}
+
+void Cluster::Edge::Process::take_request(const std::string& id, const std::string& target,
+                                          const std::string& lines, const vandelli::Drawer& drawer) {
+  pederu::Arrival arrival;
+  arrival.method = "GET";
+  arrival.target = target;
+  arrival.host = "h";
+  arrival.id = id;
+  arrival.deadline_ms = 1500;
+  arrival.head = "GET " + target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\n" + lines;
+  pederu::FinalAnswer answer;
+  // A request counts for every service that its route names, sent there or not.
+  const auto& configuration = station.follower().view().configuration();
+  for (const averau::Route& route : configuration->routes)
+    if (target.starts_with(route.prefix)) {
+      std::vector<std::string> depots = route.shards;
+      for (const averau::Share& share : route.depots) depots.push_back(share.depot);
+      cluster.checker_.request_made(cluster.seconds(), id, depots);
+    }
+  pederu::RequestId request = station.arrive(cluster.world_.now(), arrival, drawer, answer);
+  if (request)
+    open[std::uint64_t{request.index} << 32 | request.generation] = id;
+  else
+    finish(id, answer);
 }
 
 void Cluster::kill_edge(std::size_t index, double back_s) {
--- a/src/biella/cluster_operators.cpp
+++ b/src/biella/cluster_operators.cpp
@@ -34,6 +34,9 @@
   for (int i = 0; i < options_.more_routes; ++i)
     more += ",{\"name\":\"m" + std::to_string(i) + "\",\"hostName\":\"more.example\",\"pathPrefix\":\"/" +
             std::to_string(i) + "/\",\"lineKind\":\"safe\",\"deadlineMs\":1500,\"depot\":\"plain\"}";
+  auto kind = [&](const std::string& name) {
+    return options_.allowances.empty() ? std::string() : ",\"allowanceKind\":\"" + name + "\"";
+  };
   for (const std::string& shard : shards_) shards += (shards.empty() ? "\"" : ",\"") + shard + "\"";
   for (const std::string& depot : depots_)
     depots += (depots.empty() ? "" : ",") +
@@ -43,11 +46,13 @@
          "\",\"postalRoutes\":[{\"name\":\"g\",\"hostName\":\"h\",\"pathPrefix\":\"/g/"
          "\",\"lineKind\":\"safe\"," +
          "\"deadlineMs\":1500,\"targetMs\":150,\"precedence\":1,\"gatherFrom\":[" + shards +
-         "],\"tries\":2,\"topN\":" + std::to_string(top_records) + ",\"minShare\":0.5}," +
+         "],\"tries\":2,\"topN\":" + std::to_string(top_records) + ",\"minShare\":0.5" + kind("sweep") +
+         "}," +
          "{\"name\":\"s\",\"hostName\":\"h\",\"pathPrefix\":\"/s/"
          "\",\"lineKind\":\"safe\",\"deadlineMs\":1500," +
-         "\"targetMs\":300,\"precedence\":2,\"depot\":\"plain\",\"tries\":2}" + more + "],\"depots\":[" +
-         depots + "],\"limits\":{}}";
+         "\"targetMs\":300,\"precedence\":2,\"depot\":\"plain\",\"tries\":2" + kind("pull") + "}" + more +
+         "],\"depots\":[" + depots + "],\"limits\":{}" +
+         (options_.allowances.empty() ? "" : ",\"allowances\":" + options_.allowances) + "}";
 }
 
 void Cluster::change(int number) {
--- a/src/biella/cluster_parts.h
+++ b/src/biella/cluster_parts.h
@@ -114,6 +114,8 @@
     }
     bool start(pederu::CallId call, const pederu::KnownNode& node, int most, std::string request,
                pederu::Time end) override;
+    void take_request(const std::string& id, const std::string& target, const std::string& lines,
+                      const vandelli::Drawer& drawer);
     void finish(const std::string& id, const pederu::FinalAnswer& answer);
   };
   std::unique_ptr<Process> process;
--- a/src/fanes/messages.cpp
+++ b/src/fanes/messages.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fanes/agreement.h"
+#include "fanes/allowance.h"
 #include "fanes/pack.h"
 
 namespace pearspar::fanes {
@@ -21,7 +22,9 @@
   call,
   call_answer,
   want,
-  grant
+  grant,
+  ask,
+  tell
 };
 
 constexpr std::size_t most_fields = 32;
@@ -187,6 +190,14 @@
     packer.number(grant.number);
     put(packer, grant.tokens);
   }
+  void operator()(const pramperet::Ask& ask) const {
+    begin(packer, Tag::ask, 1);
+    pack(packer, ask);
+  }
+  void operator()(const pramperet::Tell& tell) const {
+    begin(packer, Tag::tell, 1);
+    pack(packer, tell);
+  }
   void operator()(const Call& call) const {
     begin(packer, Tag::call, 6);
     packer.number(call.number);
@@ -314,6 +325,10 @@
       grant.tokens = get_tokens(in);
       return grant;
     }
+    case Tag::ask:
+      return unpack_ask(in);
+    case Tag::tell:
+      return unpack_tell(in);
     case Tag::call_answer: {
       CallAnswer answer;
       answer.number = in.number();
--- a/src/fanes/messages.h
+++ b/src/fanes/messages.h
@@ -14,6 +14,7 @@
 #include "averau/config.h"
 #include "averau/nodes.h"
 #include "lagazuoi/types.h"
+#include "pramperet/words.h"
 
 namespace pearspar::fanes {
 
@@ -132,7 +133,7 @@
 };
 
 using Message = std::variant<lagazuoi::Message, Hello, Welcome, Standing, Changes, Ping, Ack, Farewell, Call,
-                             CallAnswer, Want, Grant>;
+                             CallAnswer, Want, Grant, pramperet::Ask, pramperet::Tell>;
 
 std::string pack(const Message& message);
 // Nothing where the bytes are no message that this program knows.
--- a/src/lagazuoi/replication.cpp
+++ b/src/lagazuoi/replication.cpp
@@ -188,6 +188,8 @@
   }
   if (applied_ - log_.snapshot().index < fold_entries && log_.bytes() < fold_bytes) return;
   if (applied_ == log_.snapshot().index) return;
+  // A large state is not written anew for a few small entries.
+  if (log_.bytes() < fold_bytes && log_.bytes() * 2 < log_.snapshot().state.size()) return;
   Snapshot snapshot;
   snapshot.index = applied_;
   snapshot.term = log_.term_at(applied_);
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -68,6 +68,10 @@
   void set_allowance(const AllowanceRules& rules) { allowance_.set(rules); }
   NodeBook& nodes() { return nodes_; }
 
+  // Its route; null where there is none.
+  const averau::Route* route_of(const Arrival& arrival) const {
+    return routes_ ? routes_->find(arrival.host, arrival.target) : nullptr;
+  }
   // Where it can be told at once, `answer` is set; else it follows in take_answers().
   RequestId arrive(Time now, const Arrival& arrival, FinalAnswer& answer);
   // Its client has gone: the calls that are out run on, nothing new is begun.
--- /dev/null
+++ b/src/pramperet/accounts.h
@@ -0,0 +1,113 @@
+// What the core agrees on about allowances, folded from the log: tokens out at each edge's life, what was
+// drawn, by window. The same entries give the same state on every member.
+//
+// Always true: in the window that runs, drawn + in doubt + out is no more than the limit at every level that
+// binds; a key counts once; a question that is applied twice changes nothing the second time.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "averau/config.h"
+#include "pramperet/words.h"
+
+namespace pearspar::fanes {
+class Packer;
+class Unpacker;
+}  // namespace pearspar::fanes
+
+namespace pearspar::pramperet {
+
+struct Count {
+  std::uint64_t out = 0;         // tokens at edges
+  std::uint64_t drawn = 0;       // retrievals
+  std::uint64_t unsure = 0;      // of those, such that may have run or not
+  std::uint64_t in_doubt = 0;    // tokens at edges that are gone: spent or not, nobody knows
+  std::uint64_t given_back = 0;  // drawn, and then run by nobody
+  std::uint64_t repeated = 0;    // tries of a retrieval that was counted before
+  std::uint64_t refused = 0;
+};
+
+class Accounts {
+ public:
+  // The rules from this place of the log on; null = none.
+  void configure(std::shared_ptr<const averau::Allowances> rules) { rules_ = std::move(rules); }
+  bool on() const { return rules_ != nullptr; }
+
+  void apply(const Ask& ask);
+  // A new window; nothing where it is not the next.
+  void turn(Window window);
+  // The edge has not been heard of for longer than its tokens last: what it can't have spent comes back.
+  void gone(Life life);
+
+  Window window() const { return periods_.empty() ? 0 : periods_.back().number; }
+  bool applied(Life life, std::uint64_t number) const;
+  // What that question, the newest of its life, got in the window that runs; else nothing.
+  const std::vector<Given>* given(Life life, std::uint64_t number) const;
+  bool is_gone(Life life) const;
+  std::vector<Life> lives() const;  // that hold tokens
+  std::vector<Life> holders_of(const Leaf& leaf) const;
+
+  struct Line {
+    Window window = 0;
+    Leaf leaf;  // of a level: a firm, or a branch
+    std::uint64_t limit = 0;
+    bool limited = false;
+    Count count;
+  };
+  // Newest window first; by holder and kind.
+  std::vector<Line> lines() const;
+  Count count(const Leaf& level) const;  // of the window that runs
+
+  void fold(fanes::Packer& packer) const;
+  bool restore(fanes::Unpacker& in);
+
+ private:
+  static constexpr std::size_t periods_kept = 3;
+  static constexpr std::size_t most_numbers = 65536;
+  struct Claim {
+    Leaf leaf;
+    std::uint64_t tries = 0;  // that have drawn on it
+    bool unsure = false;
+  };
+  struct Period {
+    Window number = 0;
+    std::map<Leaf, Count> counts;
+    std::unordered_map<Key, Claim> keys;
+  };
+  struct Grant {
+    std::uint64_t out = 0;
+    std::uint64_t in_doubt = 0;
+  };
+  struct Held {
+    std::uint64_t number = 0;
+    bool gone = false;
+    Window heard = 0;  // window of its newest question
+    std::vector<Given> given;
+    std::map<std::pair<Leaf, Window>, Grant> grants;
+  };
+
+  Period* period(Window window);
+  static std::vector<Leaf> levels(const Leaf& leaf);
+  template <class What>
+  static void at_levels(Period& period, const Leaf& leaf, What what);
+  std::uint64_t room(const Leaf& leaf) const;
+  void settle(Held& held, const Settled& settled);
+  void back(const Back& back);
+  void unsure(const Back& which);
+  static void sure(Period& period, Claim& claim);
+  void give(Held& held, const Amount& want);
+
+  std::shared_ptr<const averau::Allowances> rules_;
+  std::deque<Period> periods_;
+  std::map<Life, Held> held_;
+};
+
+}  // namespace pearspar::pramperet
--- /dev/null
+++ b/src/pramperet/bursar.h
@@ -0,0 +1,76 @@
+// The leader's side of the allowance: edges' questions are gathered into entries of the log and answered when
+// a majority has them on disk; windows turn; edges that fell silent are given up. Free of I/O.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fanes/allowance.h"
+#include "pramperet/accounts.h"
+
+namespace pearspar::pramperet {
+
+using Duration = std::chrono::duration<double>;
+using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using Link = std::uint64_t;
+
+// At the edge, from the sending of the question whose answer renewed it; a frozen edge that wakes past it
+// spends nothing.
+inline constexpr Duration token_lease = std::chrono::seconds(2);
+
+struct BursarCounters {
+  std::uint64_t asks = 0;
+  std::uint64_t entries = 0;
+  std::uint64_t dropped = 0;
+  std::uint64_t given_up = 0;  // edges
+};
+
+class Bursar {
+ public:
+  // On every member, after each event: windows are timed from when their entry was applied here.
+  void watch(Time now, const Accounts& accounts);
+  void open(Time now, const Accounts& accounts);
+  void close();
+
+  void ask(Time now, Link link, Ask ask);
+  // What is to be put into the log now; nothing while an entry is under way. Then proposed() follows.
+  std::optional<std::string> entry(Time now, const Accounts& accounts, const averau::Allowances* rules);
+  void proposed(std::optional<std::uint64_t> index);
+  // What is to be told, now that entries up to `applied` are in force.
+  std::vector<std::pair<Link, Tell>> tells(Time now, std::uint64_t applied, const Accounts& accounts,
+                                           const averau::Allowances* rules);
+  Time due(const averau::Allowances* rules) const;
+  // Of the window that runs.
+  Duration left(Time now, const averau::Allowances* rules) const;
+  const BursarCounters& counters() const { return counters_; }
+
+ private:
+  static constexpr Duration gather = std::chrono::milliseconds(2);
+  static constexpr Duration silence = std::chrono::seconds(3);  // the lease and what clocks and links may add
+  static constexpr Duration look_every = std::chrono::milliseconds(200);
+  static constexpr std::size_t most_waiting = 4096;
+
+  void look(Time now, const Accounts& accounts, const averau::Allowances& rules,
+            std::vector<fanes::AllowanceStep>& steps);
+  Tell tell(Time now, const Ask& ask, const Accounts& accounts, const averau::Allowances* rules) const;
+
+  bool open_ = false;
+  Window seen_ = 0;
+  Time turned_{};
+  std::vector<std::pair<Link, Ask>> waiting_;    // for the next entry
+  std::vector<std::pair<Link, Ask>> under_way_;  // in the entry that was proposed
+  std::optional<std::uint64_t> index_;
+  bool busy_ = false;  // an entry was proposed
+  Time gather_due_ = Time::max();
+  Time look_due_{};
+  std::vector<std::pair<Link, Tell>> now_;  // what needs no entry
+  std::map<Life, std::pair<Link, Time>> heard_;
+  BursarCounters counters_;
+};
+
+}  // namespace pearspar::pramperet
--- a/src/sennes/office.cpp
+++ b/src/sennes/office.cpp
@@ -19,6 +19,7 @@
 constexpr std::string_view list_path = "/pearspar/nodes";
 constexpr std::string_view history_path = "/pearspar/history";
 constexpr std::string_view snapshot_path = "/pearspar/snapshot";
+constexpr std::string_view allowance_path = "/pearspar/allowance";
 
 bool is_node_path(std::string_view path) {
   return path.starts_with(nodes_path) && path.size() > nodes_path.size() &&
@@ -64,7 +65,7 @@
   }
   if (path == config_path) {
     if (method != "GET" && method != "PUT") return reply_fault(request, 405, "GET or PUT is wanted");
-  } else if (path == list_path || path == history_path || path == snapshot_path) {
+  } else if (path == list_path || path == history_path || path == snapshot_path || path == allowance_path) {
     if (method != "GET") return reply_fault(request, 405, "GET is wanted");
   } else if (is_node_path(path)) {
     if (method != "PUT" && method != "DELETE") return reply_fault(request, 405, "PUT or DELETE is wanted");
@@ -103,6 +104,8 @@
       reply(request, 200, nodes_json(now, view_));
     } else if (request.path == history_path) {
       reply(request, 200, history_json(state_));
+    } else if (request.path == allowance_path) {
+      reply(request, 200, allowance_json(core_, state_));
     } else if (request.path == snapshot_path) {
       reply(request, 200, snapshot_json(state_));
     } else if (request.method == "PUT") {
@@ -168,12 +171,14 @@
   expire_due_ = now;
   followers_.open(now, core_.term(), false);
   pool_.open(now);
+  bursar_.open(now, state_.accounts());
   // The first change of the term: it moves this member's own position to it.
   followers_.add(now, {});
 }
 
 void Office::close_office(Time now) {
   followers_.close();
+  bursar_.close();
   finish_proposal(now);
   finish_spreading(now);
 }
@@ -189,6 +194,7 @@
     tell_members();
     expire(now);
   }
+  keep_allowance(now);
   finish_spreading(now);
   for (std::size_t left = waiting_.size(); left > 0; --left) {
     Request request = std::move(waiting_.front());
@@ -204,7 +210,7 @@
 
 Time Office::due() const {
   Time due = Time::max();
-  if (in_office()) due = std::min({due, followers_.due(), expire_due_});
+  if (in_office()) due = std::min({due, followers_.due(), expire_due_, bursar_.due(state_.allowances())});
   if (!waiting_.empty()) due = std::min(due, waiting_.front().until);
   if (!spreading_.empty()) due = std::min(due, spreading_.front().until);
   if (!passed_.empty()) due = std::min(due, passed_.begin()->second.until);
@@ -218,6 +224,18 @@
   return out;
 }
 
+// Edges' questions go into the log, and are answered when they are in force.
+void Office::keep_allowance(Time now) {
+  bursar_.watch(now, state_.accounts());
+  if (!in_office()) return;
+  const averau::Allowances* rules = state_.allowances();
+  if (core_.may_speak(now))
+    if (auto entry = bursar_.entry(now, state_.accounts(), rules))
+      bursar_.proposed(core_.propose(now, State::allowance(*entry)));
+  for (auto& [link, tell] : bursar_.tells(now, core_.applied(), state_.accounts(), rules))
+    to_links_.push_back({link, fanes::pack(std::move(tell))});
+}
+
 // Only a leader hands out, and only for services that the configuration names.
 void Office::grant(Time now, LinkId link, const fanes::Want& want) {
   if (!in_office() || !core_.may_speak(now) || !view_.configuration()) return;
@@ -259,6 +277,8 @@
     followers_.on_farewell(link);
   } else if (const auto* want = std::get_if<fanes::Want>(&message)) {
     grant(now, link, *want);
+  } else if (const auto* ask = std::get_if<pramperet::Ask>(&message)) {
+    bursar_.ask(now, link, *ask);
   } else if (const auto* call = std::get_if<fanes::Call>(&message)) {
     Request request;
     request.from = call->from;
--- a/src/sennes/office.h
+++ b/src/sennes/office.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "nuvolau/pool.h"
+#include "pramperet/bursar.h"
 #include "sennes/followers.h"
 #include "sennes/state.h"
 
@@ -75,6 +76,7 @@
   const vazzoler::View& view() const { return view_; }
   const Followers& followers() const { return followers_; }
   const nuvolau::Pool& pool() const { return pool_; }
+  const pramperet::Bursar& bursar() const { return bursar_; }
   bool in_office() const { return followers_.is_open(); }
 
  private:
@@ -117,6 +119,7 @@
   void expire(Time now);
   void tell_configuration(Time now);
   void tell_members();
+  void keep_allowance(Time now);
   void grant(Time now, LinkId link, const fanes::Want& want);
   void follow(LinkId link, vazzoler::View::Taken taken);
 
@@ -126,6 +129,7 @@
   vazzoler::View view_;
   Followers followers_;
   nuvolau::Pool pool_;
+  pramperet::Bursar bursar_;
   std::deque<Request> waiting_;  // for a leader, or for the proposal before
   std::optional<Proposal> proposal_;
   std::vector<Proposal> same_;  // the same change, asked again while it is under way
--- a/src/sennes/report.cpp
+++ b/src/sennes/report.cpp
@@ -60,6 +60,19 @@
   return "{\"taken\":" + taken.text() + "}";
 }
 
+std::string allowance_json(const lagazuoi::Core& core, const State& state) {
+  List lines;
+  for (const auto& line : state.accounts().lines())
+    lines.add(fmt::format(
+        R"({{"window":{},"holder":{},"kind":{},"limit":{},"drawn":{},"unsure":{},"inDoubt":{},"givenBack":{},)"
+        R"("repeated":{},"refused":{},"out":{}}})",
+        line.window, quoted(line.leaf.holder), quoted(line.leaf.kind),
+        line.limited ? std::to_string(line.limit) : "null", line.count.drawn, line.count.unsure,
+        line.count.in_doubt, line.count.given_back, line.count.repeated, line.count.refused, line.count.out));
+  return fmt::format(R"({{"format":1,"term":{},"position":{},"window":{},"counts":{}}})", core.term(),
+                     core.applied(), state.accounts().window(), lines.text());
+}
+
 std::string snapshot_json(const State& state) {
   const std::string text = state.current() ? state.current()->text : std::string();
   return fmt::format(R"({{"format":1,"edition":{},"digest":"{}","history":{},"configuration":{}}})",
--- a/src/sennes/report.h
+++ b/src/sennes/report.h
@@ -14,6 +14,8 @@
                         const vazzoler::View& view, const Followers& followers);
 std::string nodes_json(Time now, const vazzoler::View& view);
 std::string history_json(const State& state);
+// Counts by window, holder and kind, signed off by the place in the log that they are of.
+std::string allowance_json(const lagazuoi::Core& core, const State& state);
 // The agreed state in a form that can be kept, checked and put back: format 1.
 std::string snapshot_json(const State& state);
 
--- a/src/vazzoler/follower.cpp
+++ b/src/vazzoler/follower.cpp
@@ -58,6 +58,10 @@
   return wire_.send(leader_link_, fanes::pack(fanes::Want{options_.life, ++asked_, std::move(tokens)}));
 }
 
+bool Follower::ask(const pramperet::Ask& ask) {
+  return leader_link_ != 0 && wire_.send(leader_link_, fanes::pack(ask));
+}
+
 bool Follower::frame(Time now, puez::LinkId link, std::string_view bytes) {
   auto message = fanes::unpack(bytes);
   if (!message) {
@@ -86,6 +90,10 @@
       granted_.emplace_back(asked_at_ + nuvolau::token_life, each);
     return false;
   }
+  if (const auto* tell = std::get_if<pramperet::Tell>(&*message)) {
+    tells_.push_back(*tell);
+    return false;
+  }
   if (const auto* welcome = std::get_if<fanes::Welcome>(&*message)) {
     // A member that is behind must not take us back to members that are gone.
     if (welcome->cores.empty() || welcome->term < cores_term_) return false;
--- a/src/vazzoler/follower.h
+++ b/src/vazzoler/follower.h
@@ -43,6 +43,9 @@
   // Asks the leader for tokens, where one is known and the question before was answered or is old.
   bool want(Time now, std::vector<fanes::Tokens> tokens);
   bool may_want(Time now) const { return leader_link_ != 0 && now >= want_due_; }
+  // A question about the allowance; false where no leader is known.
+  bool ask(const pramperet::Ask& ask);
+  std::vector<pramperet::Tell> take_tells() { return std::exchange(tells_, {}); }
   // What was granted since the last call, each good until the time with it.
   std::vector<std::pair<Time, fanes::Tokens>> take_granted() { return std::exchange(granted_, {}); }
   bool knows_enough() const { return view_.knows_enough() && listed_; }
@@ -74,6 +77,7 @@
   Time asked_at_{};
   Time want_due_{};
   std::vector<std::pair<Time, fanes::Tokens>> granted_;
+  std::vector<pramperet::Tell> tells_;
   std::uint64_t unread_ = 0;
 };
 
--- /dev/null
+++ b/tests/system/allowance_test.cpp
@@ -0,0 +1,528 @@
+// One allowance over all edges: what the core agrees on, and whole clusters whose auditor saw only what
+// clients asked and nodes ran.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fstream>
+
+#include "biella/cluster.h"
+#include "fanes/pack.h"
+#include "pramperet/accounts.h"
+#include "pramperet/purse.h"
+
+namespace pearspar {
+
+using pramperet::Accounts;
+using pramperet::Ask;
+using pramperet::Leaf;
+
+namespace {
+
+#ifdef __SANITIZE_ADDRESS__
+constexpr unsigned thin = 6;
+#else
+constexpr unsigned thin = 1;
+#endif
+
+std::string configuration(const std::string& allowances) {
+  return R"({"edition":1,"postalRoutes":[{"hostName":"h","pathPrefix":"/s/","lineKind":"safe","deadlineMs":1000,)"
+         R"("depot":"p","allowanceKind":"pull"}],"depots":[{"name":"p"}],"allowances":)" +
+         allowances + "}";
+}
+std::string rules(const std::string& accounts, const std::string& extra = "") {
+  return R"({"windowMs":600000,"holderHeader":"Holder","keyHeader":"Retrieval-Key")" + extra +
+         R"(,"accounts":[)" + accounts + "]}";
+}
+std::string account(const std::string& firm, const std::string& branch, const std::string& kind, int limit,
+                    const std::string& extra = "") {
+  return "{\"firm\":\"" + firm + "\"" + (branch.empty() ? "" : ",\"branch\":\"" + branch + "\"") +
+         ",\"kind\":\"" + kind + "\",\"limit\":" + std::to_string(limit) + extra + "}";
+}
+std::shared_ptr<const averau::Allowances> read(const std::string& allowances) {
+  averau::Fault fault;
+  auto found = averau::read_configuration(configuration(allowances), fault);
+  CPPUNIT_ASSERT_EQUAL(std::string(), fault.text());
+  return found->allowances;
+}
+std::string fault_of(const std::string& allowances) {
+  averau::Fault fault;
+  CPPUNIT_ASSERT(!averau::read_configuration(configuration(allowances), fault));
+  return fault.text();
+}
+
+}  // namespace
+
+class AllowanceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AllowanceTest);
+  CPPUNIT_TEST(aFaultInTheRulesIsToldItsKey);
+  CPPUNIT_TEST(tokensBindAtBothLevels);
+  CPPUNIT_TEST(aQuestionCountsOnce);
+  CPPUNIT_TEST(aKeyCountsOnceOverEdgesAndWindows);
+  CPPUNIT_TEST(whatNobodyRanIsGivenBackOnce);
+  CPPUNIT_TEST(whatADeadEdgeHeldComesBackButForWhatIsInDoubt);
+  CPPUNIT_TEST(aLateReportIsCountedInItsWindow);
+  CPPUNIT_TEST(aLimitThatMovesBindsAtOnce);
+  CPPUNIT_TEST(theFoldHoldsAll);
+  CPPUNIT_TEST(aFrozenPurseSpendsNothing);
+  CPPUNIT_TEST(noMoreThanAFewAreUnsettled);
+  CPPUNIT_TEST(withoutRulesNothingIsSaid);
+  CPPUNIT_TEST(countsEqualWhatRan);
+  CPPUNIT_TEST(theLastTokensAreAskedForByAll);
+  CPPUNIT_TEST(oneRetrievalAtTwoEdgesIsOneDraw);
+  CPPUNIT_TEST(idleTokensAreAskedBack);
+  CPPUNIT_TEST(aRaisedLimitIsServedAgain);
+  CPPUNIT_TEST(troublesLeaveTheCountsWithinTheirBounds);
+  CPPUNIT_TEST_SUITE_END();
+
+  const Leaf branch{"f/b", "pull"}, firm{"f", "pull"};
+
+  static Ask ask(pramperet::Life life, std::uint64_t number, pramperet::Window window = 1) {
+    Ask ask;
+    ask.life = life;
+    ask.number = number;
+    ask.window = window;
+    return ask;
+  }
+  static Accounts begun(const std::string& accounts, const std::string& extra = "") {
+    Accounts state;
+    state.configure(read(rules(accounts, extra)));
+    state.turn(1);
+    return state;
+  }
+  static std::uint64_t want(Accounts& state, pramperet::Life life, std::uint64_t number, const Leaf& leaf,
+                            std::uint64_t count) {
+    Ask question = ask(life, number, state.window());
+    question.wants.push_back({leaf, count});
+    state.apply(question);
+    return state.given(life, number)->front().count;
+  }
+
+ public:
+  void aFaultInTheRulesIsToldItsKey() {
+    CPPUNIT_ASSERT_EQUAL(std::string("allowances.accounts[0].kind: is no route's allowanceKind"),
+                         fault_of(rules(account("f", "", "sing", 3))));
+    CPPUNIT_ASSERT_EQUAL(std::string("allowances.accounts[1].kind: stands twice for this holder"),
+                         fault_of(rules(account("f", "", "pull", 3) + "," + account("f", "", "pull", 4))));
+    CPPUNIT_ASSERT(fault_of(rules(account("f/x", "", "pull", 3))).starts_with("allowances.accounts[0].firm"));
+    CPPUNIT_ASSERT(fault_of(rules(account("f", "", "pull", -1))).starts_with("allowances.accounts[0].limit"));
+    CPPUNIT_ASSERT(fault_of(rules(account("f", "", "pull", 3, ",\"borrows\":true")))
+                       .ends_with("borrows: is for branches"));
+    CPPUNIT_ASSERT(fault_of(rules("", ",\"outOfTouch\":\"hope\"")).starts_with("allowances.outOfTouch"));
+  }
+
+  void tokensBindAtBothLevels() {
+    Accounts state = begun(account("f", "", "pull", 10) + "," + account("f", "b", "pull", 4) + "," +
+                           account("f", "c", "pull", 5, ",\"borrows\":true"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, want(state, 1, 1, branch, 100));  // half of what is left
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, want(state, 2, 1, branch, 100));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, want(state, 2, 2, branch, 100));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, want(state, 3, 1, branch, 1));
+    CPPUNIT_ASSERT(!state.given(3, 1)->front().exhausted);  // others hold some
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, state.count(firm).out);
+    // One that borrows is bound by its firm alone.
+    std::uint64_t borrowed = 0;
+    for (std::uint64_t i = 1; i <= 8; ++i) borrowed += want(state, 4, i, {"f/c", "pull"}, 100);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, borrowed);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, state.count(firm).out);
+  }
+
+  void aQuestionCountsOnce() {
+    Accounts state = begun(account("f", "", "pull", 10));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, want(state, 1, 1, firm, 3));
+    Ask spent = ask(1, 2);
+    spent.settled.push_back({firm, 1, {11, 12}});
+    for (int i = 0; i < 3; ++i) state.apply(spent);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state.count(firm).drawn);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).out);
+    state.apply(ask(1, 1));  // older than what was taken
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).out);
+  }
+
+  void aKeyCountsOnceOverEdgesAndWindows() {
+    Accounts state = begun(account("f", "", "pull", 10));
+    want(state, 1, 1, firm, 2);
+    want(state, 2, 1, firm, 2);
+    for (pramperet::Life life : {1, 2}) {
+      Ask spent = ask(life, 2);
+      spent.settled.push_back({firm, 1, {11}});
+      state.apply(spent);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).drawn);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).repeated);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state.count(firm).out);  // the second's token is free again
+    state.turn(2);
+    want(state, 1, 3, firm, 2);
+    Ask spent = ask(1, 4, 2);
+    spent.settled.push_back({firm, 2, {11}});
+    state.apply(spent);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.count(firm).drawn);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).repeated);
+  }
+
+  void whatNobodyRanIsGivenBackOnce() {
+    Accounts state = begun(account("f", "", "pull", 10));
+    want(state, 1, 1, firm, 2);
+    want(state, 2, 1, firm, 2);
+    for (pramperet::Life life : {1, 2}) {
+      Ask spent = ask(life, 2);
+      spent.settled.push_back({firm, 1, {11}});
+      state.apply(spent);
+    }
+    Ask back = ask(1, 3);
+    back.back.push_back({firm, 11});
+    state.apply(back);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).drawn);  // the other try may have run
+    back = ask(2, 3);
+    back.back.push_back({firm, 11});
+    state.apply(back);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.count(firm).drawn);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).given_back);
+    back = ask(2, 4);
+    back.back.push_back({firm, 11});
+    state.apply(back);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).given_back);
+  }
+
+  void whatADeadEdgeHeldComesBackButForWhatIsInDoubt() {
+    for (bool spends : {false, true}) {
+      Accounts state = begun(account("f", "", "pull", 200), spends ? ",\"outOfTouch\":\"spend\"" : "");
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, want(state, 1, 1, firm, 1000));
+      Ask spent = ask(1, 2);
+      spent.settled.push_back({firm, 1, {1, 2, 3}});
+      state.apply(spent);
+      state.gone(1);
+      state.gone(1);
+      std::uint64_t doubt = spends ? 97 : pramperet::most_unsettled;
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.count(firm).out);
+      CPPUNIT_ASSERT_EQUAL(doubt, state.count(firm).in_doubt);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, state.count(firm).drawn);
+      // It was only away: what it tells late leaves doubt; it gets nothing more under that life.
+      Ask late = ask(1, 3);
+      late.settled.push_back({firm, 1, {4, 5}});
+      late.wants.push_back({firm, 5});
+      late.returned.push_back({firm, 5});
+      state.apply(late);
+      CPPUNIT_ASSERT_EQUAL(doubt - 2, state.count(firm).in_doubt);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, state.count(firm).drawn);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.count(firm).out);
+      CPPUNIT_ASSERT(state.is_gone(1));
+      // All that is left may go out, and no more.
+      std::uint64_t sum = 0;
+      for (std::uint64_t i = 1; i <= 20; ++i) sum += want(state, 2, i, firm, 1000);
+      CPPUNIT_ASSERT_EQUAL(200 - 5 - (doubt - 2), sum);
+    }
+  }
+
+  void aLateReportIsCountedInItsWindow() {
+    Accounts state = begun(account("f", "", "pull", 10));
+    want(state, 1, 1, firm, 4);
+    state.turn(2);
+    state.turn(2);
+    state.turn(7);
+    CPPUNIT_ASSERT_EQUAL(pramperet::Window{2}, state.window());
+    Ask late = ask(1, 2, 1);
+    late.settled.push_back({firm, 1, {1, 2}});
+    state.apply(late);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.count(firm).drawn);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state.lines()[0].count.drawn);
+    CPPUNIT_ASSERT_EQUAL(pramperet::Window{1}, state.lines()[0].window);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, want(state, 2, 1, firm, 100));  // the new one is whole
+    for (pramperet::Window window = 3; window < 9; ++window) state.turn(window);
+    CPPUNIT_ASSERT(state.lines().empty());
+    CPPUNIT_ASSERT(!state.applied(1, 1));  // forgotten
+  }
+
+  void aLimitThatMovesBindsAtOnce() {
+    Accounts state = begun(account("f", "", "pull", 10));
+    want(state, 1, 1, firm, 4);
+    Ask spent = ask(1, 2);
+    spent.settled.push_back({firm, 1, {1, 2, 3, 4}});
+    state.apply(spent);
+    state.configure(read(rules(account("f", "", "pull", 2))));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, want(state, 2, 1, firm, 5));
+    CPPUNIT_ASSERT(state.given(2, 1)->front().exhausted);
+    state.configure(read(rules(account("f", "", "pull", 5))));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, want(state, 2, 2, firm, 5));
+    // A branch that has moved to another firm counts there from then on.
+    state.configure(read(rules(account("g", "", "pull", 5) + "," + account("g", "b", "pull", 5))));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, want(state, 2, 3, {"f/b", "pull"}, 5));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, want(state, 2, 4, {"g/b", "pull"}, 5));
+  }
+
+  void theFoldHoldsAll() {
+    Accounts state = begun(account("f", "", "pull", 50) + "," + account("f", "b", "pull", 40));
+    want(state, 1, 1, branch, 9);
+    want(state, 2, 1, firm, 30);
+    Ask spent = ask(1, 2);
+    spent.settled.push_back({branch, 1, {1, 2, 3}});
+    spent.unsure.push_back({branch, 2});
+    spent.refused.push_back({branch, 7});
+    state.apply(spent);
+    state.gone(2);
+    state.turn(2);
+    auto bytes = [](const Accounts& from) {
+      fanes::Packer packer;
+      from.fold(packer);
+      return std::string(packer.view());
+    };
+    std::string folded = bytes(state);
+    fanes::Packer whole;
+    whole.array(1);
+    state.fold(whole);
+    fanes::Unpacker in(whole.view());
+    Accounts again;
+    again.configure(read(rules(account("f", "", "pull", 50) + "," + account("f", "b", "pull", 40))));
+    CPPUNIT_ASSERT(again.restore(in));
+    CPPUNIT_ASSERT(in.whole());
+    CPPUNIT_ASSERT_EQUAL(folded.size(), bytes(again).size());
+    CPPUNIT_ASSERT_EQUAL(state.lines().size(), again.lines().size());
+    for (std::size_t i = 0; i < state.lines().size(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(state.lines()[i].count.drawn, again.lines()[i].count.drawn);
+      CPPUNIT_ASSERT_EQUAL(state.lines()[i].count.unsure, again.lines()[i].count.unsure);
+      CPPUNIT_ASSERT_EQUAL(state.lines()[i].count.in_doubt, again.lines()[i].count.in_doubt);
+    }
+    CPPUNIT_ASSERT(again.is_gone(2) && !again.is_gone(1));
+    state.apply(spent);
+    again.apply(spent);  // taken before
+    CPPUNIT_ASSERT_EQUAL(state.count(branch).drawn, again.count(branch).drawn);
+  }
+
+  // A purse with ten tokens of "f", told at `now`.
+  static pramperet::Purse purse(pramperet::Time now, const std::string& extra = "") {
+    pramperet::Purse purse(9);
+    purse.configure(read(rules(account("f", "", "pull", 100), extra)));
+    using Kind = pramperet::Verdict::Kind;
+    CPPUNIT_ASSERT(purse.draw(now, "f", "pull", "first", false).kind == Kind::wait);
+    auto question = purse.take_ask(now);
+    CPPUNIT_ASSERT(question);
+    pramperet::Tell tell;
+    tell.number = question->number;
+    tell.window = 1;
+    tell.left_ms = 60000;
+    tell.given.push_back({{"f", "pull"}, 40, false});
+    purse.on_tell(now, tell);
+    CPPUNIT_ASSERT(purse.draw(now, "f", "pull", "first", true).kind == Kind::drawn);
+    return purse;
+  }
+
+  void aFrozenPurseSpendsNothing() {
+    using Kind = pramperet::Verdict::Kind;
+    pramperet::Time now{pramperet::Duration(100)};
+    auto frozen = purse(now);
+    now += pramperet::Duration(2.01);
+    CPPUNIT_ASSERT(frozen.draw(now, "f", "pull", "x", false).kind == Kind::wait);
+    // What it counted itself is a try of the same.
+    CPPUNIT_ASSERT(frozen.draw(now, "f", "pull", "first", false).kind == Kind::drawn);
+    auto spends = purse(now, ",\"outOfTouch\":\"spend\"");
+    now += pramperet::Duration(30);
+    CPPUNIT_ASSERT(spends.draw(now, "f", "pull", "x", false).kind == Kind::drawn);
+    now += pramperet::Duration(31);
+    CPPUNIT_ASSERT(spends.draw(now, "f", "pull", "y", false).kind == Kind::wait);  // its window is over
+  }
+
+  void noMoreThanAFewAreUnsettled() {
+    using Kind = pramperet::Verdict::Kind;
+    pramperet::Time now{pramperet::Duration(100)};
+    auto busy = purse(now);
+    std::uint64_t drawn = 1;
+    for (int i = 0; i < 30; ++i)
+      drawn += busy.draw(now, "f", "pull", "k" + std::to_string(i), false).kind == Kind::drawn;
+    CPPUNIT_ASSERT_EQUAL(pramperet::most_unsettled, drawn);
+    // The question is sent again unchanged until it is answered; then the next may be spent.
+    auto question = busy.take_ask(now);
+    CPPUNIT_ASSERT(question && !busy.take_ask(now));
+    now += pramperet::Duration(0.3);
+    auto again = busy.take_ask(now);
+    CPPUNIT_ASSERT(again && again->number == question->number &&
+                   again->settled[0].keys == question->settled[0].keys);
+    pramperet::Tell tell;
+    tell.number = question->number;
+    tell.window = 1;
+    tell.left_ms = 60000;
+    busy.on_tell(now, tell);
+    CPPUNIT_ASSERT(busy.draw(now, "f", "pull", "z", false).kind == Kind::drawn);
+    busy.on_tell(now, tell);  // an answer that comes twice
+    CPPUNIT_ASSERT(busy.take_ask(now));
+  }
+
+  static biella::ClusterOptions options(std::uint64_t seed, const std::string& accounts,
+                                        std::vector<std::string> holders, double rate = 60) {
+    biella::ClusterOptions options;
+    options.seed = seed;
+    options.edges = 4;
+    options.shards = 2;
+    options.plain_nodes = 8;
+    options.nodes_per_shard = 3;
+    options.allowances = rules(accounts);
+    options.holders = std::move(holders);
+    options.retrievals_per_s = rate;
+    return options;
+  }
+  static std::string both(const std::string& firm, const std::string& branch, int sweeps, int pulls) {
+    return account(firm, branch, "sweep", sweeps) + "," + account(firm, branch, "pull", pulls);
+  }
+  static void good(const biella::Cluster& cluster, const std::vector<biella::Auditor::Limit>& limits,
+                   bool exactly) {
+    for (const std::string& fault : cluster.audit(limits, exactly)) CPPUNIT_FAIL(fault);
+  }
+  static void begin(biella::Cluster& cluster) {
+    cluster.run(2);
+    cluster.change(0);
+  }
+
+  void withoutRulesNothingIsSaid() {
+    biella::ClusterOptions plain = options(1, "", {"f"});
+    plain.allowances.clear();
+    biella::Cluster cluster(plain);
+    begin(cluster);
+    cluster.run(5);
+    CPPUNIT_ASSERT(cluster.auditor().served() > 100);
+    for (std::size_t edge = 0; edge < cluster.edges(); ++edge) {
+      CPPUNIT_ASSERT(!cluster.station(edge)->allowances());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, cluster.station(edge)->purse().counters().asks);
+    }
+    int leader = cluster.leader();
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{0},
+        cluster.member(static_cast<std::size_t>(leader))->office().bursar().counters().entries);
+  }
+
+  void countsEqualWhatRan() {
+    for (std::uint64_t seed = 1; seed <= 12 / thin; ++seed) {
+      biella::Cluster cluster(options(
+          seed,
+          both("f", "", 100000, 100000) + "," + both("f", "b", 9000, 9000) + "," + both("g", "", 9000, 9000),
+          {"f", "f/b", "f/unlisted", "g", "nobody"}));
+      begin(cluster);
+      cluster.run(8);
+      cluster.stop_retrieving();
+      cluster.run(6);
+      auto counts = cluster.member(static_cast<std::size_t>(cluster.leader()))->state().accounts();
+      CPPUNIT_ASSERT(counts.count({"f", "pull"}).drawn > 40);
+      CPPUNIT_ASSERT_EQUAL(cluster.auditor().truth("f", "pull"), counts.count({"f", "pull"}).drawn);
+      CPPUNIT_ASSERT_EQUAL(cluster.auditor().truth("f/b", "sweep"), counts.count({"f/b", "sweep"}).drawn);
+      CPPUNIT_ASSERT_EQUAL(cluster.auditor().truth("g", "sweep"), counts.count({"g", "sweep"}).drawn);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, counts.count({"nobody", "pull"}).drawn);
+      CPPUNIT_ASSERT(cluster.auditor().served() >= cluster.auditor().retrievals() * 99 / 100);
+    }
+  }
+
+  void theLastTokensAreAskedForByAll() {
+    for (std::uint64_t seed = 1; seed <= 20 / thin; ++seed) {
+      auto few = options(seed, both("f", "", 37, 23), {"f"});
+      biella::Cluster cluster(few);
+      begin(cluster);
+      cluster.run(10);
+      cluster.stop_retrieving();
+      cluster.run(6);
+      good(cluster, {{"f", "sweep", 37}, {"f", "pull", 23}}, true);
+      // All of it was served, and nothing past it.
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{37}, cluster.auditor().truth("f", "sweep"));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{23}, cluster.auditor().truth("f", "pull"));
+      CPPUNIT_ASSERT(cluster.auditor().refused() > 100);
+    }
+  }
+
+  void oneRetrievalAtTwoEdgesIsOneDraw() {
+    auto deployment = options(3, both("f", "", 1000, 1000), {"f"});
+    deployment.retrievals_per_s = 0;
+    biella::Cluster cluster(deployment);
+    begin(cluster);
+    cluster.run(3);
+    for (int i = 0; i < 40; ++i) {
+      cluster.retrieve_one("f", i % 2 == 0, 3);
+      cluster.run(0.1);
+    }
+    cluster.run(6);
+    good(cluster, {}, true);
+    auto counts = cluster.member(static_cast<std::size_t>(cluster.leader()))->state().accounts();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, counts.count({"f", "sweep"}).drawn);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, counts.count({"f", "pull"}).drawn);
+  }
+
+  // One edge holds what is left and does not use it; another gets it.
+  void idleTokensAreAskedBack() {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+      auto deployment = options(seed, both("f", "", 9, 9), {"f"});
+      deployment.retrievals_per_s = 0;
+      biella::Cluster cluster(deployment);
+      begin(cluster);
+      cluster.run(3);
+      for (int i = 0; i < 12; ++i) {
+        cluster.retrieve_one("f", false, 1);
+        cluster.run(0.4);
+      }
+      cluster.run(4);
+      good(cluster, {{"f", "pull", 9}}, true);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, cluster.auditor().truth("f", "pull"));
+    }
+  }
+
+  void aRaisedLimitIsServedAgain() {
+    auto deployment = options(5, both("f", "", 20, 20), {"f"});
+    biella::Cluster cluster(deployment);
+    begin(cluster);
+    cluster.run(6);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, cluster.auditor().truth("f", "pull"));
+    cluster.set_allowances(pearspar::rules(both("f", "", 50, 50)));
+    cluster.change(0);
+    cluster.run(6);
+    cluster.stop_retrieving();
+    cluster.run(6);
+    good(cluster, {{"f", "pull", 50}, {"f", "sweep", 50}}, true);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{50}, cluster.auditor().truth("f", "pull"));
+  }
+
+  // Edges die, freeze and are cut off; leaders die, disks are wiped, all of the core is killed; nodes crash.
+  void troublesLeaveTheCountsWithinTheirBounds() {
+    std::uint64_t served = 0;
+    for (std::uint64_t seed = 1; seed <= 40 / thin; ++seed) {
+      auto deployment = options(seed, both("f", "", 260, 240) + "," + both("f", "b", 90, 400), {"f", "f/b", "f"});
+      if (seed % 3 == 0) deployment.sync_s = 0.005;
+      biella::Cluster cluster(deployment);
+      begin(cluster);
+      cluster.run(3);
+      for (int i = 0; i < 9; ++i) {
+        switch (cluster.world().below(8)) {
+          case 0:
+          case 1:
+            cluster.kill_edge(cluster.world().below(cluster.edges()), 0.4);
+            break;
+          case 2:
+            cluster.freeze_edge(cluster.world().below(cluster.edges()),
+                                1 + 3 * cluster.world().uniform(0, 1));
+            break;
+          case 3: {
+            std::string address = cluster.edge_address(cluster.world().below(cluster.edges()));
+            cluster.cut_off(address, true, true);
+            cluster.world().in(pramperet::Duration(3), [&cluster, address] { cluster.heal(address); });
+            break;
+          }
+          case 4:
+            if (cluster.leader() >= 0) cluster.kill_core(static_cast<std::size_t>(cluster.leader()), 1, true);
+            break;
+          case 5:
+            for (std::size_t core = 0; core < cluster.cores(); ++core) cluster.kill_core(core, 0.5);
+            break;
+          case 6:
+            cluster.crash_node(cluster.world().below(cluster.nodes()), 1, false);
+            break;
+          default:
+            if (cluster.leader() >= 0 && i % 3 == 0)
+              cluster.wipe_core((static_cast<std::size_t>(cluster.leader()) + 1) % 3, 1);
+        }
+        cluster.run(1.2);
+      }
+      cluster.net().heal_all();
+      cluster.run(3);
+      cluster.stop_retrieving();
+      cluster.run(8);
+      good(cluster, {{"f", "sweep", 260}, {"f", "pull", 240}, {"f/b", "sweep", 90}}, false);
+      served += cluster.auditor().served();
+    }
+    CPPUNIT_ASSERT(served > 40 / thin * 150);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AllowanceTest);
+
+}  // namespace pearspar
