Allowances: commands, call, counters, a step with real processes; windows' turns tested

Cause: counts could not be seen or exported, and taking the tokens of an old window along was seen by no test. Ruled out: another call for each firm (one answer holds all, the command picks). Change: allowance show|export, the call in the OpenAPI file, counters at edges and members, a step of system_process with the core killed in between; tests of a window's turn at an edge and of short windows over leaders' deaths.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -201,6 +201,7 @@
 
 std::vector<scoiattoli::Sample> Edge::samples() const {
   const pederu::DeskCounters& desk = station_.desk().counters();
+  const pramperet::PurseCounters& purse = station_.purse().counters();
   const croda::LinkCounters& links = nodes_.counters();
   const clients::FrontCounters& front = front_.counters();
   auto n = [](auto value) { return static_cast<double>(value); };
@@ -213,6 +214,11 @@
       {"altavia_refused_total", "given up before anything ran, with a time to come back", n(desk.refused)},
       {"altavia_given_up_total", "of those, for services that were asked for more than they can do",
        n(desk.given_up)},
+      {"altavia_allowance_drawn_total", "tokens of allowances spent here", n(purse.drawn)},
+      {"altavia_allowance_repeated_total", "tries of what was counted here before", n(purse.repeated)},
+      {"altavia_allowance_waited_total", "requests that waited for the leader's word", n(purse.waited)},
+      {"altavia_allowance_refused_total", "refused: nothing was left, or no word came", n(purse.refused)},
+      {"altavia_allowance_given_back_total", "drawn, and run by nobody", n(purse.given_back)},
       {"altavia_failed_total", "given up after something may have run", n(desk.failed)},
       {"altavia_no_route_total", "404", n(desk.no_route)},
       {"altavia_calls_total", "requests sent to nodes", n(desk.calls)},
--- a/src/carestiato/commands.cpp
+++ b/src/carestiato/commands.cpp
@@ -59,6 +59,8 @@
   int config_diff(const std::string& file);
   int config_watch();
   int history();
+  int allowance_show(const std::string& holder);
+  int allowance_export(const std::string& file);
   int snapshot_save(const std::string& file);
   int snapshot_verify(const std::string& file, averau::ConfigurationPtr* held = nullptr);
   int snapshot_restore(const std::string& file);
@@ -319,6 +321,70 @@
   return good;
 }
 
+// All, or what counts for one holder: itself, and the branches under it.
+int Session::allowance_show(const std::string& holder) {
+  CallReply reply = get("/pearspar/allowance");
+  if (reply.status != 200) return complain(reply);
+  if (options_.json && holder.empty()) return show_json(reply.body);
+  Fault fault;
+  Json json = averau::parse_json(reply.body, fault);
+  const char* keys[] = {"window",  "holder",    "kind",     "limit",   "drawn", "unsure",
+                        "inDoubt", "givenBack", "repeated", "refused", "out"};
+  std::vector<std::vector<std::string>> rows = {{"window", "holder", "kind", "limit", "drawn", "unsure",
+                                                 "in doubt", "given back", "repeated", "refused", "out"}};
+  const cJSON* line = nullptr;
+  cJSON_ArrayForEach(line, cJSON_GetObjectItemCaseSensitive(json.get(), "counts")) {
+    std::string of = text_of(line, "holder");
+    if (!holder.empty() && of != holder && !of.starts_with(holder + "/")) continue;
+    std::vector<std::string>& row = rows.emplace_back();
+    for (const char* key : keys) row.push_back(text_of(line, key));
+  }
+  if (rows.size() == 1)
+    return fail(refused, holder.empty() ? "no allowance was drawn on" : holder + ": nothing drawn");
+  std::fprintf(out_, "%s", table(rows).c_str());
+  return good;
+}
+
+// One JSON line for each count, oldest window first, signed off by the place in the log; the file appears
+// whole.
+int Session::allowance_export(const std::string& file) {
+  CallReply reply = get("/pearspar/allowance");
+  if (reply.status != 200) return complain(reply);
+  Fault fault;
+  Json json = averau::parse_json(reply.body, fault);
+  const cJSON* counts = cJSON_GetObjectItemCaseSensitive(json.get(), "counts");
+  std::vector<std::string> lines;
+  const cJSON* line = nullptr;
+  cJSON_ArrayForEach(line, counts) {
+    char* printed = cJSON_PrintUnformatted(line);
+    lines.emplace_back(printed);
+    cJSON_free(printed);
+  }
+  // The newest window comes first in the answer; within one the order is by holder and kind.
+  std::stable_sort(lines.begin(), lines.end(), [](const std::string& a, const std::string& b) {
+    auto window = [](const std::string& text) {
+      return std::strtoull(text.c_str() + text.find(':') + 1, nullptr, 10);
+    };
+    return window(a) < window(b);
+  });
+  std::string half = file + ".part";
+  std::ofstream out(half, std::ios::binary | std::ios::trunc);
+  std::string whole;
+  for (const std::string& each : lines) whole += each + "\n";
+  auto digest = sennes::digest_of(whole);
+  out << whole
+      << fmt::format(
+             R"({{"signedOff":{{"term":{},"position":{},"window":{},"lines":{},"digest":"{:016x}{:016x}"}}}})",
+             text_of(json.get(), "term"), text_of(json.get(), "position"), text_of(json.get(), "window"),
+             lines.size(), digest.first, digest.second)
+      << "\n";
+  out.close();
+  if (!out || std::rename(half.c_str(), file.c_str()) != 0) return fail(failed, file + ": cannot be written");
+  std::fprintf(out_, "%s: %zu counts up to position %s\n", file.c_str(), lines.size(),
+               text_of(json.get(), "position").c_str());
+  return good;
+}
+
 int Session::snapshot_save(const std::string& file) {
   CallReply reply = get("/pearspar/snapshot");
   if (reply.status != 200) return complain(reply);
@@ -377,11 +443,14 @@
 
 const char* usage() {
   return "[OPTIONS] serve | check-settings | status | members | leader | nodes | drain ID |\n"
-         "        config get|check FILE|put FILE|diff FILE|watch|history | snapshot save|verify|restore FILE";
+         "        config get|check FILE|put FILE|diff FILE|watch|history | snapshot save|verify|restore FILE "
+         "|\n"
+         "        allowance show [HOLDER] | allowance export FILE";
 }
 
 bool knows(const std::string& command) {
-  for (const char* known : {"status", "members", "leader", "nodes", "drain", "config", "snapshot"})
+  for (const char* known :
+       {"status", "members", "leader", "nodes", "drain", "config", "snapshot", "allowance"})
     if (command == known) return true;
   return false;
 }
@@ -409,6 +478,9 @@
   if (is({"config", "diff"}, 1)) return session.config_diff(words[2]);
   if (is({"config", "watch"}, 0)) return session.config_watch();
   if (is({"config", "history"}, 0)) return session.history();
+  if (is({"allowance", "show"}, 0)) return session.allowance_show({});
+  if (is({"allowance", "show"}, 1)) return session.allowance_show(words[2]);
+  if (is({"allowance", "export"}, 1)) return session.allowance_export(words[2]);
   if (is({"snapshot", "save"}, 1)) return session.snapshot_save(words[2]);
   if (is({"snapshot", "verify"}, 1)) return session.snapshot_verify(words[2]);
   if (is({"snapshot", "restore"}, 1)) return session.snapshot_restore(words[2]);
--- a/src/standins/hall.cpp
+++ b/src/standins/hall.cpp
@@ -31,6 +31,7 @@
   std::string zone = "a";
   std::string host = "hall.example";
   std::string path = "/g/x";
+  std::string holder;
   double work_ms = 5;
   double beat_ms = 400;
   double drain_ms = 1000;
@@ -150,8 +151,9 @@
     carestiato::Caller caller(loop, options.members);
     carestiato::CallReply reply = caller.call(
         {"GET", options.path,
-         fmt::format("Request-Id: {}\r\nDeadline-Ms: {:.0f}\r\n", random_id(random), options.deadline_ms), "",
-         options.host},
+         fmt::format("Request-Id: {}\r\nDeadline-Ms: {:.0f}\r\n", random_id(random), options.deadline_ms) +
+             (options.holder.empty() ? "" : "Holder: " + options.holder + "\r\n"),
+         "", options.host},
         net::Duration(options.deadline_ms / 1000));
     if (reply.status == 200)
       ++served;
@@ -167,7 +169,7 @@
 int main(int argc, const char** argv) {
   Options to;
   char *members = nullptr, *depot = nullptr, *address = nullptr, *zone = nullptr, *host = nullptr,
-       *path = nullptr;
+       *path = nullptr, *holder = nullptr;
   const poptOption options[] = {
       {"at", 'a', POPT_ARG_STRING, &members, 0, "node: members' control addresses; ask: edges",
        "ADDRESS,..."},
@@ -176,6 +178,7 @@
       {"zone", 0, POPT_ARG_STRING, &zone, 0, "node: its zone", "NAME"},
       {"host", 0, POPT_ARG_STRING, &host, 0, "ask: the Host header", "NAME"},
       {"path", 0, POPT_ARG_STRING, &path, 0, "ask: the path", "PATH"},
+      {"holder", 0, POPT_ARG_STRING, &holder, 0, "ask: the Holder header", "FIRM[/BRANCH]"},
       {"work-ms", 0, POPT_ARG_DOUBLE, &to.work_ms, 0, "node: for each request", "MS"},
       {"beat-ms", 0, POPT_ARG_DOUBLE, &to.beat_ms, 0, "node: between beats", "MS"},
       {"drain-ms", 0, POPT_ARG_DOUBLE, &to.drain_ms, 0, "node: serves on so long after its leave", "MS"},
@@ -196,7 +199,8 @@
                             {address, &to.address},
                             {zone, &to.zone},
                             {host, &to.host},
-                            {path, &to.path}})
+                            {path, &to.path},
+                            {holder, &to.holder}})
     if (text) {
       *into = text;
       std::free(text);
--- a/tests/system/allowance_test.cpp
+++ b/tests/system/allowance_test.cpp
@@ -64,12 +64,14 @@
   CPPUNIT_TEST(theFoldHoldsAll);
   CPPUNIT_TEST(aFrozenPurseSpendsNothing);
   CPPUNIT_TEST(noMoreThanAFewAreUnsettled);
+  CPPUNIT_TEST(aWindowThatTurnsTakesItsTokensAlong);
   CPPUNIT_TEST(withoutRulesNothingIsSaid);
   CPPUNIT_TEST(countsEqualWhatRan);
   CPPUNIT_TEST(theLastTokensAreAskedForByAll);
   CPPUNIT_TEST(oneRetrievalAtTwoEdgesIsOneDraw);
   CPPUNIT_TEST(idleTokensAreAskedBack);
   CPPUNIT_TEST(aRaisedLimitIsServedAgain);
+  CPPUNIT_TEST(everyWindowKeepsItsLimit);
   CPPUNIT_TEST(troublesLeaveTheCountsWithinTheirBounds);
   CPPUNIT_TEST_SUITE_END();
 
@@ -344,6 +346,32 @@
     CPPUNIT_ASSERT(busy.take_ask(now));
   }
 
+  void aWindowThatTurnsTakesItsTokensAlong() {
+    using Kind = pramperet::Verdict::Kind;
+    pramperet::Time now{pramperet::Duration(100)};
+    auto turned = purse(now);
+    CPPUNIT_ASSERT(turned.draw(now, "f", "pull", "x", false).kind == Kind::drawn);
+    pramperet::Tell tell;
+    tell.window = 2;
+    tell.left_ms = 60000;
+    turned.on_tell(now, tell);
+    CPPUNIT_ASSERT(turned.draw(now, "f", "pull", "y", false).kind == Kind::wait);
+    CPPUNIT_ASSERT(turned.draw(now, "f", "pull", "x", false).kind ==
+                   Kind::drawn);  // counted in the one before
+    // What was spent before is reported for the window that it was spent in.
+    auto question = turned.take_ask(now);
+    CPPUNIT_ASSERT(question && question->settled.size() == 1);
+    CPPUNIT_ASSERT_EQUAL(pramperet::Window{1}, question->settled[0].window);
+    // Exhaustion that is pushed is believed at once, and for a second; then the leader is asked again.
+    tell.number = 0;
+    tell.given.push_back({{"f", "pull"}, 0, true});
+    turned.on_tell(now, tell);
+    auto refused = turned.draw(now, "f", "pull", "z", false);
+    CPPUNIT_ASSERT(refused.kind == Kind::refused);
+    CPPUNIT_ASSERT(refused.retry_after > pramperet::Duration(59));
+    CPPUNIT_ASSERT(turned.draw(now + pramperet::Duration(1.1), "f", "pull", "z", false).kind == Kind::wait);
+  }
+
   static biella::ClusterOptions options(std::uint64_t seed, const std::string& accounts,
                                         std::vector<std::string> holders, double rate = 60) {
     biella::ClusterOptions options;
@@ -472,11 +500,37 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{50}, cluster.auditor().truth("f", "pull"));
   }
 
+  // Short windows and an overdrawn firm, leaders that die at their ends: each window serves its limit at
+  // most, and the next one serves again.
+  void everyWindowKeepsItsLimit() {
+    for (std::uint64_t seed = 1; seed <= 10 / thin; ++seed) {
+      auto deployment = options(seed, both("f", "", 30, 30), {"f"});
+      deployment.allowances.replace(deployment.allowances.find("600000"), 6, "2000");
+      biella::Cluster cluster(deployment);
+      begin(cluster);
+      for (int i = 0; i < 5; ++i) {
+        cluster.run(2.5);
+        if (i % 2 == 1 && cluster.leader() >= 0)
+          cluster.kill_core(static_cast<std::size_t>(cluster.leader()), 0.8, true);
+      }
+      cluster.stop_retrieving();
+      cluster.run(1.5);
+      CPPUNIT_ASSERT(cluster.leader() >= 0);
+      auto accounts = cluster.member(static_cast<std::size_t>(cluster.leader()))->state().accounts();
+      std::uint64_t truth = cluster.auditor().truth("f", "pull");
+      CPPUNIT_ASSERT(truth <= 30 * accounts.window());
+      CPPUNIT_ASSERT(truth > 30 * 3);
+      for (const auto& line : accounts.lines())
+        CPPUNIT_ASSERT(line.count.drawn + line.count.in_doubt + line.count.out <= 30);
+    }
+  }
+
   // Edges die, freeze and are cut off; leaders die, disks are wiped, all of the core is killed; nodes crash.
   void troublesLeaveTheCountsWithinTheirBounds() {
     std::uint64_t served = 0;
     for (std::uint64_t seed = 1; seed <= 40 / thin; ++seed) {
-      auto deployment = options(seed, both("f", "", 260, 240) + "," + both("f", "b", 90, 400), {"f", "f/b", "f"});
+      auto deployment =
+          options(seed, both("f", "", 260, 240) + "," + both("f", "b", 90, 400), {"f", "f/b", "f"});
       if (seed % 3 == 0) deployment.sync_s = 0.005;
       biella::Cluster cluster(deployment);
       begin(cluster);
--- a/tests/system/office_test.cpp
+++ b/tests/system/office_test.cpp
@@ -242,7 +242,7 @@
                                cJSON_GetObjectItem(responses, std::to_string(status).c_str()));
       }
     }
-    CPPUNIT_ASSERT_EQUAL(8, calls);
+    CPPUNIT_ASSERT_EQUAL(9, calls);
     CPPUNIT_ASSERT_EQUAL(404, f.status(f.call("GET", "/pearspar/other")));
     CPPUNIT_ASSERT_EQUAL(404, f.status(f.call("PUT", "/pearspar/nodes/a/b")));
   }
--- a/tests/system_process.sh
+++ b/tests/system_process.sh
@@ -46,6 +46,7 @@
 wants 0 op config get; cmp "$dir/four.json" "$dir/out"
 wants 0 op --for 0.2 --every 0.1 config watch; says "^4  "
 wants 0 op config history; says "^3  "
+wants 3 op allowance show; says "no allowance was drawn on"
 start_node n0 shard0; start_node n1 shard0; start_node n2 plain
 wait_until 10 "the nodes" sh -c "$altavia --at $members nodes | grep -c at_post | grep -qx 3"
 wait_until 10 "the edge" edge_ready 127.77.1.1
@@ -86,6 +87,21 @@
 wait_until 15 "agreement" op status
 wants 0 op config get; says '"edition":9'
 
+# An allowance over the edge, that outlives the core: ten pulls for a firm, whatever is asked for.
+configuration 12 shard0 | sed 's/"depot":"plain",/"depot":"plain","allowanceKind":"pull",/; s/"limits":{}}/"limits":{},"allowances":{"windowMs":600000,"holderHeader":"Holder","accounts":[{"firm":"acme","kind":"pull","limit":10}]}}/' >"$dir/twelve.json"
+wants 0 op config put "$dir/twelve.json"
+wait_until 5 "edition 12" grep -q '"event":"configuration","edition":12' "$dir/edge1.log"
+wants 0 $standin ask --at 127.77.1.1:28726 --path /s/x -n 10 --holder acme
+wants 1 $standin ask --at 127.77.1.1:28726 --path /s/x -n 1 --holder acme --deadline-ms 300; says 429
+wants 0 $standin ask --at 127.77.1.1:28726 --path /s/x -n 3 --holder nobody
+for n in core1 core2 core3; do kill -KILL "${pid_of[$n]}"; done
+for n in 1 2 3; do start "core$n" "127.77.0.$n" false core; done
+wait_until 15 "agreement" op status
+wants 0 op allowance show acme; says '1 *acme *pull *10 *10 '
+wants 0 op allowance export "$dir/counts.jsonl"; says '1 counts up to position'
+grep -q '"signedOff".*"lines":1,' "$dir/counts.jsonl"
+wants 1 $standin ask --at 127.77.1.1:28726 --path /s/x -n 1 --holder acme --deadline-ms 300; says 429
+
 # Settings that change: good ones are read, others refused with their place; then an end in order.
 sed -i 's/"127.77.0.1:28729",//' "$dir/edge1.toml"
 wait_until 5 "the new seeds" grep -q '"event":"settings_read","seeds":2' "$dir/edge1.log"
