--- a/src/pramperet/bursar.cpp
+++ b/src/pramperet/bursar.cpp
@@ -46,7 +46,8 @@
   ++counters_.asks;
   heard_[ask.life] = {link, now};
   if (waiting_.size() >= most_waiting) return static_cast<void>(++counters_.dropped);  // it comes again
-  if (gather_due_ == Time::max()) gather_due_ = now + gather;
+  bool wants = !ask.wants.empty() || !changes_something(ask);
+  gather_due_ = std::min(gather_due_, now + (wants ? gather_wants : gather_reports));
   waiting_.emplace_back(link, std::move(ask));
 }
 
--- a/src/pramperet/bursar.h
+++ b/src/pramperet/bursar.h
@@ -50,7 +50,9 @@
   const BursarCounters& counters() const { return counters_; }
 
  private:
-  static constexpr Duration gather = std::chrono::milliseconds(2);
+  // A request waits for what is wanted; what is only reported has the time that nodes work.
+  static constexpr Duration gather_wants = std::chrono::milliseconds(2);
+  static constexpr Duration gather_reports = std::chrono::milliseconds(20);
   static constexpr Duration silence = std::chrono::seconds(3);  // the lease and what clocks and links may add
   static constexpr Duration look_every = std::chrono::milliseconds(200);
   static constexpr std::size_t most_waiting = 4096;
--- a/src/pramperet/purse.cpp
+++ b/src/pramperet/purse.cpp
@@ -62,6 +62,7 @@
     place->keys.push_back(ticket.key);
     if (held.tokens * 2 < held.batch) held.short_of = true;
     ++counters_.drawn;
+    counters_.drawn_late += again;
     verdict.kind = Verdict::Kind::drawn;
     return verdict;
   }
--- a/src/pramperet/purse.h
+++ b/src/pramperet/purse.h
@@ -43,6 +43,7 @@
   std::uint64_t drawn = 0;
   std::uint64_t repeated = 0;  // here
   std::uint64_t waited = 0;
+  std::uint64_t drawn_late = 0;  // of those drawn: after a wait
   std::uint64_t refused = 0;
   std::uint64_t given_back = 0;
   std::uint64_t asks = 0;
