Allowances: design note; the protocol's states searched to the end for two edges

Cause: the bounds on what is in doubt and on the limit rested on random runs alone. Ruled out: a model in another language; the real accounts and purses take every step of the search. Under sanitizers the suites of allowances, news, office and parts pass.

--- a/src/measure/allowance_measure.cpp
+++ b/src/measure/allowance_measure.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 #include <vector>
 
+#include "biella/allowance_explore.h"
 #include "biella/cluster.h"
 
 namespace {
@@ -140,7 +141,8 @@
 
 int main(int argc, const char** argv) {
   Options to;
-  int troubles = 0;
+  int troubles = 0, states = 0;
+  AllowanceExploreOptions explore;
   const poptOption options[] = {
       {"seeds", 'n', POPT_ARG_INT, &to.seeds, 0, "runs", "N"},
       {"from", 'f', POPT_ARG_INT, &to.from, 0, "the first seed", "SEED"},
@@ -152,19 +154,40 @@
       {"seconds", 's', POPT_ARG_DOUBLE, &to.seconds, 0, "of retrievals in a run", "S"},
       {"sync-ms", 0, POPT_ARG_DOUBLE, &to.sync_ms, 0, "what a write to disk takes", "MS"},
       {"troubles", 't', POPT_ARG_NONE, &troubles, 0, "deaths, freezes, cuts, kills of all", nullptr},
+      {"explore", 0, POPT_ARG_INT, &states, 0, "instead: search the protocol's states, so many at most", "N"},
+      {"keys", 0, POPT_ARG_INT, &explore.keys, 0, "explore: retrievals", "N"},
+      {"crashes", 0, POPT_ARG_INT, &explore.crashes, 0, "explore: edges that die", "N"},
+      {"losses", 0, POPT_ARG_INT, &explore.losses, 0, "explore: messages lost", "N"},
+      {"asks", 0, POPT_ARG_INT, &explore.asks, 0, "explore: questions of each edge's life", "N"},
+      {"turns", 0, POPT_ARG_INT, &explore.turns, 0, "explore: of the window", "N"},
+      {"ticks", 0, POPT_ARG_INT, &explore.ticks, 0, "explore: spans of 1.6 s that pass", "N"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("pearspar-measure-allowance", argc, argv, options, 0);
   int result = 0;
   while ((result = poptGetNextOpt(context)) >= 0) {
   }
   bool bad = result < -1 || poptPeekArg(context) || to.seeds < 1 || to.jobs < 1 || to.edges < 1 ||
-             to.firms < 1 || to.limit < 8 || !(to.rate > 0) || !(to.seconds > 0);
+             to.firms < 1 || to.limit < 1 || !(to.rate > 0) || !(to.seconds > 0);
   poptFreeContext(context);
   if (bad) {
     std::fprintf(stderr, "pearspar-measure-allowance: the command line cannot be read\n");
     return 2;
   }
   to.troubles = troubles != 0;
+  if (states > 0) {
+    explore.most_states = static_cast<std::size_t>(states);
+    explore.edges = std::min(to.edges, 3);
+    explore.limit = std::min(to.limit, 3);
+    AllowanceExplored found = explore_allowance(explore);
+    fmt::print(
+        "{} edges, limit {}: {} states, {} steps, depth {}, {}; {} with a life given up, {} keys spent at "
+        "most{}{}\n",
+        explore.edges, explore.limit, found.states, found.steps, found.depth,
+        found.exhausted ? "all there are" : "cut off", found.given_up, found.spent,
+        found.fault.empty() ? "" : "\n", found.fault);
+    for (const std::string& line : found.history) fmt::print("  {}\n", line);
+    return found.fault.empty() ? 0 : 1;
+  }
   std::atomic<int> next = 0;
   Sum sum;
   std::vector<std::thread> threads;
--- a/src/pramperet/accounts.cpp
+++ b/src/pramperet/accounts.cpp
@@ -169,7 +169,7 @@
     Period* at = period(place.second);
     if (!at || grant.out == 0) continue;
     std::uint64_t out = grant.out;
-    std::uint64_t doubt = rules_->spend_out_of_touch ? out : std::min(out, most_unsettled);
+    std::uint64_t doubt = rules_->spend_out_of_touch ? out : std::min(out, unsettled_);
     grant.out = 0;
     grant.in_doubt = doubt;
     at_levels(*at, place.first, [&](Count& count) {
--- a/src/pramperet/accounts.h
+++ b/src/pramperet/accounts.h
@@ -41,6 +41,9 @@
   void configure(std::shared_ptr<const averau::Allowances> rules) { rules_ = std::move(rules); }
   bool on() const { return rules_ != nullptr; }
 
+  // For the search through its states: another bound than most_unsettled.
+  void set_unsettled(std::uint64_t most) { unsettled_ = most; }
+
   void apply(const Ask& ask);
   // A new window; nothing where it is not the next.
   void turn(Window window);
@@ -106,6 +109,7 @@
   void give(Held& held, const Amount& want);
 
   std::shared_ptr<const averau::Allowances> rules_;
+  std::uint64_t unsettled_ = most_unsettled;
   std::deque<Period> periods_;
   std::map<Life, Held> held_;
 };
--- a/src/pramperet/purse.cpp
+++ b/src/pramperet/purse.cpp
@@ -24,7 +24,7 @@
 bool Purse::may_spend(Time now, const Held& held) const {
   if (held.tokens == 0 || retire_ || window_ == 0) return false;
   if (rules_->spend_out_of_touch) return now < window_end_;
-  return now < lease_until_ && held.unsettled < most_unsettled;
+  return now < lease_until_ && held.unsettled < most_unsettled_;
 }
 
 Verdict Purse::draw(Time now, const std::string& holder, const std::string& kind, std::string_view key,
@@ -219,6 +219,50 @@
   }
 }
 
+std::string Purse::describe(Time now) const {
+  std::string out;
+  auto put = [&](std::uint64_t value) { out += std::to_string(value) + ','; };
+  // Further away than a lease is all the same.
+  auto span = [&](Time time) {
+    double seconds = std::clamp(Duration(time - now).count(), -3.0, 3.0);
+    put(static_cast<std::uint64_t>((seconds + 3) * 10 + 0.5));
+  };
+  put(life_);
+  put(number_);
+  put(window_);
+  put(retire_);
+  span(lease_until_);
+  span(sent_);
+  for (const auto& [leaf, held] : held_) {
+    put(held.tokens);
+    put(held.unsettled);
+    put(held.waiting > 0);
+    put(held.short_of);
+    put(held.batch);
+    span(held.exhausted_until);
+    span(held.not_before);
+    span(held.used);
+    span(held.wanted);
+  }
+  out += 'k';
+  for (const auto& known : known_)
+    for (const auto& [key, tries] : std::map<Key, std::uint64_t>(known.begin(), known.end()))
+      put(key), put(tries);
+  out += 'p';
+  for (const Settled& each : pending_)
+    for (Key key : each.keys) put(each.window), put(key);
+  out += 'u';
+  if (under_way_) {
+    span(first_sent_);
+    put(under_way_to_);
+    for (const Settled& each : under_way_->settled)
+      for (Key key : each.keys) put(each.window), put(key);
+    for (const Amount& each : under_way_->wants) put(each.count);
+    for (const Amount& each : under_way_->returned) put(each.count);
+  }
+  return out;
+}
+
 Time Purse::due(Time now) const {
   if (!rules_) return Time::max();
   if (under_way_) return sent_ + again_after;
--- a/src/pramperet/purse.h
+++ b/src/pramperet/purse.h
@@ -74,6 +74,9 @@
   void on_tell(Time now, const Tell& tell);
   Time due(Time now) const;
   const PurseCounters& counters() const { return counters_; }
+  // All that its next steps depend on, times as spans from now; for the search through its states.
+  std::string describe(Time now) const;
+  void set_unsettled(std::uint64_t most) { most_unsettled_ = most; }
 
  private:
   static constexpr Duration again_after = std::chrono::milliseconds(250);  // the same question, unanswered
@@ -105,6 +108,7 @@
   std::shared_ptr<const averau::Allowances> rules_;
   std::uint64_t random_;
   Life life_ = 0;
+  std::uint64_t most_unsettled_ = most_unsettled;
   std::uint64_t number_ = 0;
   Window window_ = 0;
   Time window_end_{};
