Agreement: who lacks what it acknowledged is asked with the next round, not at once

Ruled out: news, acknowledgements and hellos (few of the frames), a standing told over and over. Change: a refusal that moves nothing waits for the heartbeat; a bound on frames in theJudgeSeesDisksThatLie.

--- a/src/biella/schedule.cpp
+++ b/src/biella/schedule.cpp
@@ -158,6 +158,7 @@
   outcome.faults = cluster.checker().faults();
   outcome.totals = cluster.totals();
   outcome.acknowledged = cluster.checker().acknowledged();
+  outcome.frames = cluster.net().frames();
   return outcome;
 }
 
--- a/src/biella/schedule.h
+++ b/src/biella/schedule.h
@@ -24,6 +24,7 @@
   std::vector<std::string> story;  // what was done, and when
   Cluster::Totals totals;
   std::size_t acknowledged = 0;
+  std::uint64_t frames = 0;  // between processes
 };
 
 const std::vector<std::string>& trouble_kinds();
--- a/src/lagazuoi/replication.cpp
+++ b/src/lagazuoi/replication.cpp
@@ -158,7 +158,11 @@
     }
     peer.next = std::max(peer.next, peer.match + 1);
   } else {
+    Index before = peer.next;
     peer.next = std::max<Index>(peer.match + 1, std::min(peer.next - 1, answer.index + 1));
+    // It lacks what it once acknowledged: its disk has lied. Asking at once would go on for ever; the next
+    // round does.
+    if (peer.next >= before) return;
   }
   if (peer.next <= log_.last()) send_to(now, answer.from, peer, false);
   if (!peer.voter) change_membership(now);
--- a/tests/system/cluster_test.cpp
+++ b/tests/system/cluster_test.cpp
@@ -471,14 +471,19 @@
 
   void theJudgeSeesDisksThatLie() {
     std::size_t seen = 0;
+    std::uint64_t most = 0;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
       ScheduleOptions options;
       options.cluster = small(seed);
       options.cluster.lying_disks = true;
       options.kinds = {"core_power", "core_kill_all"};
-      if (!play(options).faults.empty()) ++seen;
+      Outcome outcome = play(options);
+      if (!outcome.faults.empty()) ++seen;
+      // A member that lacks what it once acknowledged is not asked for it over and over.
+      most = std::max(most, outcome.frames);
     }
     CPPUNIT_ASSERT(seen > 3);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " frames", most < 60000);
   }
 };
 
