--- a/src/carestiato/commands.cpp
+++ b/src/carestiato/commands.cpp
@@ -373,10 +373,10 @@
   for (const std::string& each : lines) whole += each + "\n";
   auto digest = sennes::digest_of(whole);
   out << whole
-      << fmt::format(
-             R"({{"signedOff":{{"term":{},"position":{},"window":{},"lines":{},"digest":"{:016x}{:016x}"}}}})",
-             text_of(json.get(), "term"), text_of(json.get(), "position"), text_of(json.get(), "window"),
-             lines.size(), digest.first, digest.second)
+      << fmt::format(R"({{"signedOff":{{"term":{},"position":{},"window":{},)"
+                     R"("lines":{},"digest":"{:016x}{:016x}"}}}})",
+                     text_of(json.get(), "term"), text_of(json.get(), "position"),
+                     text_of(json.get(), "window"), lines.size(), digest.first, digest.second)
       << "\n";
   out.close();
   if (!out || std::rename(half.c_str(), file.c_str()) != 0) return fail(failed, file + ": cannot be written");
--- a/src/measure/system_bench.cpp
+++ b/src/measure/system_bench.cpp
@@ -28,7 +28,8 @@
                         R"("deadlineMs":1500,"depot":"p"}})",
                         i);
   return fmt::format(
-      R"({{"edition":{},"postalRoutes":[{{"hostName":"h","pathPrefix":"/g/","lineKind":"safe","deadlineMs":1500,)"
+      R"({{"edition":{},"postalRoutes":[{{"hostName":"h","pathPrefix":"/g/","lineKind":"safe",)"
+      R"("deadlineMs":1500,)"
       R"("targetMs":150,"gatherFrom":[{}],"tries":2,"topN":200,"minShare":0.5}},)"
       R"({{"hostName":"h","pathPrefix":"/s/","lineKind":"safe","deadlineMs":1500,"targetMs":300,"depot":"p",)"
       R"("tries":2}}{}],"depots":[{{"name":"p","connLimit":400}}{}]}})",
--- a/src/sennes/report.cpp
+++ b/src/sennes/report.cpp
@@ -64,7 +64,8 @@
   List lines;
   for (const auto& line : state.accounts().lines())
     lines.add(fmt::format(
-        R"({{"window":{},"holder":{},"kind":{},"limit":{},"drawn":{},"unsure":{},"inDoubt":{},"givenBack":{},)"
+        R"({{"window":{},"holder":{},"kind":{},"limit":{},"drawn":{},"unsure":{},"inDoubt":{},)"
+        R"("givenBack":{},)"
         R"("repeated":{},"refused":{},"out":{}}})",
         line.window, quoted(line.leaf.holder), quoted(line.leaf.kind),
         line.limited ? std::to_string(line.limit) : "null", line.count.drawn, line.count.unsure,
--- a/tests/system/allowance_test.cpp
+++ b/tests/system/allowance_test.cpp
@@ -24,7 +24,8 @@
 #endif
 
 std::string configuration(const std::string& allowances) {
-  return R"({"edition":1,"postalRoutes":[{"hostName":"h","pathPrefix":"/s/","lineKind":"safe","deadlineMs":1000,)"
+  return R"({"edition":1,"postalRoutes":[{"hostName":"h","pathPrefix":"/s/","lineKind":"safe",)"
+         R"("deadlineMs":1000,)"
          R"("depot":"p","allowanceKind":"pull"}],"depots":[{"name":"p"}],"allowances":)" +
          allowances + "}";
 }
@@ -139,15 +140,18 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).out);
   }
 
-  void aKeyCountsOnceOverEdgesAndWindows() {
-    Accounts state = begun(account("f", "", "pull", 10));
-    want(state, 1, 1, firm, 2);
-    want(state, 2, 1, firm, 2);
+  void spendTheSameAtTwoEdges(Accounts& state) const {
     for (pramperet::Life life : {1, 2}) {
+      want(state, life, 1, firm, 2);
       Ask spent = ask(life, 2);
       spent.settled.push_back({firm, 1, {11}});
       state.apply(spent);
     }
+  }
+
+  void aKeyCountsOnceOverEdgesAndWindows() {
+    Accounts state = begun(account("f", "", "pull", 10));
+    spendTheSameAtTwoEdges(state);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).drawn);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.count(firm).repeated);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state.count(firm).out);  // the second's token is free again
@@ -162,13 +166,7 @@
 
   void whatNobodyRanIsGivenBackOnce() {
     Accounts state = begun(account("f", "", "pull", 10));
-    want(state, 1, 1, firm, 2);
-    want(state, 2, 1, firm, 2);
-    for (pramperet::Life life : {1, 2}) {
-      Ask spent = ask(life, 2);
-      spent.settled.push_back({firm, 1, {11}});
-      state.apply(spent);
-    }
+    spendTheSameAtTwoEdges(state);
     Ask back = ask(1, 3);
     back.back.push_back({firm, 11});
     state.apply(back);
