System process test: waits until each member knows the three

Cause: a member that came back without its disk follows before it counts, and was asked too soon under sanitizers. Ruled out: a fault of the program (status agreed).

--- a/tests/system_process.sh
+++ b/tests/system_process.sh
@@ -71,6 +71,8 @@
 rm -rf "${dir:?}/$name"
 start "$name" "${leader%%:*}" false core
 wait_until 15 "agreement" op status
+# It is a follower before it counts: each member that is asked has to know the three.
+wait_until 15 "three members" sh -c "for n in 1 2 3; do $altavia --at 127.77.0.\$n:28729 members | grep -q '3 wanted' || exit 1; done"
 wants 0 op members; says "3 wanted"
 [ "$(grep -c 127.77 "$dir/out")" -eq 3 ]
 wants 0 op snapshot save "$dir/kept.json"; says "good: edition 9"
