Connections to nodes: a pool that closing empties is looked up anew

Cause: with the last idle connection past its time, closing it took the pool away under the call that began; found by the address sanitizer in the process test, one run in six. Change: no reference is held over close(); a node that keeps nothing open is a test. Measured: 13 tests of links pass; the test fails under the sanitizer without the change.

--- a/src/croda/node_links.cpp
+++ b/src/croda/node_links.cpp
@@ -44,10 +44,11 @@
 
 bool NodeLinks::start(pederu::CallId call, const pederu::KnownNode& node, int most, std::string request,
                       pederu::Time end) {
-  Pool& pool = pools_[node.address];
-  while (!pool.idle.empty()) {
-    net::SlotId id = pool.idle.back();
-    pool.idle.pop_back();
+  // Looked up anew each time: with its last connection a pool is gone.
+  while (!pools_[node.address].idle.empty()) {
+    auto& idle = pools_[node.address].idle;
+    net::SlotId id = idle.back();
+    idle.pop_back();
     Connection* connection = connections_.find(id);
     if (!connection || connection->busy) continue;
     if (connection->idle_until <= loop_.now()) {
@@ -59,7 +60,7 @@
     write(id);
     return true;
   }
-  if (pool.connections >= most) return false;
+  if (pools_[node.address].connections >= most) return false;
   auto address = net::Address::parse(node.address);
   if (!address) return false;
   int error = 0;
@@ -71,7 +72,7 @@
   Connection& connection = *connections_.find(id);
   connection.fd = std::move(fd);
   connection.address = node.address;
-  ++pool.connections;
+  ++pools_[node.address].connections;
   connection.watch =
       loop_.watch(connection.fd.get(), POLLOUT, [this, id](short events) { on_ready(id, events); });
   begin(id, call, std::move(request), end);
--- a/tests/system/links_test.cpp
+++ b/tests/system/links_test.cpp
@@ -68,6 +68,7 @@
 class LinksTest : public CppUnit::TestFixture, private puez::LinksUser {
   CPPUNIT_TEST_SUITE(LinksTest);
   CPPUNIT_TEST(aConnectionIsUsedAgain);
+  CPPUNIT_TEST(aConnectionPastItsTimeIsNotUsed);
   CPPUNIT_TEST(anAnswerToSomethingElseSpoilsTheConnection);
   CPPUNIT_TEST(whatIsCutOffIsNoAnswer);
   CPPUNIT_TEST(bytesBehindAnAnswerEndTheConnection);
@@ -124,6 +125,15 @@
   }
   void tearDown() override { links.reset(); }
 
+  // The last connection to a node is closed while another call to it begins.
+  void aConnectionPastItsTimeIsNotUsed() {
+    ScriptedNode node(loop, [](const std::string&, int n) {
+      return reply("id" + std::to_string(n), "body", "Keep-Alive: timeout=0\r\n");
+    });
+    for (int i = 0; i < 3; ++i) CPPUNIT_ASSERT_EQUAL(std::string("body"), get(node.address()).body);
+    CPPUNIT_ASSERT_EQUAL(3, node.accepted);
+  }
+
   void aConnectionIsUsedAgain() {
     ScriptedNode node(loop,
                       [](const std::string&, int n) { return reply("id" + std::to_string(n), "body"); });
