Allowances: a draw is given back only after our own refusal, not after a node's own 404 or 503

Cause: a node that answered 404 had run the request, and its draw came back uncounted. Found in review. Ruled out: the status alone, which a node and we share. Change: the desk marks what no node has run.

--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -25,6 +25,7 @@
   auto refuse = [&](int status, double retry_after_s) {
     answer.status = status;
     answer.retry_after_s = retry_after_s;
+    answer.unrun = true;
     return RequestId{};
   };
   if (!routes_) return ++counters_.refused, refuse(503, 0.2);
--- a/src/pederu/desk_answers.cpp
+++ b/src/pederu/desk_answers.cpp
@@ -72,6 +72,7 @@
 FinalAnswer Desk::refusal(const Request& request) const {
   FinalAnswer answer;
   answer.status = 503;
+  answer.unrun = true;
   double aim = request.route->target_ms > 0 ? request.route->target_ms : request.route->deadline_ms / 10;
   answer.retry_after_s = std::clamp(aim / 1000 * 0.1, 0.005, 1.0);
   return answer;
--- a/src/pederu/request.h
+++ b/src/pederu/request.h
@@ -65,6 +65,7 @@
 struct FinalAnswer {
   int status = 0;
   double retry_after_s = 0;
+  bool unrun = false;  // ours: no node has run it, and none will. A node's own 404 or 503 may follow a run
   std::string type;
   std::string headers;
   std::string body;
--- a/src/vandelli/station.cpp
+++ b/src/vandelli/station.cpp
@@ -17,9 +17,6 @@
 
 std::uint64_t key(RequestId id) { return std::uint64_t{id.index} << 32 | id.generation; }
 
-// These promise that the request has not run.
-bool promises_not_run(int status) { return status == 503 || status == 429 || status == 421 || status == 404; }
-
 }  // namespace
 
 Station::Station(puez::Wire& wire, vazzoler::FollowerOptions options, pederu::Calls& calls,
@@ -113,7 +110,7 @@
   if (verdict.kind != pramperet::Verdict::Kind::drawn) return id;
   if (id)
     draws_[key(id)] = verdict.ticket;
-  else if (promises_not_run(answer.status))
+  else if (answer.unrun)
     purse_.not_run(verdict.ticket);
   return id;
 }
@@ -193,7 +190,7 @@
   if (drawn == draws_.end()) return static_cast<void>(answers_.emplace_back(ours, std::move(answer)));
   pramperet::Ticket ticket = std::move(drawn->second);
   draws_.erase(drawn);
-  if (promises_not_run(answer.status)) {
+  if (answer.unrun) {
     purse_.not_run(ticket);
   } else if (answer.status >= 500) {
     purse_.unsure(ticket);
--- a/tests/system/desk_test.cpp
+++ b/tests/system/desk_test.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(aRefusalGoesToAnotherNode);
   CPPUNIT_TEST(refusedByAllIsRefusedAtOnceWithATime);
   CPPUNIT_TEST(whatMayHaveRunIsNeverCalledUnrun);
+  CPPUNIT_TEST(aNodesOwnRefusalIsNotCalledUnrun);
   CPPUNIT_TEST(whatMayNotRepeatIsNotRepeated);
   CPPUNIT_TEST(aMisplacedNodeIsAskedNoMore);
   CPPUNIT_TEST(theAllowanceBoundsSecondCalls);
@@ -402,6 +403,19 @@
     }
   }
 
+  // What a draw on an allowance goes by: a node that answers 404 has run the request.
+  void aNodesOwnRefusalIsNotCalledUnrun() {
+    ask("/s/x");
+    while (last().open) end(last(), Ending::answered, 404);
+    FinalAnswer ran = answer();
+    CPPUNIT_ASSERT_EQUAL(404, ran.status);
+    CPPUNIT_ASSERT(!ran.unrun);
+    FinalAnswer none;
+    CPPUNIT_ASSERT(!ask("/nowhere/", none));
+    CPPUNIT_ASSERT_EQUAL(404, none.status);
+    CPPUNIT_ASSERT(none.unrun);
+  }
+
   void theAllowanceBoundsSecondCalls() {
     desk->set_allowance({0.2, 0, std::chrono::seconds(10)});
     int second = 0;
