--- a/src/trial/process.cpp
+++ b/src/trial/process.cpp
@@ -55,6 +55,13 @@
   if (pid_ > 0) ::kill(pid_, number);
 }
 
+void Process::stall(bool stalls) {
+  if (pid_ <= 0) return;
+  constexpr int narrow = 4096, wide = 1 << 20;
+  ::fcntl(out_.get(), F_SETPIPE_SZ, stalls ? narrow : wide);
+  watch_.want(stalls ? 0 : POLLIN);
+}
+
 void Process::readable() {
   char bytes[65536];
   const ssize_t got = ::read(out_.get(), bytes, sizeof bytes);
--- a/src/trial/process.h
+++ b/src/trial/process.h
@@ -25,6 +25,8 @@
   Process(const Process&) = delete;
 
   void signal(int number);
+  // While it holds, nobody reads what the process writes; its pipe then holds a page.
+  void stall(bool stalls);
   bool running() const { return pid_ > 0; }
   pid_t pid() const { return pid_; }
 
--- a/tests/processes/processes.h
+++ b/tests/processes/processes.h
@@ -35,7 +35,7 @@
 };
 const std::vector<std::string>& kinds();
 Plan draw_plan(std::uint64_t seed, int members, double troubled_s, bool mixed,
-               const std::vector<std::string>& only);
+               const std::vector<std::string>& only, bool traffic = false);
 std::string text_of(const Plan& plan);
 // Throws std::runtime_error with the line that is no good.
 Plan read_plan(const std::string& path);
@@ -123,6 +123,7 @@
   std::string net;
   int edges = 3;
   bool chatty = false;
+  bool traffic = false;  // clients and index servers that misbehave, and more that befalls edges
 };
 struct Result {
   std::uint64_t seed = 0;
@@ -132,6 +133,7 @@
   int past = 0, past_found = 0;  // folders set back, and found out
   std::uint64_t cut_connections = 0;
   double took_s = 0;
+  std::string traffic;  // what clients and index servers saw, in a line
 };
 Result play(const Plan& plan, const RunOptions& options);
 
--- a/tests/processes/processes_callers.cpp
+++ b/tests/processes/processes_callers.cpp
@@ -75,7 +75,11 @@
       R"({{"edition":{},"postalRoutes":[{{"name":"g","hostName":"hall.example","pathPrefix":"/g/",)"
       R"("lineKind":"safe","deadlineMs":1000,"targetMs":150,"precedence":1,"gatherFrom":["shard0","shard1"],)"
       R"("tries":2,"topN":20,"minShare":0.5}},{{"name":"s","hostName":"hall.example","pathPrefix":"/s/",)"
-      R"("lineKind":"safe","deadlineMs":1000,"targetMs":150,"precedence":2,"depot":"plain","tries":2}})",
+      R"("lineKind":"safe","deadlineMs":1000,"targetMs":150,"precedence":2,"depot":"plain","tries":2}},)"
+      R"({{"name":"l","hostName":"hall.example","pathPrefix":"/l/",)"
+      R"("lineKind":"safe","deadlineMs":4000,"targetMs":1500,"precedence":2,"depot":"plain","tries":2}},)"
+      R"({{"name":"u","hostName":"hall.example","pathPrefix":"/u/",)"
+      R"("lineKind":"unsafe","deadlineMs":1000,"targetMs":150,"precedence":2,"depot":"plain","tries":2}})",
       edition);
   for (int i = 2; i < routes; ++i)
     text += fmt::format(
--- a/tests/processes/processes_hall.cpp
+++ b/tests/processes/processes_hall.cpp
@@ -155,14 +155,16 @@
   std::ofstream(file) << settings(name, ip, false, false, {});
   const bool first = edges_.count(edge) == 0;
   edges_[edge].reset();
+  edges_told_to_end_.erase(edge);
   const std::uint32_t life = ++lives_;
   const std::string& program =
       older && !options_.programs.older.empty() ? options_.programs.older : options_.programs.altavia;
   edges_[edge] = std::make_unique<trial::Process>(
       loop_, words(program, ip, file, false), 0,
       [this, name, life](std::string_view line) { heard(name, life, true, line); },
-      [this, name](int status) {
-        scene_.judge.fault("END", fmt::format("{} ended by itself, {:#x}", name, status));
+      [this, name, edge](int status) {
+        if (status != 0 || !edges_told_to_end_.count(edge))
+          scene_.judge.fault("END", fmt::format("{} ended by itself, {:#x}", name, status));
       });
   if (!first) return;
   std::lock_guard lock(scene_.mutex);
@@ -173,6 +175,39 @@
   if (auto found = edges_.find(edge); found != edges_.end()) found->second->signal(number);
 }
 
+std::string Hall::front_door(int edge) const {
+  return fmt::format("{}:{}", host(first_edge + edge), door_port);
+}
+
+void Hall::end_edge(int edge) {
+  edges_told_to_end_.insert(edge);
+  signal_edge(edge, SIGTERM);
+}
+
+void Hall::reload_edge(int edge) {
+  const std::string name = fmt::format("edge{}", edge);
+  std::ofstream(options_.folder + "/" + name + ".toml")
+      << settings(name, host(first_edge + edge), false, false, {});
+  signal_edge(edge, SIGHUP);
+}
+
+void Hall::stall_log(int edge, bool stalls) {
+  if (auto found = edges_.find(edge); found != edges_.end()) found->second->stall(stalls);
+}
+
+std::pair<double, int> Hall::size_of_edge(int edge) const {
+  const auto found = edges_.find(edge);
+  if (found == edges_.end() || !found->second->running()) return {};
+  const std::string folder = fmt::format("/proc/{}", found->second->pid());
+  double resident_mb = 0;
+  std::ifstream status(folder + "/status");
+  for (std::string line; std::getline(status, line);)
+    if (line.starts_with("VmRSS:")) resident_mb = std::atof(line.c_str() + 6) / 1024;
+  std::error_code ignored;
+  const std::filesystem::directory_iterator files(folder + "/fd", ignored);
+  return {resident_mb, static_cast<int>(std::distance(files, std::filesystem::directory_iterator()))};
+}
+
 void Hall::cut_edge(int edge, bool cuts) {
   const std::uint32_t self = address_of(host(first_edge + edge), 1).host;
   for (int i = 0; i < most_members; ++i) {
--- a/tests/processes/processes_hall.h
+++ b/tests/processes/processes_hall.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,12 @@
   void start_edge(int edge, bool older);
   void signal_edge(int edge, int number);
   void cut_edge(int edge, bool cuts);
+  void end_edge(int edge);                // SIGTERM; it is expected to end by itself then
+  void reload_edge(int edge);             // its settings are written anew, then SIGHUP
+  void stall_log(int edge, bool stalls);  // nobody reads what it writes
+  std::string front_door(int edge) const;
+  // Resident megabytes and open descriptors of an edge; zeros where it is down.
+  std::pair<double, int> size_of_edge(int edge) const;
   // Each depot has one; the next takes its place, and the one before leaves.
   void start_node(const std::string& depot);
 
@@ -71,6 +78,7 @@
   std::map<int, std::unique_ptr<trial::Process>> edges_;
   std::map<std::string, int> serving_;  // depot -> node
   std::vector<std::unique_ptr<trial::Process>> nodes_;
+  std::set<int> edges_told_to_end_;
   std::uint32_t lives_ = 0;
 };
 
--- a/tests/processes/processes_measure.cpp
+++ b/tests/processes/processes_measure.cpp
@@ -31,7 +31,7 @@
   unsigned long long seed = 1;
   int count = 1, jobs = 2, members = 0, edges = 3, shorten = 0, changes = 5000, routes = 500;
   double troubled_s = 25;
-  bool restart = false, chatty = false, keep = false, draw = false;
+  bool restart = false, chatty = false, keep = false, draw = false, traffic = false;
 };
 
 // Each run has addresses of its own in 127.0.0.0/8, by this process's id and the run's place; a listener on
@@ -75,7 +75,7 @@
 };
 
 RunOptions run_options(const Options& options, const Net& net, const std::string& folder) {
-  return {options.programs, folder, net.text, options.edges, options.chatty};
+  return {options.programs, folder, net.text, options.edges, options.chatty, options.traffic};
 }
 
 Result play_in(const Options& options, const Plan& plan, int job) {
@@ -141,7 +141,7 @@
                                 options.members > 0 ? options.members
                                 : seed % 4 == 3     ? 5
                                                     : 3,
-                                options.troubled_s, !options.programs.older.empty(), only));
+                                options.troubled_s, !options.programs.older.empty(), only, options.traffic));
     }
   }
   if (options.draw) {
@@ -160,6 +160,9 @@
           results[i].seed = plans[i].seed;
           results[i].told.faults.push_back(std::string("the run could not be made: ") + error.what());
         }
+        if (!results[i].traffic.empty())
+          std::printf("seed %llu: %s\n", static_cast<unsigned long long>(plans[i].seed),
+                      results[i].traffic.c_str());
         if (results[i].told.faults.empty()) continue;
         std::string text = fmt::format("seed {} is broken\n", plans[i].seed);
         for (const std::string& fault : results[i].told.faults) text += "  " + fault + "\n";
@@ -227,7 +230,7 @@
                {"only", &to.only, "only these kinds, by commas"},
                {"plan", &to.plan, "plays the plan in this file"},
                {"json", &to.json, "writes the outcome there"}};
-  int restart = 0, chatty = 0, keep = 0, draw = 0;
+  int restart = 0, chatty = 0, keep = 0, draw = 0, traffic = 0;
   std::vector<poptOption> options;
   for (Text& each : texts)
     options.push_back({each.name, 0, POPT_ARG_STRING, &each.text, 0, each.what, "TEXT"});
@@ -243,6 +246,9 @@
        nullptr},
       {"changes", 0, POPT_ARG_INT, &to.changes, 0, "restart: so many (5000)", "N"},
       {"routes", 0, POPT_ARG_INT, &to.routes, 0, "restart: routes of each (500)", "N"},
+      {"traffic", 0, POPT_ARG_NONE, &traffic, 0,
+       "clients and index servers that misbehave, edges that end, reload, or whose log nobody reads",
+       nullptr},
       {"draw", 0, POPT_ARG_NONE, &draw, 0, "prints the plans only", nullptr},
       {"keep", 0, POPT_ARG_NONE, &keep, 0, "keeps settings and folders", nullptr},
       {"chatty", 'v', POPT_ARG_NONE, &chatty, 0, "each step, and what processes say", nullptr},
@@ -267,6 +273,7 @@
   to.chatty = chatty != 0;
   to.keep = keep != 0;
   to.draw = draw != 0;
+  to.traffic = traffic != 0;
   try {
     if (!to.restart) return play_all(to);
     Folder folder(to.keep);
--- a/tests/processes/processes_plan.cpp
+++ b/tests/processes/processes_plan.cpp
@@ -26,6 +26,9 @@
 // Edges and index servers, beside the members' troubles.
 constexpr Kind other_kinds[] = {
     {"edge_kill", 0.5, 0.5, 0}, {"edge_freeze", 0.3, 10, 0}, {"edge_cut", 1, 12, 0}, {"node_leave", 0, 0, 0}};
+// Only with traffic through the edges.
+constexpr Kind traffic_kinds[] = {
+    {"edge_term", 0.1, 0.5, 0}, {"edge_hup", 0, 0, 0}, {"edge_stalled_log", 1, 6, 0}};
 constexpr double most_share_aimed = 0.45;  // at whoever leads
 
 const Kind* find(const std::string& name) {
@@ -33,6 +36,8 @@
     if (name == kind.name) return &kind;
   for (const Kind& kind : other_kinds)
     if (name == kind.name) return &kind;
+  for (const Kind& kind : traffic_kinds)
+    if (name == kind.name) return &kind;
   return nullptr;
 }
 
@@ -48,7 +53,7 @@
 }
 
 Plan draw_plan(std::uint64_t seed, int members, double troubled_s, bool mixed,
-               const std::vector<std::string>& only) {
+               const std::vector<std::string>& only, bool traffic) {
   std::mt19937_64 random(seed * 2 + 1);
   auto between = [&](double from, double to) {
     return std::uniform_real_distribution<double>(from, to)(random);
@@ -77,7 +82,9 @@
       at += lasts + kind.after_s + between(0, 1);
     }
   for (double at = between(1, 4); at < troubled_s; at += between(2, 6)) {
-    const Kind& kind = other_kinds[random() % std::size(other_kinds)];
+    const std::size_t drawn = random() % (std::size(other_kinds) + (traffic ? std::size(traffic_kinds) : 0));
+    const Kind& kind =
+        drawn < std::size(other_kinds) ? other_kinds[drawn] : traffic_kinds[drawn - std::size(other_kinds)];
     plan.steps.push_back({at, kind.name, static_cast<int>(random() % 3),
                           std::min(between(kind.least_s, kind.most_s), troubled_s - at + 1)});
   }
--- a/tests/processes/processes_run.cpp
+++ b/tests/processes/processes_run.cpp
@@ -9,6 +9,7 @@
 
 #include "carestiato/call.h"
 #include "processes/processes_hall.h"
+#include "processes/traffic.h"
 
 namespace pearspar::processes {
 namespace {
@@ -24,6 +25,10 @@
 constexpr double in_touch_s = 4;     // an edge is in touch so long after its trouble
 constexpr double leave_known_s = 9;  // what a leaving index server needs, until it is gone
 constexpr const char* depots[] = {"shard0", "shard1", "plain"};
+constexpr int client_threads = 14;
+constexpr double edge_grace_s = 4;
+constexpr double most_growth_mb = 40;  // of an edge, from its first look to its last
+constexpr int most_descriptors = 200;  // that an edge holds once its clients have gone
 
 class Run {
  public:
@@ -65,6 +70,7 @@
     });
     turn_while([&] { return joined == 0; }, 120);
     joiner.join();
+    end_traffic();
     result_.seed = plan_.seed;
     result_.told = scene_.judge.finish();
     result_.cut_connections = hall_.relayed().broken;
@@ -114,7 +120,10 @@
     for (int i = 0; i < plan_.members; ++i) hall_.add_member(true, older());
     for (int i = 0; i < plan_.members; ++i) hall_.start_member(i, true);
     for (int i = 0; i < options_.edges; ++i) hall_.start_edge(i, older());
-    for (const char* depot : depots) hall_.start_node(depot);
+    if (options_.traffic)
+      servers_ = std::make_unique<MisbehavingServers>(scene_, history_, plan_.seed);
+    else
+      for (const char* depot : depots) hall_.start_node(depot);
     callers_.emplace_back([this] { watch_on(scene_); });
     if (!turn_while([&] { return scene_.leader().empty(); }, up_within_s)) {
       scene_.judge.fault("START", "nobody leads");
@@ -123,8 +132,9 @@
     scene_.at_work = 2;
     for (int i = 0; i < 2; ++i) callers_.emplace_back([this, i] { operate(scene_, plan_.seed, i); });
     callers_.emplace_back([this] { read_on(scene_, plan_.seed); });
-    callers_.emplace_back([this] { ask_on(scene_, plan_.seed); });
+    if (!options_.traffic) callers_.emplace_back([this] { ask_on(scene_, plan_.seed); });
     turn_while([&] { return scene_.judge.newest() == 0; }, up_within_s);
+    if (options_.traffic) begin_traffic();
     return true;
   }
 
@@ -255,12 +265,23 @@
     if (leaves) left_until_ = now + leave_known_s;
     ++result_.struck[step.kind];
     tell(fmt::format("{} {} {:.2f}", step.kind, edge, step.for_s));
-    if (leaves) {
+    if (leaves && servers_) {
+      servers_->leave(static_cast<int>(random_() % 64));
+    } else if (leaves) {
       hall_.start_node(depots[std::max(0, step.whom) % 3]);
+    } else if (step.kind == "edge_hup") {
+      hall_.reload_edge(edge);
+    } else if (step.kind == "edge_stalled_log") {
+      hall_.stall_log(edge, true);
+      after(step.for_s, [this, edge] { hall_.stall_log(edge, false); });
+    } else if (step.kind == "edge_term") {
+      if (edges_troubled_.insert(edge).second) end_edge(edge, step.for_s);
     } else if (edges_troubled_.insert(edge).second) {
       if (step.kind == "edge_kill") hall_.start_edge(edge, older());
       if (step.kind == "edge_freeze") hall_.signal_edge(edge, SIGSTOP);
       if (step.kind == "edge_cut") hall_.cut_edge(edge, true);
+      // Where it is killed it starts again at once, and its connections have ended.
+      history_.troubled(hall_.front_door(edge), now - 0.01, now + step.for_s);
       after(step.for_s, [this, edge] {
         hall_.signal_edge(edge, SIGCONT);
         hall_.cut_edge(edge, false);
@@ -270,6 +291,51 @@
     }
   }
 
+  void begin_traffic() {
+    // Until every edge knows the servers.
+    turn_until(scene_.judge.now() + 2.5);
+    for (int i = 0; i < options_.edges; ++i) {
+      history_.troubled(hall_.front_door(i), 0, scene_.judge.now());
+      sizes_.push_back(hall_.size_of_edge(i));
+    }
+    clients_ = std::make_unique<MisbehavingClients>(scene_, history_, plan_.seed, client_threads);
+  }
+
+  // All clients are gone: what edges hold for them is given back.
+  void end_traffic() {
+    if (!options_.traffic || !came_up_) return;
+    clients_.reset();
+    turn_until(scene_.judge.now() + 1.5);
+    for (int i = 0; i < options_.edges; ++i) {
+      const auto [resident_mb, descriptors] = hall_.size_of_edge(i);
+      if (resident_mb > sizes_[static_cast<std::size_t>(i)].first + most_growth_mb)
+        scene_.judge.fault("SIZE", fmt::format("edge{} grew to {:.0f} MB", i, resident_mb));
+      if (descriptors > most_descriptors)
+        scene_.judge.fault("SIZE", fmt::format("edge{} holds {} descriptors", i, descriptors));
+    }
+    servers_.reset();
+    history_.close();
+    result_.traffic = history_.summary();
+  }
+
+  // In good order: it serves on while its clients go elsewhere, ends within its grace and is started again.
+  void end_edge(int edge, double down_s) {
+    const double asked = scene_.judge.now();
+    const std::string door = hall_.front_door(edge);
+    history_.told_to_end(door, asked);
+    hall_.end_edge(edge);
+    when([this, edge] { return hall_.size_of_edge(edge).second == 0; }, edge_grace_s + 3,
+         [this, edge, door, asked, down_s](bool ended) {
+           if (!ended) scene_.judge.fault("LEAVE", fmt::format("edge{} does not end", edge));
+           after(down_s, [this, edge, door, asked] {
+             hall_.start_edge(edge, older());
+             history_.troubled(door, asked, scene_.judge.now() + 1);
+             in_touch_from_ = scene_.judge.now() + in_touch_s;
+             edges_troubled_.erase(edge);
+           });
+         });
+  }
+
   // Its folder is copied while it is down; later it is set back to that copy, under the same leader.
   void past(int whom, double for_s) {
     hall_.kill(whom);
@@ -404,6 +470,10 @@
   int busy_ = 0;
   double base_ = 0;
   Result result_;
+  TrafficHistory history_{scene_.judge};
+  std::unique_ptr<MisbehavingServers> servers_;
+  std::unique_ptr<MisbehavingClients> clients_;
+  std::vector<std::pair<double, int>> sizes_;  // of edges, before the traffic
 };
 
 }  // namespace
--- /dev/null
+++ b/tests/processes/traffic.h
@@ -0,0 +1,126 @@
+// Traffic through the edges of a system of real processes: clients and index servers that misbehave, and a
+// history of every request, kept outside the processes under test and judged after the run.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "processes/processes.h"
+
+namespace pearspar::processes {
+
+constexpr double never = std::numeric_limits<double>::infinity();
+
+// One try of a client.
+struct ClientTry {
+  std::string id;
+  std::string edge;  // address of its front door
+  std::string method;
+  std::string path;
+  std::string body;
+  double sent_at = 0;       // the first byte
+  double deadline_s = 0;    // as the client named it
+  bool safe = true;         // its route may be repeated
+  bool kept = false;        // not the first request on its connection
+  bool all_sent = false;    // the edge has every byte of it
+  int status = 0;           // 0: none came
+  double ended_at = never;  // the answer, or the end of the connection
+  double left_at = never;   // the client closed its connection without waiting
+};
+
+// One request as it came to an index server.
+struct Arrival {
+  std::string id;
+  std::string server;  // its id
+  std::string service;
+  std::string method;
+  std::string path;
+  std::string body;
+  std::string stamp;
+  double at = 0;
+  double deadline_s = 0;      // as the edge handed it on
+  double work_s = 0;          // how long the server means to work
+  double stopped_at = never;  // the work was over, or its connection had ended
+  bool ran = false;
+  bool sound = true;  // the server answers it, and in good order
+};
+
+class TrafficHistory {
+ public:
+  explicit TrafficHistory(Judge& judge) : judge_(judge) {}
+
+  double now() const { return judge_.now(); }
+  void sent(const ClientTry& attempt);
+  void sent_whole(const std::string& id);
+  void left(const std::string& id);
+  void closed(const std::string& id);  // by the edge, without an answer
+  void answered(const std::string& id, int status, const std::string& head, const std::string& body);
+
+  std::size_t arrived(const Arrival& arrival);
+  void stopped(std::size_t arrival);
+  void left_service(const std::string& server);  // its leave was acknowledged
+
+  // From then on, and until `until`, nothing is promised of that edge but what holds for all.
+  void troubled(const std::string& edge, double from, double until);
+  // It was told to end in good order.
+  void told_to_end(const std::string& edge, double at);
+
+  void fault(const std::string& rule, const std::string& what) { judge_.fault(rule, what); }
+  // Every rule over all that was seen; the faults go to the judge.
+  void close();
+  std::string summary() const;
+
+ private:
+  bool calm(const std::string& edge, double from, double until) const;
+  void judge_arrivals();
+  void judge_departures();
+  void judge_ends();
+  const ClientTry* find(const std::string& id) const;
+
+  Judge& judge_;
+  mutable std::mutex mutex_;
+  std::map<std::string, ClientTry> tries_;  // by id
+  std::vector<Arrival> arrivals_;
+  std::map<std::string, std::string> stamped_;  // stamp -> id of the request
+  std::map<std::string, double> left_service_;  // by server
+  std::map<std::string, std::vector<std::pair<double, double>>> troubled_;
+  std::map<std::string, std::vector<double>> ends_;
+  std::string summary_;
+};
+
+// What the body of a server's answer is, by its stamp alone: whoever has the stamp can check the bytes.
+std::string records_of(const std::string& stamp);
+std::string bytes_of(const std::string& stamp);
+
+// Index servers in threads of this process, each of which answers in any way that the protocol's page lists.
+class MisbehavingServers {
+ public:
+  MisbehavingServers(Scene& scene, TrafficHistory& history, std::uint64_t seed);
+  ~MisbehavingServers();
+  // One of that service leaves and comes back as another.
+  void leave(int number);
+
+ private:
+  class Server;
+  std::vector<std::unique_ptr<Server>> servers_;
+};
+
+// Clients in threads of this process.
+class MisbehavingClients {
+ public:
+  MisbehavingClients(Scene& scene, TrafficHistory& history, std::uint64_t seed, int threads);
+  ~MisbehavingClients();
+
+ private:
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace pearspar::processes
