Bytes of all connections are bounded together, by the memory that the settings tell

Cause: each connection's bytes were bounded (head, body, 64 KB ahead), their sum was not: 1,880 requests that never end held 494 MB in an edge of 260, 900 control calls 732 MB in a member, and a process over its memory is killed. Any caller could end all members so. Beside it: a whole request stayed in the reader's buffer until its answer; an empty buffer that is assigned keeps the memory of the one before (libstdc++ copies short strings), so what was refused was held on; and the library's bound for mapped memory rises by itself. Ruled out: fewer connections (they are the operators'), a smaller body (the configuration's), a shorter wait (slow links are honest). Change: Front counts what is held over all connections; beyond a share of memoryMb (edge 0.35, member 0.25) the request that is still coming and holds the most is answered 503 with a time to come back, then who does not take its answer is closed. A request leaves the buffer as its user has it. Answers of nodes that are coming are bounded alike (0.2). Counters tell each. Looked for elsewhere: the control port (mended with it), answers of nodes (mended), assigned empty buffers in the agent's and the registry's client (mended); frames of members' own links are bounded each and not together (private port, open).

--- a/src/altavia/door.h
+++ b/src/altavia/door.h
@@ -31,6 +31,12 @@
   // To be called every second: connections that have been idle for too long.
   void sweep();
 
+  // Of bytes held for all clients' connections, and for all answers of nodes that are coming.
+  void set_memory_bounds(std::size_t clients, std::size_t nodes) {
+    front_.set_memory_bound(clients);
+    nodes_.set_memory_bound(nodes);
+  }
+
   clients::Front& front() { return front_; }
   const clients::Front& front() const { return front_; }
   const croda::NodeLinks& nodes() const { return nodes_; }
--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -16,6 +16,9 @@
 constexpr double leave_share = 0.45;           // of a grace that is shorter, at most
 constexpr net::Duration leave_before = 700ms;  // of the grace
 constexpr puez::Links::Bounds asked_by_edges{64, 1024};
+// Of the process's memory: what clients send and have not taken yet, and what index servers answer.
+constexpr double clients_share = 0.35;
+constexpr double servers_share = 0.2;
 constexpr std::size_t other_files = 300;  // descriptors that are no client's
 
 std::size_t most_clients(const coldai::Settings& settings) {
@@ -38,6 +41,7 @@
              most_clients(settings),
              warn}) {
   door_.station().desk().nodes().set_home(settings.zone);
+  door_.set_memory_bounds(settings.memory_bytes(clients_share), settings.memory_bytes(servers_share));
   door_.start(*net::Address::parse(settings.front_door));
   check_.leave_heads_bare();
   if (!settings.ready_check.empty()) check_.listen(*net::Address::parse(settings.ready_check));
@@ -167,6 +171,13 @@
       {"altavia_accepted_total", "connections of clients", n(front.accepted)},
       {"altavia_bad_requests_total", "what was no request", n(front.bad_requests)},
       {"altavia_closed_for_room_total", "idle clients that made way", n(front.closed_for_room)},
+      {"altavia_client_bytes", "held for clients' connections", n(door_.front().held_bytes())},
+      {"altavia_refused_for_memory_total",
+       "requests answered 503 since clients' bytes had reached their bound", n(front.refused_for_memory)},
+      {"altavia_closed_for_memory_total", "clients cut off for it that did not take their answer",
+       n(front.closed_for_memory)},
+      {"altavia_answers_without_memory_total", "answers of nodes broken off since theirs had reached it",
+       n(links.without_memory)},
       {"altavia_unread_total", "frames that could not be read", n(door_.station().follower().unread())},
       {"altavia_open", "requests under way", n(door_.station().desk().open())},
       {"altavia_coverage", "share of the weight that is asked", door_.station().desk().coverage()},
--- a/src/altavia/main.cpp
+++ b/src/altavia/main.cpp
@@ -1,6 +1,7 @@
 // The one program of the system: what it does on a machine follows from the settings that the platform hands
 // to it. It serves clients where it is given a front door, and is a member of the core where it is given a
 // control port and a folder on disk.
+#include <malloc.h>
 #include <popt.h>
 #include <signal.h>
 #include <sys/stat.h>
@@ -29,6 +30,9 @@
 using lavarella::log;
 
 constexpr int bad_input = 2;
+// From this size on the library gives memory back to the system as it is freed; else that bound rises by
+// itself and what a burst of long requests took stays with the process.
+constexpr int mapped_from = 128 << 10;
 
 // A file as it was when it was last read; a look costs one system call.
 class Watched {
@@ -210,6 +214,7 @@
     return bad_input;
   }
   if (command == "check-settings") return check_settings(path);
+  ::mallopt(M_MMAP_THRESHOLD, mapped_from);
   lavarella::open_log("altavia", least);
   return Process(path, least).run();
 }
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t most_connections = 1024;
 constexpr std::size_t most_body = 1 << 20;
+constexpr double callers_share = 0.25;  // of the process's memory, for what callers send and have not taken
 constexpr net::Duration start_pause = 300ms;
 constexpr net::Duration stop_within = 400ms;
 constexpr double most_of_grace = 0.85;  // for a leave that needs others
@@ -59,6 +60,7 @@
       links_(loop, *this),
       store_(settings.data_dir),
       member_(links_, store_, core_options(settings, seed), office_options(settings, seed)) {
+  front_.set_memory_bound(settings.memory_bytes(callers_share));
   links_.listen(*net::Address::parse(settings.inner_address()));
   front_.listen(*net::Address::parse(settings.control_port));
   start_core();
@@ -159,6 +161,9 @@
       {"altavia_frames_dropped_total", "frames for which there was no link, or no room", n(links_.dropped())},
       {"altavia_unread_total", "frames that could not be read", n(member_.unread())},
       {"altavia_calls_total", "control calls", n(front_.counters().requests)},
+      {"altavia_caller_bytes", "held for callers' connections", n(front_.held_bytes())},
+      {"altavia_refused_for_memory_total", "calls answered 503 since callers' bytes had reached their bound",
+       n(front_.counters().refused_for_memory)},
   };
 }
 
--- a/src/clients/front.cpp
+++ b/src/clients/front.cpp
@@ -67,7 +67,7 @@
         loop_.watch(connection.fd.get(), POLLIN, [this, id](short events) { on_ready(id, events); });
     guard(id, patience_.request);
     // Its first request is often there already.
-    if (read(id)) advance(id);
+    if (read(id) && connections_.find(id)->state == State::reading) advance(id);
   }
 }
 
@@ -147,7 +147,17 @@
                                                   : net::read_into(connection.fd, connection.in, read_step);
     if (result == net::IoResult::some) {
       connection.last_used = loop_.now();
-      if (connection.in.size() >= most_ahead) break;
+      if (connection.half_closed) continue;
+      const State before = connection.state;
+      account(connection);
+      if (!make_room() && before != State::reading) {
+        // Bytes ahead of their turn, and nothing else to be given up.
+        ++counters_.closed_for_memory;
+        close(id);
+      }
+      Connection* still = connections_.find(id);
+      if (!still) return false;
+      if (still->state != before || still->in.size() >= most_ahead) break;
       continue;
     }
     if (result == net::IoResult::none) return true;
@@ -191,15 +201,34 @@
   connection.timer.reset();
   connection.state = State::waiting;
   connection.last_used = loop_.now();
+  connection.consumed = false;
+  connection.request_bytes = connection.in.size();
+  account(connection);
   want(connection);
+  if (!make_room()) return refuse_for_memory(id);
   user_.request_arrived(id, connection.reader.message());
+  // Its user has taken what it needs: a long body is not held twice until the answer is here.
+  Connection* waits = connections_.find(id);
+  if (!waits || waits->state != State::waiting) return;
+  consume(*waits);
+  account(*waits);
+}
+
+// Takes the request out of the buffer.
+void Front::consume(Connection& connection) {
+  if (std::exchange(connection.consumed, true)) return;
+  connection.keep_alive = connection.reader.message().keep_alive;
+  connection.asks_head = connection.reader.asks_head();
+  connection.reader.next(connection.in);
 }
 
 void Front::queue(Connection& connection, const Answer& answer, bool close_after) {
   connection.state = State::writing;
   connection.close_after = close_after;
   connection.written = 0;
-  bool bare = answer.bare || (bare_heads_ && connection.reader.asks_head());
+  connection.last_used = loop_.now();
+  const bool asks_head = connection.consumed ? connection.asks_head : connection.reader.asks_head();
+  bool bare = answer.bare || (bare_heads_ && asks_head);
   std::string& out = connection.out;
   out = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, http::reason(answer.status));
   if (!answer.type.empty()) out += fmt::format("Content-Type: {}\r\n", answer.type);
@@ -210,15 +239,16 @@
   if (close_after) out += "Connection: close\r\n";
   out += "\r\n";
   if (!bare) out += answer.body;
+  connection.consumed = false;
+  account(connection);
 }
 
 void Front::answer(net::SlotId id, const Answer& answer) {
   Connection* connection = connections_.find(id);
   if (!connection || connection->state != State::waiting) return;
   ++counters_.answers;
-  bool keep = connection->reader.message().keep_alive && !winding_down_;
-  queue(*connection, answer, !keep);
-  connection->reader.next(connection->in);
+  consume(*connection);
+  queue(*connection, answer, winding_down_ || !connection->keep_alive);
   write(id);
 }
 
@@ -231,6 +261,7 @@
     if (result == net::IoResult::failed) return close(id);
     if (result == net::IoResult::none) break;
     connection.written += written;
+    connection.last_used = loop_.now();
   }
   if (connection.written == connection.out.size()) return sent(id);
   if (!connection.timer.pending()) guard(id, patience_.answer);
@@ -244,13 +275,15 @@
   connection.written = 0;
   connection.timer.reset();
   connection.state = State::reading;
+  account(connection);
   if (connection.close_after) {
     if (connection.half_closed) return;
     // Closing with bytes of the client unread would reset the connection and could take the answer with it:
     // our side ends first, and theirs is read out for a moment.
     connection.half_closed = true;
     net::end_sending(connection.fd);
-    connection.in = net::Buffer();
+    connection.in.release();
+    account(connection);
     guard(id, linger_time);
     connection.watch.want(POLLIN);
     return;
@@ -298,6 +331,7 @@
   Connection* connection = connections_.find(id);
   if (!connection) return;
   bool waiting = connection->state == State::waiting;
+  held_bytes_ -= connection->held;
   connections_.release(id);
   if (waiting) user_.client_left(id);
 }
--- a/src/clients/front.h
+++ b/src/clients/front.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -25,6 +26,8 @@
   std::uint64_t timed_out = 0;      // half a request, or an answer that was not taken
   std::uint64_t closed_unused = 0;  // connections that never began a request
   std::uint64_t accept_failures = 0;
+  std::uint64_t refused_for_memory = 0;  // requests that were still coming, or were whole, answered 503
+  std::uint64_t closed_for_memory = 0;   // answers that were not taken, bytes that came ahead of their turn
 };
 
 struct Answer {
@@ -65,6 +68,11 @@
         patience_(patience),
         limits_(limits) {}
 
+  // Bytes held for all connections together, at the most. Beyond them room is made: first by refusing the
+  // request that is still coming and holds the most, then by closing on whoever does not take its answer.
+  void set_memory_bound(std::size_t bytes) { memory_bound_ = bytes; }
+  std::size_t held_bytes() const { return held_bytes_; }
+
   void listen(const net::Address& address);
   net::Address address() const { return net::local_address(listener_); }
 
@@ -108,6 +116,11 @@
     std::size_t written = 0;
     bool close_after = false;
     bool half_closed = false;  // we have ended our side and drain theirs
+    bool consumed = false;     // the request that waits has left the buffer; what its answer needs is below
+    bool keep_alive = true;
+    bool asks_head = false;
+    std::size_t request_bytes = 0;  // of the request that waits
+    std::size_t held = 0;           // as counted in held_bytes_
     net::Time last_used{};
   };
 
@@ -122,6 +135,13 @@
   void guard(net::SlotId id, net::Duration span);
   void give_up_waiting(net::SlotId id);
   bool idle(const Connection& connection) const;
+  void consume(Connection& connection);
+  // Of front_memory.cpp.
+  void account(Connection& connection);
+  std::size_t bytes_of(const Connection& connection) const;
+  bool make_room();
+  net::SlotId largest(const std::function<bool(const Connection&)>& counts);
+  void refuse_for_memory(net::SlotId id);
   // The one place where a connection ends.
   void close(net::SlotId id);
 
@@ -137,6 +157,8 @@
   bool winding_down_ = false;
   bool bare_heads_ = false;
   net::SlotTable<Connection> connections_;
+  std::size_t memory_bound_ = std::numeric_limits<std::size_t>::max();
+  std::size_t held_bytes_ = 0;
   FrontCounters counters_;
 };
 
--- a/src/coldai/settings.h
+++ b/src/coldai/settings.h
@@ -26,6 +26,9 @@
   std::string ready_check;
   std::string control_port;
   int memory_mb = 256;
+  std::size_t memory_bytes(double share) const {
+    return static_cast<std::size_t>(memory_mb * share * (1 << 20));
+  }
   int files = 1024;
   // Bounds of the rules.
   double in_touch_ms = 4000;
--- a/src/croda/node_links.cpp
+++ b/src/croda/node_links.cpp
@@ -156,6 +156,11 @@
       if (connection.busy && advance(connection) == http::Progress::done) answered(id);
       return close(id, Ending::broken);
     }
+    account(connection);
+    if (held_bytes_ > memory_bound_) {
+      ++counters_.without_memory;
+      return close(id, Ending::broken);
+    }
     if (connection.in.size() < read_step) break;
   }
   Connection& connection = *connections_.find(id);
@@ -174,6 +179,11 @@
   }
 }
 
+void NodeLinks::account(Connection& connection) {
+  const std::size_t before = std::exchange(connection.held, connection.in.capacity());
+  held_bytes_ += connection.held - before;
+}
+
 // Interim answers are passed over.
 http::Progress NodeLinks::advance(Connection& connection) {
   while (true) {
@@ -223,6 +233,7 @@
   on_end_(call, end);
   if (!connections_.find(id)) return;
   connection.reader.next(connection.in);
+  account(connection);
   if (connection.in.size() > 0) ++counters_.surplus;
   if (!keep || connection.in.size() > 0) return close(id, Ending::no_way);
   rest(id);
@@ -249,6 +260,7 @@
   Connection* connection = connections_.find(id);
   if (!connection) return;
   bool busy = connection->busy;
+  held_bytes_ -= connection->held;
   // None of it has left: it has not run.
   if (busy && ending == Ending::broken && connection->written == 0) {
     ++counters_.unwritten;
--- a/src/croda/node_links.h
+++ b/src/croda/node_links.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -20,12 +21,13 @@
 struct LinkCounters {
   std::uint64_t opened = 0;
   std::uint64_t reused = 0;
-  std::uint64_t spoilt = 0;     // what came was no answer to what was asked
-  std::uint64_t surplus = 0;    // bytes behind a whole answer
-  std::uint64_t unnamed = 0;    // answers that did not echo the id
-  std::uint64_t overdue = 0;    // no answer by the end of the request
-  std::uint64_t unwritten = 0;  // calls whose connection broke before a byte of them was written
-  std::uint64_t forgotten = 0;  // idle connections that had ended as they were to be used
+  std::uint64_t spoilt = 0;          // what came was no answer to what was asked
+  std::uint64_t surplus = 0;         // bytes behind a whole answer
+  std::uint64_t unnamed = 0;         // answers that did not echo the id
+  std::uint64_t overdue = 0;         // no answer by the end of the request
+  std::uint64_t unwritten = 0;       // calls whose connection broke before a byte of them was written
+  std::uint64_t forgotten = 0;       // idle connections that had ended as they were to be used
+  std::uint64_t without_memory = 0;  // answers broken off, their bytes together being at their bound
 };
 
 class NodeLinks : public pederu::Calls {
@@ -35,6 +37,8 @@
 
   bool start(pederu::CallId call, const pederu::KnownNode& node, int most_connections, std::string request,
              pederu::Time end) override;
+  // Bytes of answers that are coming, over all connections, at the most: beyond it the one that grows ends.
+  void set_memory_bound(std::size_t bytes) { memory_bound_ = bytes; }
   // Connections that have been idle past their time; to be called every second or so.
   void sweep();
   std::size_t connections() const { return connections_.size(); }
@@ -57,6 +61,7 @@
     net::Buffer in;
     http::MessageReader reader{http::MessageKind::reply, {16 * 1024, std::size_t{4} << 20, 4096}};
     net::Time idle_until{};
+    std::size_t held = 0;  // as counted in held_bytes_
   };
   struct Pool {
     std::vector<net::SlotId> idle;  // the one used last at the back
@@ -70,6 +75,7 @@
   void read(net::SlotId id);
   static http::Progress advance(Connection& connection);
   void answered(net::SlotId id);
+  void account(Connection& connection);
   void rest(net::SlotId id);
   void due(net::SlotId id);
   // Ends the connection, and with it what is out on it.
@@ -79,6 +85,8 @@
   OnEnd on_end_;
   net::SlotTable<Connection> connections_;
   std::unordered_map<std::string, Pool> pools_;  // by address
+  std::size_t memory_bound_ = std::numeric_limits<std::size_t>::max();
+  std::size_t held_bytes_ = 0;
   LinkCounters counters_;
 };
 
--- a/src/discovery/client.cpp
+++ b/src/discovery/client.cpp
@@ -170,7 +170,7 @@
   watch_.reset();
   fd_.reset();
   up_ = asked_ = false;
-  in_ = net::Buffer();
+  in_.release();
   out_.clear();
   reader_ = http::MessageReader(http::MessageKind::reply);
 }
--- a/src/measure/view_cost.cpp
+++ b/src/measure/view_cost.cpp
@@ -48,7 +48,7 @@
         "POST /search HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {}{:015x}\r\nX-Time-Left-Ms: 3000\r\n"
         "Content-Length: {}\r\n\r\n{}",
         mark_, ++count_, body.size(), body);
-    in_ = net::Buffer();
+    in_.release();
     reader_ = http::MessageReader(http::MessageKind::reply);
     done_ = false;
     const net::Time from = loop_.read_clock();
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -12,6 +12,8 @@
  public:
   std::string_view view() const { return {bytes_.data() + start_, end_ - start_}; }
   std::size_t size() const { return end_ - start_; }
+  // Of the memory that it holds, used or not.
+  std::size_t capacity() const { return bytes_.capacity(); }
   // For rewriting in place (chunks are joined where they lie).
   char* data() { return bytes_.data() + start_; }
 
@@ -42,6 +44,12 @@
     end_ -= size;
   }
 
+  // Drops all, and gives the memory back; assigning an empty buffer would keep it.
+  void release() {
+    std::string().swap(bytes_);
+    start_ = end_ = 0;
+  }
+
   void consume(std::size_t size) {
     start_ += std::min(size, end_ - start_);
     if (start_ < end_) return;
--- a/src/registry/link.cpp
+++ b/src/registry/link.cpp
@@ -51,7 +51,7 @@
   watch_.reset();
   fd_.reset();
   up_ = used_ = false;
-  in_ = net::Buffer();
+  in_.release();
   reader_.reset();
   request_.clear();
 }
@@ -109,7 +109,7 @@
     if (end && !heard_ && used_ && again_) {
       watch_.reset();
       fd_.reset();
-      in_ = net::Buffer();
+      in_.release();
       connect();
       return Came::some;
     }
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -346,5 +346,57 @@
   ASSERT_TRUE(until([&] { return arrived.size() == 3; }));
 }
 
+// Each is far inside its own bounds; together they are not. Those that are small are served meanwhile.
+TEST_F(FrontTest, BytesOfAllConnectionsAreBoundedTogether) {
+  constexpr std::size_t bound = 200 * 1024;
+  front.set_memory_bound(bound);
+  answer_at_once = true;
+  std::vector<peers::Peer> slow;
+  for (int i = 0; i < 8; ++i) {
+    slow.push_back(client());
+    ASSERT_TRUE(until([&] { return front.counters().accepted == slow.size(); }));
+    slow.back().write("POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n" +
+                      std::string(50000, 'x'));
+    for (int turns = 0; turns < 5; ++turns) loop.turn(net::Duration(0.005));
+    EXPECT_LE(front.held_bytes(),
+              bound + 130 * 1024);  // what one step of reading may add before room is made
+  }
+  EXPECT_GE(front.counters().refused_for_memory, 5u);
+  auto quick = client();
+  ASSERT_TRUE(until([&] { return front.counters().accepted == 9; }));
+  quick.write("GET /quick HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(sees(quick, "ok /quick"));
+  EXPECT_TRUE(arrived.size() == 1);
+  int told = 0;
+  for (auto& each : slow) {
+    each.read();
+    told += each.seen().find("503") != std::string_view::npos &&
+            each.seen().find("Retry-After: 0.200") != std::string_view::npos;
+  }
+  EXPECT_EQ(static_cast<std::uint64_t>(told), front.counters().refused_for_memory);
+  slow.clear();
+  until([&] { return front.connections() <= 1; });
+  EXPECT_LE(front.held_bytes(), 40u * 1024);
+}
+
+// A long body that has been handed on is not held beside its user's copy while the answer is awaited.
+TEST_F(FrontTest, ARequestThatWaitsHasLeftTheBuffer) {
+  auto asks = client();
+  ASSERT_TRUE(until([&] { return front.counters().accepted == 1; }));
+  asks.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n" + std::string(60000, 'x'));
+  ASSERT_TRUE(until([&] { return arrived.size() == 1; }));
+  EXPECT_EQ(60000u, arrived[0].body.size());
+  asks.write("GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  for (int turns = 0; turns < 5; ++turns) loop.turn(net::Duration(0.005));
+  EXPECT_EQ(1u, arrived.size());
+  EXPECT_LE(front.held_bytes(), 2 * 61000 + 20 * 1024u);  // its user's copies, and one step of reading
+  front.answer(arrived[0].connection, {200, "first", "text/plain", {}, 0});
+  ASSERT_TRUE(until([&] { return arrived.size() == 2; }));
+  front.answer(arrived[1].connection, {200, "second", "text/plain", {}, 0});
+  EXPECT_TRUE(sees(asks, "second"));
+  EXPECT_TRUE(ends(asks));
+  EXPECT_LT(asks.seen().find("first"), asks.seen().find("second"));
+}
+
 }  // namespace
 }  // namespace pearspar::clients
