--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -18,8 +18,8 @@
 constexpr double most_of_grace = 0.85;  // for a leave that needs others
 constexpr net::Duration least_wait = 2ms;
 
-lagazuoi::Options core_options(const coldai::Settings& settings, std::uint64_t seed) {
-  lagazuoi::Options options;
+raft::Options core_options(const coldai::Settings& settings, std::uint64_t seed) {
+  raft::Options options;
   options.address = settings.inner_address();
   options.founders = settings.inner_seeds();
   options.seeds = settings.inner_seeds();
@@ -74,7 +74,7 @@
     log(Level::error, "store_refused", {{"folder", settings_.data_dir}, {"why", error.message()}});
     return;
   }
-  const lagazuoi::Core& core = member_.core();
+  const raft::Core& core = member_.core();
   log(Level::info, "member_started",
       {{"id", core.self()},
        {"term", core.term()},
@@ -114,7 +114,7 @@
 void Member::link_down(puez::LinkId link) { member_.link_down(link); }
 
 std::vector<scoiattoli::Sample> Member::samples() const {
-  const lagazuoi::Core& core = member_.core();
+  const raft::Core& core = member_.core();
   auto n = [](auto value) { return static_cast<double>(value); };
   return {
       {"altavia_leads", "whether this member leads, its lease holding",
@@ -179,7 +179,7 @@
 
 // Once as it begins, once as it is over.
 void Member::tell_disk() {
-  const lagazuoi::Core& core = member_.core();
+  const raft::Core& core = member_.core();
   if (core.ill() == ill_) return;
   ill_ = core.ill();
   log(ill_ ? Level::error : Level::info, ill_ ? "store_refuses" : "store_takes_again",
--- a/src/biella/cluster.h
+++ b/src/biella/cluster.h
@@ -112,7 +112,7 @@
   // What a state of the ballast's size costs to get to a member that lacks it, others getting it too.
   double transfer_s() const;
   // Counts, and holds all up to there.
-  bool caught_up(std::size_t core, lagazuoi::Index commit) const;
+  bool caught_up(std::size_t core, raft::Index commit) const;
   // A member is being sent what it lacks.
   bool transfer_under_way() const;
   // From now on processes are told these; those that run too.
--- a/src/biella/cluster_ballast.cpp
+++ b/src/biella/cluster_ballast.cpp
@@ -12,8 +12,8 @@
 // keys.
 std::string folded(const std::string& text, std::size_t bytes) {
   sennes::State state;
-  lagazuoi::Entry entry;
-  entry.kind = lagazuoi::EntryKind::change;
+  raft::Entry entry;
+  entry.kind = raft::EntryKind::change;
   entry.data = sennes::State::change(0, 1, sennes::digest_of(text), text);
   state.apply(entry);
   pramperet::Ask ask;
@@ -51,7 +51,7 @@
   checker_.change_sent(0, 1, text);
   checker_.change_answered(seconds(), 0, 1, text, 200);
   for (auto& who : operators_) who->seen = 1;
-  lagazuoi::Stored past;
+  raft::Stored past;
   past.vote.term = 1;
   past.commit = past.snapshot.index = 2;
   past.snapshot.term = 1;
@@ -76,10 +76,10 @@
   return (wire + disk) * (disk > 0.25 ? 2 : 1);
 }
 
-bool Cluster::caught_up(std::size_t core, lagazuoi::Index commit) const {
+bool Cluster::caught_up(std::size_t core, raft::Index commit) const {
   const sennes::Member* here = member(core);
   if (!here) return false;
-  const lagazuoi::Log& log = here->core().log();
+  const raft::Log& log = here->core().log();
   return log.membership().has(here->core().self()) && log.last() >= commit;
 }
 
--- a/src/biella/cluster_core.cpp
+++ b/src/biella/cluster_core.cpp
@@ -26,7 +26,7 @@
   core.process = std::make_unique<Core::Process>(world_, net_, core.address);
   Core::Process& process = *core.process;
   std::uint64_t number = world_.number() | 1;
-  lagazuoi::Options agreement;
+  raft::Options agreement;
   agreement.address = core.address;
   agreement.first_start = core.first_start;
   agreement.founders = agreement.seeds = seeds();
--- a/src/biella/disk.cpp
+++ b/src/biella/disk.cpp
@@ -4,7 +4,7 @@
 
 namespace pearspar::biella {
 
-using namespace lagazuoi;
+using namespace raft;
 
 template <typename Work>
 std::error_code SimDisk::write(std::size_t bytes, Work work) {
--- a/src/biella/disk.h
+++ b/src/biella/disk.h
@@ -8,20 +8,20 @@
 #include <vector>
 
 #include "biella/world.h"
-#include "lagazuoi/store.h"
+#include "raft/store.h"
 
 namespace pearspar::biella {
 
-class SimDisk : public lagazuoi::Store {
+class SimDisk : public raft::Store {
  public:
   explicit SimDisk(World& world) : world_(world) {}
 
-  std::error_code load(lagazuoi::Stored& stored) override;
-  std::error_code save_self(lagazuoi::MemberId self) override;
-  std::error_code save_vote(const lagazuoi::Vote& vote) override;
-  std::error_code replace_tail(lagazuoi::Index from, const std::vector<lagazuoi::Entry>& entries) override;
-  std::error_code save_snapshot(const lagazuoi::Snapshot& snapshot, bool drop_rest) override;
-  std::error_code save_note(lagazuoi::Index commit, const std::string& note) override;
+  std::error_code load(raft::Stored& stored) override;
+  std::error_code save_self(raft::MemberId self) override;
+  std::error_code save_vote(const raft::Vote& vote) override;
+  std::error_code replace_tail(raft::Index from, const std::vector<raft::Entry>& entries) override;
+  std::error_code save_snapshot(const raft::Snapshot& snapshot, bool drop_rest) override;
+  std::error_code save_note(raft::Index commit, const std::string& note) override;
 
   void set_full(bool full) { full_ = full; }
   bool full() const { return full_; }
@@ -34,20 +34,20 @@
   void wipe();
   // What is on it now; and it holds again what it once held: a copy of yesterday, a disk that was mounted
   // late.
-  lagazuoi::Stored kept() const;
-  void put_back(lagazuoi::Stored kept);
+  raft::Stored kept() const;
+  void put_back(raft::Stored kept);
   // The process that uses it waits until then.
   Time busy_until() const { return busy_; }
   std::uint64_t writes() const { return writes_; }
 
  private:
-  // As lagazuoi::Stored; a copy of it costs little, however large the state is.
+  // As raft::Stored; a copy of it costs little, however large the state is.
   struct Held {
-    lagazuoi::MemberId self = 0;
-    lagazuoi::Vote vote;
-    std::shared_ptr<const lagazuoi::Snapshot> snapshot;
-    std::vector<std::shared_ptr<const lagazuoi::Entry>> entries;
-    lagazuoi::Index commit = 0;
+    raft::MemberId self = 0;
+    raft::Vote vote;
+    std::shared_ptr<const raft::Snapshot> snapshot;
+    std::vector<std::shared_ptr<const raft::Entry>> entries;
+    raft::Index commit = 0;
     std::string note;
   };
   template <typename Work>
--- a/src/biella/explore.cpp
+++ b/src/biella/explore.cpp
@@ -173,14 +173,14 @@
 
 }  // namespace
 
-lagazuoi::Timing search_timing() {
-  lagazuoi::Timing timing;
-  timing.heartbeat = lagazuoi::Duration(1);
-  timing.least_silence = lagazuoi::Duration(1);
-  timing.most_silence = lagazuoi::Duration(1.5);
-  timing.lease = lagazuoi::Duration(0.75);
-  timing.join_every = lagazuoi::Duration(1);
-  timing.gone_after = lagazuoi::Duration(2);
+raft::Timing search_timing() {
+  raft::Timing timing;
+  timing.heartbeat = raft::Duration(1);
+  timing.least_silence = raft::Duration(1);
+  timing.most_silence = raft::Duration(1.5);
+  timing.lease = raft::Duration(0.75);
+  timing.join_every = raft::Duration(1);
+  timing.gone_after = raft::Duration(2);
   return timing;
 }
 
--- a/src/biella/explore.h
+++ b/src/biella/explore.h
@@ -12,12 +12,12 @@
 #include <string>
 #include <vector>
 
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
 namespace pearspar::biella {
 
 // Whole steps, and few of them until something is due.
-lagazuoi::Timing search_timing();
+raft::Timing search_timing();
 
 // A guard taken out, to see the search find what it keeps.
 enum class Mutant : std::uint8_t {
@@ -79,7 +79,7 @@
   // hears what is said in it and in answer to it: all, where nobody is named; behind ":" alone it stays on
   // its way until "to2" delivers the first to m2, or "lost2" loses all to m2. None of it is counted.
   std::string opening;
-  lagazuoi::Timing timing = search_timing();
+  raft::Timing timing = search_timing();
   std::vector<double>
       rates;  // what each clock goes on by in a step of time; also the grain of draws: the first
   double grain = 1;
--- a/src/biella/explore_body.cpp
+++ b/src/biella/explore_body.cpp
@@ -5,7 +5,7 @@
 namespace pearspar::biella {
 namespace {
 
-using namespace lagazuoi;
+using namespace raft;
 
 constexpr const char* nothing_applied = ".";
 
@@ -79,7 +79,7 @@
 void start(const ExploreOptions& options, Body& body, bool first) {
   if (!first)
     ++body.lives;  // an id is drawn at every start, and serves where the disk is empty or of the past
-  lagazuoi::Options made;
+  raft::Options made;
   made.address = address_of(body.index);
   for (int i = 0; i < options.members; ++i) made.founders.push_back(address_of(static_cast<std::size_t>(i)));
   made.seeds = made.founders;
--- a/src/biella/explore_body.h
+++ b/src/biella/explore_body.h
@@ -7,13 +7,13 @@
 #include <vector>
 
 #include "biella/explore.h"
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
 namespace pearspar::biella {
 
-using lagazuoi::Core;
-using lagazuoi::Duration;
-using lagazuoi::Time;
+using raft::Core;
+using raft::Duration;
+using raft::Time;
 
 struct Body {
   Body() = default;
@@ -23,7 +23,7 @@
   Body& operator=(Body&&) = default;
 
   std::unique_ptr<Core> core;  // none: not there yet, or ended
-  lagazuoi::Stored disk;
+  raft::Stored disk;
   std::string machine;  // the changes that it applied, as it knows them
   Time now{Duration(1000)};
   std::uint8_t index = 0;
@@ -57,7 +57,7 @@
 
 struct Action {
   Act act = Act::tick;
-  const lagazuoi::Message* message = nullptr;
+  const raft::Message* message = nullptr;
   const Body* shelf = nullptr;  // put_back
   std::string change;
   Trouble trouble = {};
@@ -67,13 +67,13 @@
 // What it sends, appended to `out`. Deterministic: each draw of the core is settled.
 // False where power was to be lost at a write that it does not come to.
 bool take_step(const ExploreOptions& options, Body& body, const Action& action,
-               std::vector<lagazuoi::Outgoing>& out);
+               std::vector<raft::Outgoing>& out);
 // A member at its first start; one of the founders, or a newcomer that has not come yet.
 Body first_body(const ExploreOptions& options, std::size_t index);
 // Without settling, for runs in which draws are to be drawn.
 bool take_free_step(const ExploreOptions& options, Body& body, const Action& action,
-                    std::vector<lagazuoi::Outgoing>& out);
+                    std::vector<raft::Outgoing>& out);
 // The id a founder has. One that lost its disk has another.
-lagazuoi::MemberId id_of(const Body& body);
+raft::MemberId id_of(const Body& body);
 
 }  // namespace pearspar::biella
--- a/src/biella/explore_heal.cpp
+++ b/src/biella/explore_heal.cpp
@@ -5,7 +5,7 @@
 
 namespace pearspar::biella {
 
-using namespace lagazuoi;
+using namespace raft;
 
 bool has_majority(const std::vector<Body>& bodies, const Past& past) {
   auto held = [](const Body& body) { return body.core ? body.core->self() : body.disk.self; };
--- a/src/biella/explore_judge.cpp
+++ b/src/biella/explore_judge.cpp
@@ -4,7 +4,7 @@
 
 namespace pearspar::biella {
 
-using namespace lagazuoi;
+using namespace raft;
 
 Glance::Glance(const Body& body) {
   if (!body.core) return;
--- a/src/biella/explore_judge.h
+++ b/src/biella/explore_judge.h
@@ -14,10 +14,10 @@
 struct Glance {
   Glance() = default;
   explicit Glance(const Body& body);
-  lagazuoi::MemberId self = 0;  // nobody: it was not there
-  lagazuoi::Index commit = 0;
-  lagazuoi::Index applied = 0;
-  lagazuoi::Term term = 0;
+  raft::MemberId self = 0;  // nobody: it was not there
+  raft::Index commit = 0;
+  raft::Index applied = 0;
+  raft::Term term = 0;
   bool leads = false;
 };
 
@@ -26,7 +26,7 @@
   // After a step. What must be: one leader a term, one entry an index for ever, one machine for the same
   // changes. Empty where it is. `log` is the one before the step, for entries that it both commits and folds.
   // Not `whole`: looks only at what the step has added.
-  std::string see(const Glance& before, const lagazuoi::Log* log, const Body& after, bool whole);
+  std::string see(const Glance& before, const raft::Log* log, const Body& after, bool whole);
   // Of every leader, whenever `size` has grown: it has all that was committed in a term before its own.
   std::string judge_leader(const Body& body) const;
   // Of all members at one moment: never two that may speak, and no reader sees less than was acknowledged.
@@ -37,30 +37,30 @@
   std::size_t changes() const { return changes_; }
   std::size_t memberships() const { return memberships_; }
   // Of the entry that was committed last of those that say who counts; 0 = only the founding list.
-  lagazuoi::Index membership_since() const { return membership_since_; }
-  const lagazuoi::Membership& membership() const { return membership_; }
+  raft::Index membership_since() const { return membership_since_; }
+  const raft::Membership& membership() const { return membership_; }
   std::string describe() const;
   // Keeps what may still be asked about: entries behind `index`.
-  void forget_up_to(lagazuoi::Index index);
+  void forget_up_to(raft::Index index);
 
  private:
   struct Kept {
-    lagazuoi::Entry entry;
-    bool known = false;     // else folded before anybody looked
-    lagazuoi::Term in = 0;  // of the leader that committed it
+    raft::Entry entry;
+    bool known = false;  // else folded before anybody looked
+    raft::Term in = 0;   // of the leader that committed it
   };
   std::string see_leader(const Core& core);
   std::string see_machine(const Body& body) const;
-  std::string see_entry(const lagazuoi::Entry& entry, lagazuoi::Term in);
+  std::string see_entry(const raft::Entry& entry, raft::Term in);
 
   std::vector<Kept> committed_;  // from index `first_`
-  lagazuoi::Index first_ = 2;
+  raft::Index first_ = 2;
   std::string machine_before_ = ".";  // up to first_
-  std::vector<std::pair<lagazuoi::Term, lagazuoi::MemberId>> leaders_;
+  std::vector<std::pair<raft::Term, raft::MemberId>> leaders_;
   std::size_t changes_ = 0;
   std::size_t memberships_ = 0;
-  lagazuoi::Index membership_since_ = 0;
-  lagazuoi::Membership membership_;
+  raft::Index membership_since_ = 0;
+  raft::Membership membership_;
   std::size_t acknowledged_ = 0;  // size of the machine that a speaker has shown
 };
 
--- a/src/biella/explore_parts.cpp
+++ b/src/biella/explore_parts.cpp
@@ -8,7 +8,7 @@
 namespace pearspar::biella {
 namespace {
 
-using lagazuoi::Duration;
+using raft::Duration;
 
 constexpr std::pair<const char*, int ExploreOptions::*> counts[] = {
     {"newcomers", &ExploreOptions::newcomers},
--- a/src/biella/explore_probe.h
+++ b/src/biella/explore_probe.h
@@ -5,9 +5,9 @@
 #include <algorithm>
 #include <cmath>
 
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 class Probe {
  public:
@@ -127,4 +127,4 @@
   }
 };
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/biella/explore_space.cpp
+++ b/src/biella/explore_space.cpp
@@ -8,7 +8,7 @@
 
 namespace pearspar::biella {
 
-using namespace lagazuoi;
+using namespace raft;
 
 namespace {
 
--- a/src/biella/explore_space.h
+++ b/src/biella/explore_space.h
@@ -89,7 +89,7 @@
   std::size_t worked_out() const { return results_.size(); }
   struct Letter {
     std::uint8_t to = 0;
-    lagazuoi::Message message;
+    raft::Message message;
   };
   const Letter& letter(std::uint32_t number) const { return letters_[number]; }
 
@@ -122,9 +122,9 @@
 
   std::uint32_t number(Body&& body);
   std::uint32_t number(Past&& past);
-  std::uint32_t number(std::size_t to, lagazuoi::Message&& message);
+  std::uint32_t number(std::size_t to, raft::Message&& message);
   std::optional<std::size_t> place_of(const std::string& address) const;
-  bool goes(const Body& from, const lagazuoi::Outgoing& out) const;
+  bool goes(const Body& from, const raft::Outgoing& out) const;
   Call call_of(const State& state, const Event& event) const;
   std::uint32_t step_of(std::uint32_t body, const Call& call);
   std::uint32_t verdict_of(std::uint32_t result, std::uint32_t past);
--- a/src/biella/explore_walk.cpp
+++ b/src/biella/explore_walk.cpp
@@ -12,7 +12,7 @@
 
 namespace pearspar::biella {
 
-using namespace lagazuoi;
+using namespace raft;
 
 const std::array<const char*, static_cast<std::size_t>(Walked::kinds)> walked_names = {
     "delivered", "time passed", "lost",     "doubled", "crashed", "power lost in a step",
--- a/src/biella/schedule.cpp
+++ b/src/biella/schedule.cpp
@@ -53,9 +53,9 @@
   for (std::size_t i = 0; i < cluster_.cores(); ++i) {
     const sennes::Member* member = cluster_.member(i);
     if (!member) continue;
-    const lagazuoi::Core& core = member->core();
+    const raft::Core& core = member->core();
     now += "  " + cluster_.core_address(i).substr(7, 2) + ":";
-    now += core.role() == lagazuoi::Core::Role::leader
+    now += core.role() == raft::Core::Role::leader
                ? (cluster_.leader() == static_cast<int>(i) ? "LEADS" : "leader")
                : "";
     now += " t" + std::to_string(core.term()) + " c" + std::to_string(core.commit()) + " v";
--- a/src/biella/schedule_losses.cpp
+++ b/src/biella/schedule_losses.cpp
@@ -97,7 +97,7 @@
 
 // The next loss comes as soon as it may: who has returned counts and holds all by then.
 void Player::lose_next(int returned, double in_s) {
-  auto commit = std::make_shared<lagazuoi::Index>(0);
+  auto commit = std::make_shared<raft::Index>(0);
   auto who = static_cast<std::size_t>(returned);
   int strikes = strikes_[returned];
   bool judged = !struck_before_;
--- a/src/fanes/agreement.cpp
+++ b/src/fanes/agreement.cpp
@@ -3,7 +3,7 @@
 namespace pearspar::fanes {
 namespace {
 
-using namespace lagazuoi;
+using namespace raft;
 
 constexpr std::size_t most_members = 64;
 constexpr std::size_t most_entries = 4096;
--- a/src/fanes/agreement.h
+++ b/src/fanes/agreement.h
@@ -6,18 +6,18 @@
 #include <string_view>
 
 #include "fanes/pack.h"
-#include "lagazuoi/types.h"
+#include "raft/types.h"
 
 namespace pearspar::fanes {
 
-void pack(Packer& packer, const lagazuoi::Message& message);
-bool unpack(Unpacker& unpacker, lagazuoi::Message& message);
+void pack(Packer& packer, const raft::Message& message);
+bool unpack(Unpacker& unpacker, raft::Message& message);
 
-std::string pack_entry(const lagazuoi::Entry& entry);
-std::optional<lagazuoi::Entry> unpack_entry(std::string_view bytes);
-std::string pack_snapshot(const lagazuoi::Snapshot& snapshot);
-std::optional<lagazuoi::Snapshot> unpack_snapshot(std::string_view bytes);
-std::string pack_vote(const lagazuoi::Vote& vote);
-std::optional<lagazuoi::Vote> unpack_vote(std::string_view bytes);
+std::string pack_entry(const raft::Entry& entry);
+std::optional<raft::Entry> unpack_entry(std::string_view bytes);
+std::string pack_snapshot(const raft::Snapshot& snapshot);
+std::optional<raft::Snapshot> unpack_snapshot(std::string_view bytes);
+std::string pack_vote(const raft::Vote& vote);
+std::optional<raft::Vote> unpack_vote(std::string_view bytes);
 
 }  // namespace pearspar::fanes
--- a/src/fanes/messages.cpp
+++ b/src/fanes/messages.cpp
@@ -124,7 +124,7 @@
 
 struct Put {
   Packer& packer;
-  void operator()(const lagazuoi::Message& message) const {
+  void operator()(const raft::Message& message) const {
     begin(packer, Tag::agreement, 1);
     pack(packer, message);
   }
@@ -297,7 +297,7 @@
 std::optional<Message> get(Unpacker& in) {
   switch (static_cast<Tag>(in.number())) {
     case Tag::agreement: {
-      lagazuoi::Message message;
+      raft::Message message;
       if (!unpack(in, message)) return std::nullopt;
       return message;
     }
--- a/src/fanes/messages.h
+++ b/src/fanes/messages.h
@@ -13,8 +13,8 @@
 
 #include "averau/config.h"
 #include "averau/nodes.h"
-#include "lagazuoi/types.h"
 #include "pramperet/words.h"
+#include "raft/types.h"
 
 namespace pearspar::fanes {
 
@@ -24,7 +24,7 @@
 enum class FollowerKind : std::uint8_t { edge, core };
 
 struct Position {
-  lagazuoi::Term term = 0;
+  raft::Term term = 0;
   std::uint64_t number = 0;
   auto operator<=>(const Position&) const = default;
 };
@@ -42,7 +42,7 @@
 
 // Member to follower: who leads, and where all members are.
 struct Welcome {
-  lagazuoi::Term term = 0;
+  raft::Term term = 0;
   bool leads = false;  // who says this
   std::vector<std::string> cores;
 };
@@ -129,7 +129,7 @@
 // tried.
 struct Where {};
 struct There {
-  lagazuoi::Term term = 0;
+  raft::Term term = 0;
   std::vector<std::string> cores;
 };
 
@@ -150,7 +150,7 @@
 };
 
 using Message =
-    std::variant<lagazuoi::Message, Hello, Welcome, Standing, Changes, Ping, Ack, Farewell, Call, CallAnswer,
+    std::variant<raft::Message, Hello, Welcome, Standing, Changes, Ping, Ack, Farewell, Call, CallAnswer,
                  Want, Grant, pramperet::Ask, pramperet::Tell, Neighbours, Where, There>;
 
 std::string pack(const Message& message);
--- a/src/measure/capacity_regions.cpp
+++ b/src/measure/capacity_regions.cpp
@@ -84,8 +84,8 @@
     order.from = cluster.core_address(static_cast<std::size_t>(order.first));
     return cluster.order(order);
   }
-  lagazuoi::Term term() const {
-    lagazuoi::Term newest = 0;
+  raft::Term term() const {
+    raft::Term newest = 0;
     for (std::size_t i = 0; i < cluster.cores(); ++i)
       if (const auto* member = cluster.member(i)) newest = std::max(newest, member->core().term());
     return newest;
--- a/src/measure/log_measure.cpp
+++ b/src/measure/log_measure.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 using namespace pearspar;
-using namespace lagazuoi;
+using namespace raft;
 using Clock = std::chrono::steady_clock;
 
 double ms_since(Clock::time_point start) {
--- a/src/measure/system_measure.cpp
+++ b/src/measure/system_measure.cpp
@@ -101,7 +101,7 @@
     cluster.net().set_loss(loss);
     cluster.run(10);
     auto term = [&] {
-      pearspar::lagazuoi::Term newest = 0;
+      pearspar::raft::Term newest = 0;
       for (std::size_t i = 0; i < cluster.cores(); ++i)
         if (const auto* member = cluster.member(i)) newest = std::max(newest, member->core().term());
       return newest;
--- a/src/lagazuoi/core.cpp
+++ b/src/raft/core.cpp
@@ -1,12 +1,12 @@
 // A member's start, its clock and what it is handed; who leads is in election.cpp, the log's way in
 // replication.cpp, who counts in membership.cpp.
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 namespace {
 
 // Each fresh id serves once; the next follows from the one that is used up.
@@ -224,4 +224,4 @@
   }
 }
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/core.h
+++ b/src/raft/core.h
@@ -13,10 +13,10 @@
 #include <utility>
 #include <vector>
 
-#include "lagazuoi/log.h"
-#include "lagazuoi/transfer.h"
+#include "raft/log.h"
+#include "raft/transfer.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 struct Timing {
   Duration heartbeat = std::chrono::milliseconds(80);
@@ -231,4 +231,4 @@
   std::vector<Outgoing> out_;
 };
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/describe.cpp
+++ b/src/raft/describe.cpp
@@ -7,9 +7,9 @@
 // life. A field that is added to Core and read by a step belongs in here.
 #include <algorithm>
 
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 namespace {
 
 class Description {
@@ -135,4 +135,4 @@
   return out.take();
 }
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/election.cpp
+++ b/src/raft/election.cpp
@@ -1,9 +1,9 @@
 // Who leads: standing, votes, the lease, and handing over.
 #include <algorithm>
 
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 // A pre-vote first: nobody's term rises while most still hear a leader. Who is not in the membership of its
 // own log, the newest there, neither stands nor counts itself.
@@ -156,4 +156,4 @@
   return times[membership.majority() - 1];
 }
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/log.cpp
+++ b/src/raft/log.cpp
@@ -1,8 +1,8 @@
-#include "lagazuoi/log.h"
+#include "raft/log.h"
 
 #include <algorithm>
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 namespace {
 
 constexpr std::size_t most_at_once = 1024;  // entries; a reader takes 4096
@@ -107,4 +107,4 @@
   return {};
 }
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/log.h
+++ b/src/raft/log.h
@@ -11,9 +11,9 @@
 #include <utility>
 #include <vector>
 
-#include "lagazuoi/store.h"
+#include "raft/store.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 // What an entry counts for where bytes are bounded: its data and about what lies around it.
 inline std::size_t bytes_of(const Entry& entry) { return entry.data.size() + 64; }
@@ -70,4 +70,4 @@
   std::size_t kept_bytes_ = 0;  // of the entries that the snapshot holds
 };
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/membership.cpp
+++ b/src/raft/membership.cpp
@@ -2,9 +2,9 @@
 // a time, each taking one voter in or one out, so that the majorities before it and after it share a member.
 #include <algorithm>
 
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 void Core::sync_peers(Time now) {
   for (const Member& voter : log_.membership().voters) {
@@ -192,4 +192,4 @@
   advance_commit(now);
 }
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/replication.cpp
+++ b/src/raft/replication.cpp
@@ -1,9 +1,9 @@
 // The log on its way to all: rounds, appends, snapshots, what is committed and folded.
 #include <algorithm>
 
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 namespace {
 
 // A log is folded from Options::fold_entries on, a large state only when it is worth it: when the entries
@@ -269,4 +269,4 @@
   if (!sends) sending_.reset();
 }
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/store.h
+++ b/src/raft/store.h
@@ -6,9 +6,9 @@
 #include <system_error>
 #include <vector>
 
-#include "lagazuoi/types.h"
+#include "raft/types.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 struct Stored {
   MemberId self = 0;  // 0 = this disk is empty
@@ -32,4 +32,4 @@
   virtual std::error_code save_note(Index commit, const std::string& note) = 0;
 };
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/transfer.cpp
+++ b/src/raft/transfer.cpp
@@ -1,10 +1,10 @@
-#include "lagazuoi/transfer.h"
+#include "raft/transfer.h"
 
 #include <xxhash.h>
 
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 namespace {
 
 constexpr std::size_t most_state = 16 << 20;
@@ -159,4 +159,4 @@
   send(piece.from_address, answer);
 }
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/transfer.h
+++ b/src/raft/transfer.h
@@ -9,9 +9,9 @@
 #include <memory>
 #include <string>
 
-#include "lagazuoi/types.h"
+#include "raft/types.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 // What is out to a member, and how often it was in vain. One thing at a time, so at most one append's or one
 // piece's bytes are out and unanswered, however long the member is silent.
@@ -53,4 +53,4 @@
   }
 };
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/lagazuoi/types.h
+++ b/src/raft/types.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 using Duration = std::chrono::duration<double>;
 using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
@@ -101,4 +101,4 @@
   std::uint64_t digest = 0;  // piece: XXH3 of the whole state
 };
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/src/sennes/followers.cpp
+++ b/src/sennes/followers.cpp
@@ -33,7 +33,7 @@
 
 bool Followers::lives(Time now, const Follower& follower) { return now - follower.heard < lease; }
 
-void Followers::open(Time now, lagazuoi::Term term, bool complete) {
+void Followers::open(Time now, raft::Term term, bool complete) {
   open_ = true;
   complete_ = complete;
   term_ = term;
--- a/src/sennes/followers.h
+++ b/src/sennes/followers.h
@@ -33,7 +33,7 @@
   explicit Followers(vazzoler::View& view) : view_(view) {}
 
   // From here on this member leads, in that term: all that follow it are told what stands.
-  void open(Time now, lagazuoi::Term term, bool complete);
+  void open(Time now, raft::Term term, bool complete);
   // Not any more. Links stay.
   void close() { open_ = false; }
   bool is_open() const { return open_; }
@@ -110,7 +110,7 @@
   vazzoler::View& view_;
   bool open_ = false;
   bool complete_ = false;
-  lagazuoi::Term term_ = 0;
+  raft::Term term_ = 0;
   std::uint64_t first_ = 1;  // number of the journal's front
   std::deque<fanes::Change> journal_;
   std::size_t journal_bytes_ = 0;      // of its texts
--- a/src/sennes/member.cpp
+++ b/src/sennes/member.cpp
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-Member::Member(puez::Wire& wire, lagazuoi::Store& store, lagazuoi::Options agreement, OfficeOptions office)
+Member::Member(puez::Wire& wire, raft::Store& store, raft::Options agreement, OfficeOptions office)
     : wire_(wire),
       address_(agreement.address),
       state_(office.read),
@@ -71,7 +71,7 @@
 void Member::keep_note(Time now) {
   if (now < note_due_) return;
   if (noted_changes_ == office_.list_changes() && noted_commit_ == core_.commit()) return;
-  if (core_.role() == lagazuoi::Core::Role::leader && core_.log().membership().voters.size() > 1) return;
+  if (core_.role() == raft::Core::Role::leader && core_.log().membership().voters.size() > 1) return;
   note_due_ = now + note_every;
   if (core_.keep_note(office_.note(now))) return;
   noted_changes_ = office_.list_changes();
--- a/src/sennes/member.h
+++ b/src/sennes/member.h
@@ -14,7 +14,7 @@
 
 class Member {
  public:
-  Member(puez::Wire& wire, lagazuoi::Store& store, lagazuoi::Options agreement, OfficeOptions office);
+  Member(puez::Wire& wire, raft::Store& store, raft::Options agreement, OfficeOptions office);
 
   // Reads the store. Until it has gone well everything is refused; it may be tried again.
   std::error_code start(Time now);
@@ -39,7 +39,7 @@
   void hand_over(Time now);
   bool may_end() const { return !started_ || core_.may_end(); }
 
-  const lagazuoi::Core& core() const { return core_; }
+  const raft::Core& core() const { return core_; }
   const State& state() const { return state_; }
   const Office& office() const { return office_; }
   std::uint64_t unread() const { return unread_; }
@@ -52,14 +52,14 @@
   puez::Wire& wire_;
   std::string address_;
   State state_;
-  lagazuoi::Core core_;
+  raft::Core core_;
   Office office_;
   bool started_ = false;
   std::map<LinkId, std::string> early_;  // hellos that came before the store could be read
   std::vector<Reply> refused_;
   std::vector<std::string> kept_;
   std::uint64_t noted_changes_ = 0;
-  lagazuoi::Index noted_commit_ = 0;
+  raft::Index noted_commit_ = 0;
   Time note_due_{};
   std::uint64_t unread_ = 0;
 };
--- a/src/sennes/office.cpp
+++ b/src/sennes/office.cpp
@@ -10,7 +10,7 @@
 constexpr double gather_beats = 2.5;  // after an election, before the list of nodes counts as whole
 }  // namespace
 
-Office::Office(OfficeOptions options, lagazuoi::Core& core, State& state)
+Office::Office(OfficeOptions options, raft::Core& core, State& state)
     : options_(std::move(options)), core_(core), state_(state), followers_(view_), passed_(options_.life) {
   pool_.set(options_.pool);
 }
@@ -53,7 +53,7 @@
 void Office::advance(Time now) {
   refuse_expired(now);
   list_changes_ += view_.take_touched().size();
-  bool leads = core_.role() == lagazuoi::Core::Role::leader;
+  bool leads = core_.role() == raft::Core::Role::leader;
   // Somebody else is to lead: this program cannot read what was taken.
   if (leads && !state_.may_serve()) {
     core_.hand_over(now);
@@ -131,7 +131,7 @@
 }
 
 void Office::message(Time now, LinkId link, const fanes::Message& message) {
-  if (const auto* agreement = std::get_if<lagazuoi::Message>(&message)) {
+  if (const auto* agreement = std::get_if<raft::Message>(&message)) {
     core_.step(now, *agreement);
   } else if (const auto* hello = std::get_if<fanes::Hello>(&message)) {
     followers_.on_hello(now, link, *hello);
--- a/src/sennes/office.h
+++ b/src/sennes/office.h
@@ -56,7 +56,7 @@
 
 class Office {
  public:
-  Office(OfficeOptions options, lagazuoi::Core& core, State& state);
+  Office(OfficeOptions options, raft::Core& core, State& state);
 
   // A call by HTTP. It is answered exactly once, by take_replies().
   void call(Time now, Asker asker, std::string_view method, std::string_view path, std::string_view if_match,
@@ -97,8 +97,8 @@
   // waited long enough is told so, and the change goes on.
   struct Proposal {
     std::vector<Request> callers;
-    lagazuoi::Term term = 0;
-    lagazuoi::Index index = 0;
+    raft::Term term = 0;
+    raft::Index index = 0;
     averau::Edition edition = 0;
     Digest digest;
   };
@@ -135,7 +135,7 @@
   void follow(LinkId link, vazzoler::View::Taken taken);
 
   OfficeOptions options_;
-  lagazuoi::Core& core_;
+  raft::Core& core_;
   State& state_;
   vazzoler::View view_;
   Followers followers_;
--- a/src/sennes/office_calls.cpp
+++ b/src/sennes/office_calls.cpp
@@ -135,7 +135,7 @@
     return true;
   }
   // Passed on at most once: two members that take each other for the leader must not play ball.
-  if (core_.role() == lagazuoi::Core::Role::leader || core_.leader_address().empty() || !request.from.empty())
+  if (core_.role() == raft::Core::Role::leader || core_.leader_address().empty() || !request.from.empty())
     return false;
   pass_on(now, request);
   return true;
@@ -172,7 +172,7 @@
     return;
   }
   const std::string& leader = core_.leader_address();
-  if (leader.empty() || core_.role() == lagazuoi::Core::Role::leader) return;
+  if (leader.empty() || core_.role() == raft::Core::Role::leader) return;
   for (auto& [number, passed] : passed_.all())
     if (passed.to != leader && passed_.again(passed, leader))
       messages_.push_back(
--- a/src/sennes/office_changes.cpp
+++ b/src/sennes/office_changes.cpp
@@ -84,7 +84,7 @@
 
 void Office::finish_proposal(Time now) {
   if (!proposal_) return;
-  bool lost = core_.role() != lagazuoi::Core::Role::leader || core_.term() != proposal_->term;
+  bool lost = core_.role() != raft::Core::Role::leader || core_.term() != proposal_->term;
   bool applied = core_.applied() >= proposal_->index;
   if (!lost && !applied) return;
   Proposal done = std::move(*proposal_);
--- a/src/sennes/report.cpp
+++ b/src/sennes/report.cpp
@@ -27,7 +27,7 @@
 
 std::string fault_json(std::string_view what) { return "{\"errorText\":" + quoted(what) + "}"; }
 
-std::string status_json(Time now, const std::string& name, const lagazuoi::Core& core, const State& state,
+std::string status_json(Time now, const std::string& name, const raft::Core& core, const State& state,
                         const vazzoler::View& view, const Followers& followers) {
   List members, edges;
   for (const auto& voter : core.log().membership().voters)
@@ -66,7 +66,7 @@
   return fmt::format(R"({{"remembered":{},"taken":{}}})", taken.size(), told.text());
 }
 
-std::string allowance_json(const lagazuoi::Core& core, const State& state) {
+std::string allowance_json(const raft::Core& core, const State& state) {
   List lines;
   for (const auto& line : state.accounts().lines())
     lines.add(fmt::format(
--- a/src/sennes/state.cpp
+++ b/src/sennes/state.cpp
@@ -85,7 +85,7 @@
 }
 
 // An entry that does not follow what stands changes nothing, on every member alike.
-void State::apply(const lagazuoi::Entry& change) {
+void State::apply(const raft::Entry& change) {
   fanes::Unpacker in(change.data);
   averau::Edition on_top_of = in.number();
   std::string text = in.text();
--- a/src/sennes/state.h
+++ b/src/sennes/state.h
@@ -13,8 +13,8 @@
 #include <utility>
 
 #include "averau/config.h"
-#include "lagazuoi/core.h"
 #include "pramperet/accounts.h"
+#include "raft/core.h"
 #include "sennes/taken.h"
 
 namespace pearspar::fanes {
@@ -23,13 +23,13 @@
 
 namespace pearspar::sennes {
 
-class State : public lagazuoi::StateMachine {
+class State : public raft::StateMachine {
  public:
   using Reader = averau::ConfigurationPtr (*)(std::string_view text, averau::Fault& fault);
   // `read` are the checks of this program; another edition's in tests.
   explicit State(Reader read = averau::read_configuration) : read_(read) {}
 
-  void apply(const lagazuoi::Entry& change) override;
+  void apply(const raft::Entry& change) override;
   std::string fold() const override;
   void restore(const std::string& state) override;
 
--- a/src/tissi/lmdb_store.cpp
+++ b/src/tissi/lmdb_store.cpp
@@ -8,7 +8,7 @@
 namespace pearspar::tissi {
 namespace {
 
-using namespace lagazuoi;
+using namespace raft;
 
 constexpr std::uint64_t format = 1;
 
--- a/src/tissi/lmdb_store.h
+++ b/src/tissi/lmdb_store.h
@@ -11,14 +11,14 @@
 #include <string>
 #include <string_view>
 
-#include "lagazuoi/store.h"
+#include "raft/store.h"
 
 namespace pearspar::tissi {
 
 enum class Fault { other_format = 1, spoilt };
 std::error_code make_error_code(Fault fault);
 
-class LmdbStore : public lagazuoi::Store {
+class LmdbStore : public raft::Store {
  public:
   // `folder` is made where it is not there. `map_mb`: how far entries and notes may let the file grow, in MB;
   // `most_mb`: how far anything may. What lies between is for votes and for a snapshot that takes the place
@@ -27,12 +27,12 @@
   explicit LmdbStore(std::string folder, std::size_t map_mb = 64, std::size_t most_mb = 120);
   ~LmdbStore() override;
 
-  std::error_code load(lagazuoi::Stored& stored) override;
-  std::error_code save_self(lagazuoi::MemberId self) override;
-  std::error_code save_vote(const lagazuoi::Vote& vote) override;
-  std::error_code replace_tail(lagazuoi::Index from, const std::vector<lagazuoi::Entry>& entries) override;
-  std::error_code save_snapshot(const lagazuoi::Snapshot& snapshot, bool drop_rest) override;
-  std::error_code save_note(lagazuoi::Index commit, const std::string& note) override;
+  std::error_code load(raft::Stored& stored) override;
+  std::error_code save_self(raft::MemberId self) override;
+  std::error_code save_vote(const raft::Vote& vote) override;
+  std::error_code replace_tail(raft::Index from, const std::vector<raft::Entry>& entries) override;
+  std::error_code save_snapshot(const raft::Snapshot& snapshot, bool drop_rest) override;
+  std::error_code save_note(raft::Index commit, const std::string& note) override;
 
  private:
   std::error_code open();
--- a/src/vazzoler/follower.h
+++ b/src/vazzoler/follower.h
@@ -76,7 +76,7 @@
   Asking asking_;
   bool lost_ = false;  // no leader was heard for long, and none has told since where the core is
   std::vector<std::string> cores_;
-  lagazuoi::Term cores_term_ = 0;
+  raft::Term cores_term_ = 0;
   bool cores_by_leader_ = false;  // the leader of that term has told them
   bool listed_ = false;
   std::vector<fanes::Standing> provisional_;  // by members that do not lead, until we hear of one that does
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -1,7 +1,7 @@
 // The agreement alone, by scripts.
 #include "band.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 namespace {
 
 // Sanitizers take eight times as long.
@@ -544,4 +544,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgreementTest);
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/tests/system/band.h
+++ b/tests/system/band.h
@@ -13,9 +13,9 @@
 #include <vector>
 
 #include "biella/disk.h"
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 using biella::SimDisk;
 using biella::World;
@@ -332,4 +332,4 @@
   std::vector<std::string> story_;
 };
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/tests/system/log_rig.h
+++ b/tests/system/log_rig.h
@@ -12,9 +12,9 @@
 
 #include "biella/disk.h"
 #include "fanes/messages.h"
-#include "lagazuoi/core.h"
+#include "raft/core.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 // Counts what it was told and keeps so many bytes beside: a state of any size, the same everywhere.
 class Book : public StateMachine {
@@ -232,4 +232,4 @@
   Core core{disk, book, options()};
 };
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/tests/system/log_store_test.cpp
+++ b/tests/system/log_store_test.cpp
@@ -8,7 +8,7 @@
 #include "log_rig.h"
 #include "tissi/lmdb_store.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 namespace {
 
 std::string from_hex(std::string_view hex) {
@@ -211,4 +211,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogStoreTest);
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/tests/system/log_test.cpp
+++ b/tests/system/log_test.cpp
@@ -4,7 +4,7 @@
 
 #include "log_rig.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 class LogTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LogTest);
@@ -429,4 +429,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/tests/system/neighbours_test.cpp
+++ b/tests/system/neighbours_test.cpp
@@ -145,7 +145,7 @@
     edge.hear(9, fanes::There{3, {"gone"}});
     CPPUNIT_ASSERT(!edge.wire.keeps("gone"));
     for (int lie = 0; lie < 300; lie += 3) {
-      fanes::There there{4 + static_cast<lagazuoi::Term>(lie), {}};
+      fanes::There there{4 + static_cast<raft::Term>(lie), {}};
       for (int i = 0; i < 40; ++i) there.cores.push_back("lie" + std::to_string(lie + i));
       edge.hear(9, there);
     }
--- a/tests/system/news_test.cpp
+++ b/tests/system/news_test.cpp
@@ -197,7 +197,7 @@
     averau::Time now{averau::Duration(50)};
     follower.start(now);
     follower.link_up(1, "a");
-    auto hear = [&](lagazuoi::Term term, bool leads, std::vector<std::string> cores) {
+    auto hear = [&](raft::Term term, bool leads, std::vector<std::string> cores) {
       follower.frame(now, 1, fanes::pack(fanes::Welcome{term, leads, std::move(cores)}));
       return wire.addresses.back();
     };
--- a/tests/system/office_test.cpp
+++ b/tests/system/office_test.cpp
@@ -54,8 +54,8 @@
     Asker next = 0;
     std::map<Asker, Reply> replies;
     Fixture() : member(wire, disk, agreement(), office()) { member.start(world.now()); }
-    static lagazuoi::Options agreement() {
-      lagazuoi::Options options;
+    static raft::Options agreement() {
+      raft::Options options;
       options.address = "a:1";
       options.founders = options.seeds = {"a:1"};
       options.first_start = true;
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -140,15 +140,15 @@
   }
 
   void messagesComeBackAsTheyWent() {
-    lagazuoi::Message append;
-    append.kind = lagazuoi::MessageKind::install;
+    raft::Message append;
+    append.kind = raft::MessageKind::install;
     append.from = 5;
     append.term = 9;
-    append.entries.push_back({3, 9, lagazuoi::EntryKind::membership, "data", {{{7, "a:1"}, {8, "b:2"}}, 3}});
+    append.entries.push_back({3, 9, raft::EntryKind::membership, "data", {{{7, "a:1"}, {8, "b:2"}}, 3}});
     append.snapshot = {2, 8, {{{7, "a:1"}}, 1}, "state"};
     auto back = fanes::unpack(fanes::pack(append));
     CPPUNIT_ASSERT(back);
-    const auto& message = std::get<lagazuoi::Message>(*back);
+    const auto& message = std::get<raft::Message>(*back);
     CPPUNIT_ASSERT(message.entries == append.entries && message.snapshot.state == "state" &&
                    message.term == 9);
 
@@ -239,17 +239,17 @@
     CPPUNIT_ASSERT(!view.nodes().find("a"));
   }
 
-  static lagazuoi::Entry entry(lagazuoi::Index index, const std::string& data) {
-    return {index, 4, lagazuoi::EntryKind::change, data, {}};
+  static raft::Entry entry(raft::Index index, const std::string& data) {
+    return {index, 4, raft::EntryKind::change, data, {}};
   }
 
   void theStoreKeepsWhatItSaid() {
     Folder folder;
     {
       tissi::LmdbStore store(folder.path());
-      lagazuoi::Stored empty;
+      raft::Stored empty;
       CPPUNIT_ASSERT(!store.load(empty));
-      CPPUNIT_ASSERT_EQUAL(lagazuoi::MemberId{0}, empty.self);
+      CPPUNIT_ASSERT_EQUAL(raft::MemberId{0}, empty.self);
       CPPUNIT_ASSERT(!store.save_self(42));
       CPPUNIT_ASSERT(!store.save_vote({9, 3}));
       CPPUNIT_ASSERT(!store.save_snapshot({2, 1, {{{7, "a:1"}}, 1}, "state"}, true));
@@ -258,9 +258,9 @@
       CPPUNIT_ASSERT(!store.replace_tail(5, {entry(5, "w")}));
     }
     tissi::LmdbStore store(folder.path());
-    lagazuoi::Stored stored;
+    raft::Stored stored;
     CPPUNIT_ASSERT(!store.load(stored));
-    CPPUNIT_ASSERT(stored.self == 42 && stored.vote == (lagazuoi::Vote{9, 3}));
+    CPPUNIT_ASSERT(stored.self == 42 && stored.vote == (raft::Vote{9, 3}));
     CPPUNIT_ASSERT(stored.snapshot.state == "state" && stored.entries.size() == 3);
     CPPUNIT_ASSERT(stored.entries[2] == entry(5, "w"));
     CPPUNIT_ASSERT(!store.save_snapshot({4, 4, {}, "later"}, false));
@@ -290,7 +290,7 @@
     mdb_txn_commit(txn);
     mdb_env_close(env);
     tissi::LmdbStore store(folder.path());
-    lagazuoi::Stored stored;
+    raft::Stored stored;
     CPPUNIT_ASSERT(store.load(stored) == tissi::Fault::other_format);
   }
 
@@ -322,9 +322,9 @@
       }
       spill(file, torn);
       tissi::LmdbStore store(folder.path());
-      lagazuoi::Stored stored;
+      raft::Stored stored;
       CPPUNIT_ASSERT(!store.load(stored));
-      CPPUNIT_ASSERT(stored.self == 42 && stored.vote == (lagazuoi::Vote{3, 1}));
+      CPPUNIT_ASSERT(stored.self == 42 && stored.vote == (raft::Vote{3, 1}));
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored.entries.size());
       CPPUNIT_ASSERT(!store.replace_tail(2, {entry(2, "again")}));
     }
@@ -357,8 +357,8 @@
   void aChangeThatDoesNotFollowChangesNothing() {
     sennes::State state;
     auto apply = [&](averau::Edition base, const std::string& text) {
-      lagazuoi::Entry change;
-      change.kind = lagazuoi::EntryKind::change;
+      raft::Entry change;
+      change.kind = raft::EntryKind::change;
       averau::Fault fault;
       auto read = averau::read_configuration(text, fault);
       change.data = sennes::State::change(base, read->edition, sennes::digest_of(text), text);
--- a/tests/system/start_test.cpp
+++ b/tests/system/start_test.cpp
@@ -1,7 +1,7 @@
 // Starts of members: founders in any order, again and late; ids drawn anew; small cores that change hands.
 #include "band.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 namespace {
 
 // Power is lost before one of the writes.
@@ -282,4 +282,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StartTest);
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
--- a/tests/system/state_test.cpp
+++ b/tests/system/state_test.cpp
@@ -37,16 +37,16 @@
   return nullptr;
 }
 
-lagazuoi::Entry entry(std::string data) {
-  lagazuoi::Entry made;
-  made.kind = lagazuoi::EntryKind::change;
+raft::Entry entry(std::string data) {
+  raft::Entry made;
+  made.kind = raft::EntryKind::change;
   made.data = std::move(data);
   return made;
 }
-lagazuoi::Entry change(averau::Edition base, averau::Edition edition, const std::string& text) {
+raft::Entry change(averau::Edition base, averau::Edition edition, const std::string& text) {
   return entry(State::change(base, edition, digest_of(text), text));
 }
-lagazuoi::Entry steps(std::uint64_t number, std::uint64_t wanted, pramperet::Window turn = 0) {
+raft::Entry steps(std::uint64_t number, std::uint64_t wanted, pramperet::Window turn = 0) {
   std::vector<fanes::AllowanceStep> made;
   if (turn > 0) made.push_back(fanes::Turn{turn});
   pramperet::Ask ask;
@@ -109,7 +109,7 @@
     Seat& seat = seats_[static_cast<std::size_t>(i)];
     seat.wire.trio = this;
     seat.wire.self = i;
-    lagazuoi::Options options;
+    raft::Options options;
     options.address = address(i);
     options.founders = options.seeds = {address(0), address(1), address(2)};
     options.first_start = first;
@@ -343,16 +343,16 @@
   }
 
   void programsOfTwoEditionsFoldOneLogToOneState() {
-    const std::vector<lagazuoi::Entry> log = {change(0, 1, config(1)),
-                                              steps(1, 4, 1),
-                                              change(1, 2, config(2, "new")),
-                                              change(2, 3, config(3)),
-                                              steps(2, 4),
-                                              change(3, 4, config(4, "new")),
-                                              change(3, 9, config(9, "x")),
-                                              steps(3, 30),
-                                              change(4, 5, config(5)),
-                                              steps(4, 9)};
+    const std::vector<raft::Entry> log = {change(0, 1, config(1)),
+                                          steps(1, 4, 1),
+                                          change(1, 2, config(2, "new")),
+                                          change(2, 3, config(3)),
+                                          steps(2, 4),
+                                          change(3, 4, config(4, "new")),
+                                          change(3, 9, config(9, "x")),
+                                          steps(3, 30),
+                                          change(4, 5, config(5)),
+                                          steps(4, 9)};
     State newer, behind(older);
     for (std::size_t i = 0; i < log.size(); ++i) {
       newer.apply(log[i]);
@@ -377,7 +377,7 @@
 
   void whatCannotBeFoldedIsBounded() {
     State newer, behind(older);
-    auto apply = [&](const lagazuoi::Entry& each) {
+    auto apply = [&](const raft::Entry& each) {
       newer.apply(each);
       behind.apply(each);
     };
@@ -598,8 +598,8 @@
     // A change that no majority writes: its caller is told in time, and it goes on.
     int leader = trio.leader();
     trio.passes = [&](int, int to, const fanes::Message& message) {
-      const auto* agreement = std::get_if<lagazuoi::Message>(&message);
-      return !agreement || to != leader || agreement->kind != lagazuoi::MessageKind::appended ||
+      const auto* agreement = std::get_if<raft::Message>(&message);
+      return !agreement || to != leader || agreement->kind != raft::MessageKind::appended ||
              agreement->index <= trio.member(leader).core().commit();
     };
     order = trio.order(leader, 0, config(1));
@@ -741,16 +741,16 @@
     int old = trio.wait_for_leader();
     CPPUNIT_ASSERT_EQUAL(200, trio.settle(0, config(1)));
     // Its rounds are answered, so that it has a lease; that its entry is written is not heard.
-    const lagazuoi::Index before = trio.member(old).core().log().last();
+    const raft::Index before = trio.member(old).core().log().last();
     trio.passes = [&](int, int, const fanes::Message& message) {
-      const auto* agreement = std::get_if<lagazuoi::Message>(&message);
-      return !agreement || agreement->kind != lagazuoi::MessageKind::appended || agreement->index <= before;
+      const auto* agreement = std::get_if<raft::Message>(&message);
+      return !agreement || agreement->kind != raft::MessageKind::appended || agreement->index <= before;
     };
     trio.kill(old);
     for (int i = 0; i < 400; ++i) {
       trio.run(0.01);
       for (int each = 0; each < 3; ++each) {
-        if (each == old || trio.member(each).core().role() != lagazuoi::Core::Role::leader) continue;
+        if (each == old || trio.member(each).core().role() != raft::Core::Role::leader) continue;
         Asker read = trio.call(each, "GET", "/pearspar/config");
         Asker order = trio.order(each, 0, config(5));
         Asker taken = trio.order(each, 0, config(1));
--- a/tests/system/store_folder_test.cpp
+++ b/tests/system/store_folder_test.cpp
@@ -42,8 +42,8 @@
 
 namespace pearspar::tissi {
 
-using lagazuoi::EntryKind;
-using lagazuoi::Stored;
+using raft::EntryKind;
+using raft::Stored;
 
 class StoreFolderTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreFolderTest);
@@ -78,7 +78,7 @@
     Stored stored;
     CPPUNIT_ASSERT(!again.load(stored));
     CPPUNIT_ASSERT(lasts);
-    CPPUNIT_ASSERT_EQUAL(lagazuoi::MemberId{5}, stored.self);
+    CPPUNIT_ASSERT_EQUAL(raft::MemberId{5}, stored.self);
   }
 
   // Until it is synced its pages may be there, missing or torn: it has no name of ours yet.
@@ -112,7 +112,7 @@
       LmdbStore store(folder.path());
       CPPUNIT_ASSERT(!store.save_self(5));
       CPPUNIT_ASSERT(!store.save_snapshot({1, 1, {{{5, "a"}}, 1}, std::string(300000, 's')}, false));
-      for (lagazuoi::Index i = 2; i < 200; ++i)
+      for (raft::Index i = 2; i < 200; ++i)
         CPPUNIT_ASSERT(!store.replace_tail(i, {{i, 1, EntryKind::change, std::string(3000, 'e'), {}}}));
     }
     std::string file = folder.path() + "/data.mdb", all(folder.size(), 0);
--- a/tests/system/strange_calls_test.cpp
+++ b/tests/system/strange_calls_test.cpp
@@ -48,8 +48,8 @@
   explicit Alone(bool start = true) : member(wire, disk, agreement(), office()) {
     if (start) lead();
   }
-  static lagazuoi::Options agreement() {
-    lagazuoi::Options options;
+  static raft::Options agreement() {
+    raft::Options options;
     options.address = "a:1";
     options.founders = options.seeds = {"a:1"};
     options.first_start = true;
@@ -239,7 +239,7 @@
   void aStateThatDoesNotReadLeadsNowhere() {
     State state;
     std::string text = config("3");
-    state.apply({1, 1, lagazuoi::EntryKind::change, State::change(0, 3, digest_of(text), text), {}});
+    state.apply({1, 1, raft::EntryKind::change, State::change(0, 3, digest_of(text), text), {}});
     std::string whole = state.fold();
     for (std::size_t size = 1; size < whole.size(); ++size) {
       State other;
--- a/tests/system/wire_fuzz_test.cpp
+++ b/tests/system/wire_fuzz_test.cpp
@@ -57,17 +57,17 @@
       fanes::Grant{2, {{"d", 3}}},
       pramperet::Ask{7, 1, 2, {{{"f", "k"}, 2, {5, 6}}}, {{{"f", "k"}, 5}}, {}, {{{"f/b", "k"}, 3}}, {}, {}},
       pramperet::Tell{1, 2, 500, false, {{{"f", "k"}, 4, true}}, {{"f", "k"}}}};
-  for (int kind = 0; kind <= static_cast<int>(lagazuoi::MessageKind::leave); ++kind) {
-    lagazuoi::Message message;
-    message.kind = static_cast<lagazuoi::MessageKind>(kind);
+  for (int kind = 0; kind <= static_cast<int>(raft::MessageKind::leave); ++kind) {
+    raft::Message message;
+    message.kind = static_cast<raft::MessageKind>(kind);
     message.from = 11;
     message.to = 5;
     message.from_address = "b:1";
     message.term = 2;
     message.index = 3;
     message.log_term = 1;
-    message.entries = {{4, 2, lagazuoi::EntryKind::change, "data", {}},
-                       {5, 2, lagazuoi::EntryKind::membership, "", {{{11, "b:1"}, {5, "a:1"}}, 2}}};
+    message.entries = {{4, 2, raft::EntryKind::change, "data", {}},
+                       {5, 2, raft::EntryKind::membership, "", {{{11, "b:1"}, {5, "a:1"}}, 2}}};
     message.snapshot = {9, 2, {{{11, "b:1"}, {5, "a:1"}}, 2}, "state"};
     message.total = 5;
     all.emplace_back(message);
@@ -164,7 +164,7 @@
       static_cast<void>(fanes::apply_delta(config(1, 9), bytes));
       sennes::State state;
       state.restore(bytes);
-      state.apply({1, 1, lagazuoi::EntryKind::change, bytes, {}});
+      state.apply({1, 1, raft::EntryKind::change, bytes, {}});
     }
     CPPUNIT_ASSERT(read > 1000);
   }
@@ -176,7 +176,7 @@
       biella::World world{seed};
       biella::SimDisk disk{world};
       NoWire wire;
-      lagazuoi::Options agreement;
+      raft::Options agreement;
       agreement.address = "a:1";
       agreement.founders = agreement.seeds = {"a:1"};
       agreement.first_start = true;
--- a/tests/system/words_test.cpp
+++ b/tests/system/words_test.cpp
@@ -1,7 +1,7 @@
 // What a member may promise, commit, count and say, by words handed to it.
 #include "band.h"
 
-namespace pearspar::lagazuoi {
+namespace pearspar::raft {
 
 class WordsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WordsTest);
@@ -241,4 +241,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WordsTest);
 
-}  // namespace pearspar::lagazuoi
+}  // namespace pearspar::raft
