Rename tissi to storage: the durable store on LMDB

Cause: the folder's name tells a newcomer nothing. Ruled out: an alias beside the old name, since two names for one thing mislead.

--- a/src/altavia/member.h
+++ b/src/altavia/member.h
@@ -11,7 +11,7 @@
 #include "puez/links.h"
 #include "scoiattoli/metrics.h"
 #include "sennes/member.h"
-#include "tissi/lmdb_store.h"
+#include "storage/lmdb_store.h"
 
 namespace pearspar::altavia {
 
@@ -46,7 +46,7 @@
   coldai::Settings settings_;
   clients::Front front_;
   puez::Links links_;
-  tissi::LmdbStore store_;
+  storage::LmdbStore store_;
   sennes::Member member_;
   net::Time start_again_{};
   net::Timer timer_;
--- a/src/measure/log_measure.cpp
+++ b/src/measure/log_measure.cpp
@@ -11,7 +11,7 @@
 #include <string>
 
 #include "sennes/state.h"
-#include "tissi/lmdb_store.h"
+#include "storage/lmdb_store.h"
 
 namespace {
 
@@ -56,7 +56,7 @@
   Time now{Duration(1000)};
   std::size_t most_entries = 0, most_bytes = 0, most_state = 0;
   {
-    tissi::LmdbStore store(folder);
+    storage::LmdbStore store(folder);
     sennes::State state;
     Core core(store, state, founder());
     if (auto error = core.start(now)) return std::fprintf(stderr, "%s\n", error.message().c_str()), 1;
@@ -82,7 +82,7 @@
   }
   double heap = heap_mb();
   auto start = Clock::now();
-  tissi::LmdbStore store(folder);
+  storage::LmdbStore store(folder);
   sennes::State state;
   Core core(store, state, founder());
   auto error = core.start(now);
@@ -95,7 +95,7 @@
 
 // Many days in short: entries, notes and snapshots of all sizes.
 int file(const std::string& folder, int count, std::size_t state) {
-  tissi::LmdbStore store(folder);
+  storage::LmdbStore store(folder);
   std::mt19937_64 random(7);
   Index index = 0, folded = 0;
   std::size_t bytes = 0, folds = 0, refused = 0;
--- a/src/tissi/folder.cpp
+++ b/src/storage/folder.cpp
@@ -1,4 +1,4 @@
-#include "tissi/folder.h"
+#include "storage/folder.h"
 
 #include <fcntl.h>
 #include <sys/stat.h>
@@ -7,7 +7,7 @@
 #include <cerrno>
 #include <cstdio>
 
-namespace pearspar::tissi {
+namespace pearspar::storage {
 namespace {
 
 std::error_code last_fault() { return {errno, std::generic_category()}; }
@@ -52,4 +52,4 @@
   return ::ftruncate(fd, static_cast<off_t>(bytes)) == 0 ? 0 : errno;
 }
 
-}  // namespace pearspar::tissi
+}  // namespace pearspar::storage
--- a/src/tissi/folder.h
+++ b/src/storage/folder.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <system_error>
 
-namespace pearspar::tissi {
+namespace pearspar::storage {
 
 // Made where it is not there; its name lasts then.
 std::error_code make_folder(const std::string& folder);
@@ -17,4 +17,4 @@
 // Zeros behind its end up to there; 0, or the fault's number.
 int make_as_long(int fd, std::size_t bytes);
 
-}  // namespace pearspar::tissi
+}  // namespace pearspar::storage
--- a/src/tissi/lmdb_store.cpp
+++ b/src/storage/lmdb_store.cpp
@@ -1,11 +1,11 @@
-#include "tissi/lmdb_store.h"
+#include "storage/lmdb_store.h"
 
 #include <cstring>
 
 #include "fanes/agreement.h"
-#include "tissi/folder.h"
+#include "storage/folder.h"
 
-namespace pearspar::tissi {
+namespace pearspar::storage {
 namespace {
 
 using namespace raft;
@@ -294,4 +294,4 @@
   });
 }
 
-}  // namespace pearspar::tissi
+}  // namespace pearspar::storage
--- a/src/tissi/lmdb_store.h
+++ b/src/storage/lmdb_store.h
@@ -13,7 +13,7 @@
 
 #include "raft/store.h"
 
-namespace pearspar::tissi {
+namespace pearspar::storage {
 
 enum class Fault { other_format = 1, spoilt };
 std::error_code make_error_code(Fault fault);
@@ -53,7 +53,7 @@
   bool named_ = false;  // its names are there to stay
 };
 
-}  // namespace pearspar::tissi
+}  // namespace pearspar::storage
 
 template <>
-struct std::is_error_code_enum<pearspar::tissi::Fault> : std::true_type {};
+struct std::is_error_code_enum<pearspar::storage::Fault> : std::true_type {};
--- a/tests/system/log_store_test.cpp
+++ b/tests/system/log_store_test.cpp
@@ -6,7 +6,7 @@
 #include "fanes/agreement.h"
 #include "folder.h"
 #include "log_rig.h"
-#include "tissi/lmdb_store.h"
+#include "storage/lmdb_store.h"
 
 namespace pearspar::raft {
 namespace {
@@ -79,7 +79,7 @@
         "9195090302c400920393920bc403613a31920cc403623a32920dc403633a33");
     CPPUNIT_ASSERT_EQUAL(0, mdb_txn_commit(txn));
     mdb_env_close(env);
-    tissi::LmdbStore store(folder.path());
+    storage::LmdbStore store(folder.path());
     Stored stored;
     CPPUNIT_ASSERT(!store.load(stored));
     CPPUNIT_ASSERT(stored.self == 12 && stored.vote == (Vote{4, 12}));
@@ -92,7 +92,7 @@
 
   void aFoldIsPossibleWhereTheLogHasFilledTheStore() {
     Folder folder;
-    tissi::LmdbStore store(folder.path(), 4, 12);
+    storage::LmdbStore store(folder.path(), 4, 12);
     std::string state(1500000, 's');
     CPPUNIT_ASSERT(!store.save_snapshot({1, 1, members(), state}, false));
     Index index = 1;
@@ -118,7 +118,7 @@
   // A state that is not worth folding yet, and a store that takes no more: it is folded all the same.
   void aMemberFoldsWhereItsStoreIsFull() {
     Folder folder;
-    tissi::LmdbStore store(folder.path(), 4, 12);
+    storage::LmdbStore store(folder.path(), 4, 12);
     Book book(3 * mb);
     Options founder;
     founder.address = "m0";
@@ -137,7 +137,7 @@
   // A day in short: changes of all sizes, notes, folds of a state that grows and shrinks.
   void theFileStaysUnderItsBound() {
     Folder folder;
-    tissi::LmdbStore store(folder.path());
+    storage::LmdbStore store(folder.path());
     Day day(200, 3 * mb);
     day.run(store);
     CPPUNIT_ASSERT(folder.size() < 128 * mb);
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -13,7 +13,7 @@
 #include "fanes/messages.h"
 #include "folder.h"
 #include "sennes/state.h"
-#include "tissi/lmdb_store.h"
+#include "storage/lmdb_store.h"
 #include "vazzoler/view.h"
 
 namespace pearspar {
@@ -246,7 +246,7 @@
   void theStoreKeepsWhatItSaid() {
     Folder folder;
     {
-      tissi::LmdbStore store(folder.path());
+      storage::LmdbStore store(folder.path());
       raft::Stored empty;
       CPPUNIT_ASSERT(!store.load(empty));
       CPPUNIT_ASSERT_EQUAL(raft::MemberId{0}, empty.self);
@@ -257,7 +257,7 @@
           !store.replace_tail(3, {entry(3, "x"), entry(4, "y"), entry(5, std::string(100000, 'z'))}));
       CPPUNIT_ASSERT(!store.replace_tail(5, {entry(5, "w")}));
     }
-    tissi::LmdbStore store(folder.path());
+    storage::LmdbStore store(folder.path());
     raft::Stored stored;
     CPPUNIT_ASSERT(!store.load(stored));
     CPPUNIT_ASSERT(stored.self == 42 && stored.vote == (raft::Vote{9, 3}));
@@ -274,7 +274,7 @@
   void theStoreRefusesAnotherFormat() {
     Folder folder;
     {
-      tissi::LmdbStore store(folder.path());
+      storage::LmdbStore store(folder.path());
       store.save_self(42);
     }
     MDB_env* env = nullptr;
@@ -289,9 +289,9 @@
     CPPUNIT_ASSERT_EQUAL(0, mdb_put(txn, dbi, &key, &value, 0));
     mdb_txn_commit(txn);
     mdb_env_close(env);
-    tissi::LmdbStore store(folder.path());
+    storage::LmdbStore store(folder.path());
     raft::Stored stored;
-    CPPUNIT_ASSERT(store.load(stored) == tissi::Fault::other_format);
+    CPPUNIT_ASSERT(store.load(stored) == storage::Fault::other_format);
   }
 
   // Power goes in the middle of a commit: of the pages that it wrote, any may be there or not, as long as the
@@ -303,7 +303,7 @@
     std::mt19937 random(11);
     std::string old_bytes, new_bytes;
     {
-      tissi::LmdbStore store(folder.path());
+      storage::LmdbStore store(folder.path());
       store.save_self(42);
       store.replace_tail(1, {entry(1, std::string(9000, 'a'))});
       store.save_vote({3, 1});
@@ -321,7 +321,7 @@
           torn[i] = i < old_bytes.size() ? old_bytes[i] : '\0';
       }
       spill(file, torn);
-      tissi::LmdbStore store(folder.path());
+      storage::LmdbStore store(folder.path());
       raft::Stored stored;
       CPPUNIT_ASSERT(!store.load(stored));
       CPPUNIT_ASSERT(stored.self == 42 && stored.vote == (raft::Vote{3, 1}));
--- a/tests/system/store_folder_test.cpp
+++ b/tests/system/store_folder_test.cpp
@@ -11,7 +11,7 @@
 #include <functional>
 
 #include "folder.h"
-#include "tissi/lmdb_store.h"
+#include "storage/lmdb_store.h"
 
 namespace {
 
@@ -40,7 +40,7 @@
   return static_cast<int>(::syscall(SYS_fdatasync, fd));
 }
 
-namespace pearspar::tissi {
+namespace pearspar::storage {
 
 using raft::EntryKind;
 using raft::Stored;
@@ -156,4 +156,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFolderTest);
 
-}  // namespace pearspar::tissi
+}  // namespace pearspar::storage
