Rename croda to upstream: connections to index servers

Cause: the folder's name tells a newcomer nothing. Ruled out: an alias beside the old name, since two names for one thing mislead.

--- a/src/altavia/door.h
+++ b/src/altavia/door.h
@@ -6,8 +6,8 @@
 #include <unordered_map>
 
 #include "clients/front.h"
-#include "croda/node_links.h"
 #include "net/loop.h"
+#include "upstream/node_links.h"
 #include "vandelli/station.h"
 
 namespace pearspar::altavia {
@@ -33,7 +33,7 @@
 
   clients::Front& front() { return front_; }
   const clients::Front& front() const { return front_; }
-  const croda::NodeLinks& nodes() const { return nodes_; }
+  const upstream::NodeLinks& nodes() const { return nodes_; }
   vandelli::Station& station() { return station_; }
   const vandelli::Station& station() const { return station_; }
 
@@ -44,7 +44,7 @@
 
   net::Loop& loop_;
   clients::Front front_;
-  croda::NodeLinks nodes_;
+  upstream::NodeLinks nodes_;
   vandelli::Station station_;
   averau::Edition routed_ = 0;                                     // edition whose limits hold
   std::unordered_map<std::uint64_t, net::SlotId> clients_;         // of open requests
--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -128,7 +128,7 @@
 std::vector<scoiattoli::Sample> Edge::samples() const {
   const pederu::DeskCounters& desk = door_.station().desk().counters();
   const pramperet::PurseCounters& purse = door_.station().purse().counters();
-  const croda::LinkCounters& links = door_.nodes().counters();
+  const upstream::LinkCounters& links = door_.nodes().counters();
   const clients::FrontCounters& front = door_.front().counters();
   auto n = [](auto value) { return static_cast<double>(value); };
   return {
--- a/src/croda/node_links.cpp
+++ b/src/upstream/node_links.cpp
@@ -1,9 +1,9 @@
-#include "croda/node_links.h"
+#include "upstream/node_links.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace pearspar::croda {
+namespace pearspar::upstream {
 namespace {
 
 using namespace std::chrono_literals;
@@ -267,4 +267,4 @@
   on_end_(call, end);
 }
 
-}  // namespace pearspar::croda
+}  // namespace pearspar::upstream
--- a/src/croda/node_links.h
+++ b/src/upstream/node_links.h
@@ -15,7 +15,7 @@
 #include "net/socket.h"
 #include "pederu/desk.h"
 
-namespace pearspar::croda {
+namespace pearspar::upstream {
 
 struct LinkCounters {
   std::uint64_t opened = 0;
@@ -82,4 +82,4 @@
   LinkCounters counters_;
 };
 
-}  // namespace pearspar::croda
+}  // namespace pearspar::upstream
--- a/tests/system/links_test.cpp
+++ b/tests/system/links_test.cpp
@@ -13,10 +13,10 @@
 #include <memory>
 
 #include "clients/front.h"
-#include "croda/node_links.h"
 #include "net/kernel.h"
 #include "net/listener.h"
 #include "standins/reserved_port.h"
+#include "upstream/node_links.h"
 
 namespace pearspar {
 
@@ -145,7 +145,7 @@
   net::Loop loop;
   std::map<std::uint32_t, Ended> ended;
   std::uint32_t next = 0;
-  std::unique_ptr<croda::NodeLinks> links;
+  std::unique_ptr<upstream::NodeLinks> links;
 
   template <typename Done>
   void until(Done done) {
@@ -173,10 +173,11 @@
     loop.turn(net::Duration(0));  // its clock stood still while other suites ran
     ended.clear();
     next = 0;
-    links = std::make_unique<croda::NodeLinks>(loop, [this](pederu::CallId call, const pederu::CallEnd& end) {
-      CPPUNIT_ASSERT(!ended.count(call.index));
-      ended[call.index] = {end.ending, end.status, std::string(end.body), end.length};
-    });
+    links =
+        std::make_unique<upstream::NodeLinks>(loop, [this](pederu::CallId call, const pederu::CallEnd& end) {
+          CPPUNIT_ASSERT(!ended.count(call.index));
+          ended[call.index] = {end.ending, end.status, std::string(end.body), end.length};
+        });
   }
   void tearDown() override { links.reset(); }
 
@@ -357,7 +358,7 @@
     net::StandIn in(kernel);
     net::Loop turns;
     std::vector<pederu::Ending> told;
-    croda::NodeLinks breaking(
+    upstream::NodeLinks breaking(
         turns, [&](pederu::CallId, const pederu::CallEnd& end) { told.push_back(end.ending); });
     auto ends = [&](std::size_t takes, const std::string& answer) {
       kernel.takes = takes;
