Rename puez to transport: held connections between the system's own processes

Cause: the folder's name tells a newcomer nothing. Ruled out: an alias beside the old name, since two names for one thing mislead.

--- a/src/altavia/door.cpp
+++ b/src/altavia/door.cpp
@@ -80,7 +80,7 @@
 
 }  // namespace
 
-Door::Door(net::Loop& loop, puez::Wire& wire, Options options)
+Door::Door(net::Loop& loop, transport::Wire& wire, Options options)
     : loop_(loop),
       front_(loop, std::move(options.warn), options.most_clients, *this, patience, first_limits),
       nodes_(loop, [this](pederu::CallId call,
--- a/src/altavia/door.h
+++ b/src/altavia/door.h
@@ -20,7 +20,7 @@
     std::size_t most_clients = 0;
     clients::Front::Warn warn;
   };
-  Door(net::Loop& loop, puez::Wire& wire, Options options);
+  Door(net::Loop& loop, transport::Wire& wire, Options options);
 
   // Throws std::system_error where the address cannot be had.
   void start(const net::Address& address);
--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -15,7 +15,7 @@
 constexpr net::Duration leave_after = 2600ms;  // of an end: by then two checks have missed us
 constexpr double leave_share = 0.45;           // of a grace that is shorter, at most
 constexpr net::Duration leave_before = 700ms;  // of the grace
-constexpr puez::Links::Bounds asked_by_edges{64, 1024};
+constexpr transport::Links::Bounds asked_by_edges{64, 1024};
 constexpr std::size_t other_files = 300;  // descriptors that are no client's
 
 std::size_t most_clients(const coldai::Settings& settings) {
@@ -72,9 +72,11 @@
   return address;
 }
 
-void Edge::link_up(puez::LinkId link, const std::string& address) { door_.station().link_up(link, address); }
-void Edge::link_down(puez::LinkId link) { door_.station().link_down(link); }
-void Edge::link_frame(puez::LinkId link, std::string_view frame) {
+void Edge::link_up(transport::LinkId link, const std::string& address) {
+  door_.station().link_up(link, address);
+}
+void Edge::link_down(transport::LinkId link) { door_.station().link_down(link); }
+void Edge::link_frame(transport::LinkId link, std::string_view frame) {
   door_.station().link_frame(loop_.now(), link, frame);
   take_configuration();
 }
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -9,12 +9,12 @@
 #include "clients/front.h"
 #include "coldai/settings.h"
 #include "net/loop.h"
-#include "puez/links.h"
 #include "scoiattoli/metrics.h"
+#include "transport/links.h"
 
 namespace pearspar::altavia {
 
-class Edge : private puez::LinksUser, private clients::FrontUser {
+class Edge : private transport::LinksUser, private clients::FrontUser {
  public:
   // Throws std::system_error where an address cannot be had.
   Edge(net::Loop& loop, const coldai::Settings& settings, std::uint64_t life);
@@ -30,9 +30,9 @@
   // The check of our readiness.
   void request_arrived(net::SlotId connection, const http::Message& message) override;
   void client_left(net::SlotId) override {}
-  void link_up(puez::LinkId link, const std::string& address) override;
-  void link_frame(puez::LinkId link, std::string_view frame) override;
-  void link_down(puez::LinkId link) override;
+  void link_up(transport::LinkId link, const std::string& address) override;
+  void link_frame(transport::LinkId link, std::string_view frame) override;
+  void link_down(transport::LinkId link) override;
 
   // Where other edges may ask us; empty where the address cannot be had.
   std::string listen_to_edges();
@@ -45,7 +45,7 @@
   net::Loop& loop_;
   coldai::Settings settings_;
   clients::Front check_;
-  puez::Links links_;
+  transport::Links links_;
   Door door_;
   net::Timer second_;
   net::Timer due_;
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -107,11 +107,11 @@
 
 void Member::client_left(net::SlotId) {}  // its change may be under way; the answer finds nobody
 
-void Member::link_up(puez::LinkId link, const std::string&) { member_.link_up(link); }
-void Member::link_frame(puez::LinkId link, std::string_view frame) {
+void Member::link_up(transport::LinkId link, const std::string&) { member_.link_up(link); }
+void Member::link_frame(transport::LinkId link, std::string_view frame) {
   member_.link_frame(loop_.read_clock(), link, frame);
 }
-void Member::link_down(puez::LinkId link) { member_.link_down(link); }
+void Member::link_down(transport::LinkId link) { member_.link_down(link); }
 
 std::vector<scoiattoli::Sample> Member::samples() const {
   const raft::Core& core = member_.core();
--- a/src/altavia/member.h
+++ b/src/altavia/member.h
@@ -8,14 +8,14 @@
 #include "clients/front.h"
 #include "coldai/settings.h"
 #include "net/loop.h"
-#include "puez/links.h"
 #include "scoiattoli/metrics.h"
 #include "sennes/member.h"
 #include "storage/lmdb_store.h"
+#include "transport/links.h"
 
 namespace pearspar::altavia {
 
-class Member : private clients::FrontUser, private puez::LinksUser {
+class Member : private clients::FrontUser, private transport::LinksUser {
  public:
   // Throws std::system_error where an address cannot be had.
   Member(net::Loop& loop, const coldai::Settings& settings, std::uint64_t seed);
@@ -33,9 +33,9 @@
  private:
   void request_arrived(net::SlotId connection, const http::Message& message) override;
   void client_left(net::SlotId connection) override;
-  void link_up(puez::LinkId link, const std::string& address) override;
-  void link_frame(puez::LinkId link, std::string_view frame) override;
-  void link_down(puez::LinkId link) override;
+  void link_up(transport::LinkId link, const std::string& address) override;
+  void link_frame(transport::LinkId link, std::string_view frame) override;
+  void link_down(transport::LinkId link) override;
 
   void start_core();
   void tell_role();
@@ -45,7 +45,7 @@
   net::Loop& loop_;
   coldai::Settings settings_;
   clients::Front front_;
-  puez::Links links_;
+  transport::Links links_;
   storage::LmdbStore store_;
   sennes::Member member_;
   net::Time start_again_{};
--- a/src/biella/cluster_parts.h
+++ b/src/biella/cluster_parts.h
@@ -71,7 +71,7 @@
     Answer answer;
     Checker::Call call;
   };
-  struct Process : puez::LinksUser {
+  struct Process : transport::LinksUser {
     Life life;
     Port port;
     std::unique_ptr<sennes::Member> member;
@@ -97,11 +97,11 @@
     Time own(Time at) const { return started + step + (at - started) * rate; }
     Time worlds(Time own) const { return started + (own - step - started) / rate; }
     Time now() const { return own(life.world.now()); }
-    void link_up(puez::LinkId link, const std::string&) override { member->link_up(link); }
-    void link_frame(puez::LinkId link, std::string_view frame) override {
+    void link_up(transport::LinkId link, const std::string&) override { member->link_up(link); }
+    void link_frame(transport::LinkId link, std::string_view frame) override {
       member->link_frame(now(), link, frame);
     }
-    void link_down(puez::LinkId link) override { member->link_down(link); }
+    void link_down(transport::LinkId link) override { member->link_down(link); }
   };
   std::unique_ptr<Process> process;
   explicit Core(World& world) : disk(world) {}
@@ -113,7 +113,7 @@
   std::string door;  // where clients connect, with `http`
   std::size_t place = 0;
   std::uint64_t starts = 0;
-  struct Process : puez::LinksUser, pederu::Calls {
+  struct Process : transport::LinksUser, pederu::Calls {
     Cluster& cluster;
     Edge& edge;
     Life life;
@@ -138,9 +138,11 @@
     vandelli::Station& make_station(std::uint64_t number);
     // Every second, on its own loop.
     void sweep();
-    void link_up(puez::LinkId link, const std::string& address) override { station.link_up(link, address); }
-    void link_down(puez::LinkId link) override { station.link_down(link); }
-    void link_frame(puez::LinkId link, std::string_view frame) override {
+    void link_up(transport::LinkId link, const std::string& address) override {
+      station.link_up(link, address);
+    }
+    void link_down(transport::LinkId link) override { station.link_down(link); }
+    void link_frame(transport::LinkId link, std::string_view frame) override {
       station.link_frame(life.world.now(), link, frame);
       tell_routes();
     }
--- a/src/biella/net.cpp
+++ b/src/biella/net.cpp
@@ -4,7 +4,7 @@
 
 namespace pearspar::biella {
 
-Port::Port(Net& net, std::string address, puez::LinksUser& user)
+Port::Port(Net& net, std::string address, transport::LinksUser& user)
     : net_(net), address_(std::move(address)), user_(user) {
   net_.ports_[address_] = this;
 }
@@ -17,7 +17,7 @@
       ++it;
       continue;
     }
-    puez::LinkId link = it->second.link;
+    transport::LinkId link = it->second.link;
     std::string other = it->first;
     it = dials_.erase(it);
     if (auto found = net_.links_.find(link); found != net_.links_.end()) {
@@ -53,7 +53,7 @@
   return true;
 }
 
-bool Port::send(puez::LinkId link, std::string_view frame) {
+bool Port::send(transport::LinkId link, std::string_view frame) {
   auto found = net_.links_.find(link);
   if (found == net_.links_.end()) return false;
   auto [held, dialler] = found->second;
@@ -62,7 +62,7 @@
   return true;
 }
 
-void Port::ended(puez::LinkId link, const std::string& address) {
+void Port::ended(transport::LinkId link, const std::string& address) {
   run([this, link] { user_.link_down(link); });
   auto found = dials_.find(address);
   if (found == dials_.end() || found->second.link != link) return;
@@ -114,7 +114,7 @@
     dial.pause = {};
     std::vector<std::string> queued = std::exchange(dial.queued, {});
     dial.queued_bytes = 0;
-    puez::LinkId id = dial.link;
+    transport::LinkId id = dial.link;
     port->run([port, id, to] { port->user_.link_up(id, to); });
     for (const std::string& frame : queued) port->send(id, frame);
   });
--- a/src/biella/net.h
+++ b/src/biella/net.h
@@ -1,7 +1,7 @@
 // Links between processes in the simulation, as TCP gives them: in order, with delay; behind a cut they hang
 // and end when what was sent was not acknowledged in time; a process that is killed resets them, one that
 // loses its power says nothing. Where machines have a bandwidth, what they send waits for its turn on the way
-// out, and what they get on the way in. A link holds so much as puez::Links does, and ends beyond.
+// out, and what they get on the way in. A link holds so much as transport::Links does, and ends beyond.
 #pragma once
 
 #include <deque>
@@ -14,21 +14,21 @@
 #include <vector>
 
 #include "biella/world.h"
-#include "puez/wire.h"
+#include "transport/wire.h"
 
 namespace pearspar::biella {
 
 class Net;
 
 // One life of a process, as the net sees it.
-class Port : public puez::Wire {
+class Port : public transport::Wire {
  public:
-  Port(Net& net, std::string address, puez::LinksUser& user);
+  Port(Net& net, std::string address, transport::LinksUser& user);
   ~Port() override;
 
   void keep(const std::vector<std::string>& addresses) override;
   bool send_to(const std::string& address, std::string_view frame) override;
-  bool send(puez::LinkId link, std::string_view frame) override;
+  bool send(transport::LinkId link, std::string_view frame) override;
 
   // When what is sent now leaves: later than now where the process waits for its disk.
   std::function<Time()> leaves = [] { return Time{}; };
@@ -39,18 +39,18 @@
  private:
   friend class Net;
   struct Dial {
-    puez::LinkId link = 0;
+    transport::LinkId link = 0;
     bool coming = false;
     Duration pause{};
     std::vector<std::string> queued;
     std::size_t queued_bytes = 0;
   };
   void dial(const std::string& address);
-  void ended(puez::LinkId link, const std::string& address);
+  void ended(transport::LinkId link, const std::string& address);
 
   Net& net_;
   std::string address_;
-  puez::LinksUser& user_;
+  transport::LinksUser& user_;
   std::map<std::string, Dial> dials_;
 };
 
@@ -99,7 +99,7 @@
   struct Side {
     Port* port = nullptr;  // null once its process has ended
     std::string address;
-    puez::LinkId id = 0;
+    transport::LinkId id = 0;
     Time free{};                      // when the last frame that it sent arrives
     bool told = false;                // that the link has ended
     std::size_t held = 0;             // bytes sent that the other process has not taken yet
@@ -140,7 +140,7 @@
   static constexpr Duration silence{1.2};
   static constexpr double again_s = 0.2;
   static constexpr double chunk = 16 << 10;          // bytes that a link sends in its turn
-  static constexpr std::size_t most_held = 8 << 20;  // as puez::Links
+  static constexpr std::size_t most_held = 8 << 20;  // as transport::Links
   Duration resent() { return Duration(loss_ > 0 && world_.chance(loss_) ? 0.2 : 0); }
 
   double loss_ = 0;
@@ -152,9 +152,9 @@
   Duration least_{0.0003}, most_{0.002};
   std::set<std::pair<std::string, std::string>> cuts_;
   std::map<std::string, Port*> ports_;
-  std::map<puez::LinkId, std::pair<LinkPtr, bool>>
+  std::map<transport::LinkId, std::pair<LinkPtr, bool>>
       links_;  // by id: the link, and whether it is the dialler's
-  puez::LinkId next_ = 0;
+  transport::LinkId next_ = 0;
   std::uint64_t frames_ = 0;
   std::uint64_t bytes_ = 0;
   std::map<std::string, std::uint64_t> bytes_from_;
--- a/src/measure/capacity_edges.cpp
+++ b/src/measure/capacity_edges.cpp
@@ -9,7 +9,7 @@
 #include "fanes/messages.h"
 #include "measure/capacity.h"
 #include "net/loop.h"
-#include "puez/links.h"
+#include "transport/links.h"
 #include "vandelli/station.h"
 
 namespace pearspar::measure {
@@ -54,7 +54,7 @@
   }
 };
 
-class HollowEdge : public puez::Wire, private puez::LinksUser {
+class HollowEdge : public transport::Wire, private transport::LinksUser {
  public:
   HollowEdge(net::Loop& loop, EdgeBoard& board, int number, bool full, const std::vector<std::string>& seeds)
       : loop_(loop), board_(board), links_(loop, *this) {
@@ -82,7 +82,7 @@
     count(board_.out[kind_of(frame)], frame.size());
     return links_.send_to(address, frame);
   }
-  bool send(puez::LinkId link, std::string_view frame) override {
+  bool send(transport::LinkId link, std::string_view frame) override {
     std::string told;
     if (follower_ && kind_names[kind_of(frame)] == "ack") {
       auto message = fanes::unpack(frame);
@@ -93,15 +93,15 @@
     count(board_.out[kind_of(frame)], frame.size());
     return links_.send(link, frame);
   }
-  void link_up(puez::LinkId link, const std::string& address) override {
+  void link_up(transport::LinkId link, const std::string& address) override {
     ++board_.links, ++board_.dialled;
     station_ ? station_->link_up(link, address) : follower_->link_up(link, address);
   }
-  void link_down(puez::LinkId link) override {
+  void link_down(transport::LinkId link) override {
     --board_.links;
     station_ ? station_->link_down(link) : follower_->link_down(link);
   }
-  void link_frame(puez::LinkId link, std::string_view frame) override {
+  void link_frame(transport::LinkId link, std::string_view frame) override {
     std::size_t kind = kind_of(frame);
     count(board_.in[kind], frame.size());
     bool whole = false;
@@ -173,7 +173,7 @@
   net::Loop& loop_;
   EdgeBoard& board_;
   NoCalls calls_;
-  puez::Links links_;
+  transport::Links links_;
   std::optional<vandelli::Station> station_;
   std::optional<vazzoler::Follower> follower_;
   ListDigest list_;
--- a/src/sennes/member.cpp
+++ b/src/sennes/member.cpp
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-Member::Member(puez::Wire& wire, raft::Store& store, raft::Options agreement, OfficeOptions office)
+Member::Member(transport::Wire& wire, raft::Store& store, raft::Options agreement, OfficeOptions office)
     : wire_(wire),
       address_(agreement.address),
       state_(office.read),
--- a/src/sennes/member.h
+++ b/src/sennes/member.h
@@ -7,14 +7,14 @@
 #include <string>
 #include <vector>
 
-#include "puez/wire.h"
 #include "sennes/office.h"
+#include "transport/wire.h"
 
 namespace pearspar::sennes {
 
 class Member {
  public:
-  Member(puez::Wire& wire, raft::Store& store, raft::Options agreement, OfficeOptions office);
+  Member(transport::Wire& wire, raft::Store& store, raft::Options agreement, OfficeOptions office);
 
   // Reads the store. Until it has gone well everything is refused; it may be tried again.
   std::error_code start(Time now);
@@ -49,7 +49,7 @@
   void keep_early(LinkId link, std::string_view frame);
   void keep_note(Time now);
 
-  puez::Wire& wire_;
+  transport::Wire& wire_;
   std::string address_;
   State state_;
   raft::Core core_;
--- a/src/puez/links.cpp
+++ b/src/transport/links.cpp
@@ -1,8 +1,8 @@
-#include "puez/links.h"
+#include "transport/links.h"
 
 #include <algorithm>
 
-namespace pearspar::puez {
+namespace pearspar::transport {
 namespace {
 
 using namespace std::chrono_literals;
@@ -200,4 +200,4 @@
   dial->second.again = loop_.at(loop_.now() + dial->second.pause, [this, address] { this->dial(address); });
 }
 
-}  // namespace pearspar::puez
+}  // namespace pearspar::transport
--- a/src/puez/links.h
+++ b/src/transport/links.h
@@ -13,9 +13,9 @@
 #include "net/loop.h"
 #include "net/slots.h"
 #include "net/socket.h"
-#include "puez/wire.h"
+#include "transport/wire.h"
 
-namespace pearspar::puez {
+namespace pearspar::transport {
 
 class Links : public Wire {
  public:
@@ -78,4 +78,4 @@
   std::uint64_t dropped_ = 0;
 };
 
-}  // namespace pearspar::puez
+}  // namespace pearspar::transport
--- a/src/puez/wire.h
+++ b/src/transport/wire.h
@@ -1,4 +1,4 @@
-// What a process needs of the links to others; the real ones are puez::Links, the rig has its own.
+// What a process needs of the links to others; the real ones are transport::Links, the rig has its own.
 #pragma once
 
 #include <cstdint>
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace pearspar::puez {
+namespace pearspar::transport {
 
 using LinkId = std::uint64_t;
 
@@ -30,4 +30,4 @@
   virtual void link_down(LinkId link) = 0;
 };
 
-}  // namespace pearspar::puez
+}  // namespace pearspar::transport
--- a/src/vandelli/station.cpp
+++ b/src/vandelli/station.cpp
@@ -19,13 +19,13 @@
 
 }  // namespace
 
-Station::Station(puez::Wire& wire, vazzoler::FollowerOptions options, pederu::Calls& calls,
+Station::Station(transport::Wire& wire, vazzoler::FollowerOptions options, pederu::Calls& calls,
                  const pederu::AllowanceRules& rules)
     : follower_(wire, options), desk_(calls), purse_(options.life) {
   desk_.set_allowance(rules);
 }
 
-void Station::link_frame(Time now, puez::LinkId link, std::string_view frame) {
+void Station::link_frame(Time now, transport::LinkId link, std::string_view frame) {
   follower_.tell_coverage(static_cast<std::uint32_t>(std::lround(desk_.coverage() * 100)));
   if (follower_.frame(now, link, frame)) take_news();
   for (const auto& [until, tokens] : follower_.take_granted())
--- a/src/vandelli/station.h
+++ b/src/vandelli/station.h
@@ -28,13 +28,13 @@
 
 class Station {
  public:
-  Station(puez::Wire& wire, vazzoler::FollowerOptions options, pederu::Calls& calls,
+  Station(transport::Wire& wire, vazzoler::FollowerOptions options, pederu::Calls& calls,
           const pederu::AllowanceRules& rules);
 
   void start(Time now) { follower_.start(now); }
-  void link_up(puez::LinkId link, const std::string& address) { follower_.link_up(link, address); }
-  void link_down(puez::LinkId link) { follower_.link_down(link); }
-  void link_frame(Time now, puez::LinkId link, std::string_view frame);
+  void link_up(transport::LinkId link, const std::string& address) { follower_.link_up(link, address); }
+  void link_down(transport::LinkId link) { follower_.link_down(link); }
+  void link_frame(Time now, transport::LinkId link, std::string_view frame);
   // After every event, and at due().
   void advance(Time now);
   Time due(Time now) const;
--- a/src/vazzoler/follower.cpp
+++ b/src/vazzoler/follower.cpp
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-Follower::Follower(puez::Wire& wire, FollowerOptions options)
+Follower::Follower(transport::Wire& wire, FollowerOptions options)
     : wire_(wire), options_(std::move(options)), asking_(options_.life) {}
 
 void Follower::start(Time now) {
@@ -58,7 +58,7 @@
   wire_.keep(wanted);
 }
 
-void Follower::link_up(puez::LinkId link, const std::string& address) {
+void Follower::link_up(transport::LinkId link, const std::string& address) {
   const auto& asked = asking_.asked();
   if (std::find(asked.begin(), asked.end(), address) != asked.end()) {
     edges_.push_back(link);
@@ -69,7 +69,7 @@
   wire_.send(link, hello());
 }
 
-void Follower::link_down(puez::LinkId link) {
+void Follower::link_down(transport::LinkId link) {
   std::erase(up_, link);
   std::erase(edges_, link);
   if (link == leader_link_) leader_link_ = 0;
@@ -86,7 +86,7 @@
   return leader_link_ != 0 && wire_.send(leader_link_, fanes::pack(ask));
 }
 
-bool Follower::frame(Time now, puez::LinkId link, std::string_view bytes) {
+bool Follower::frame(Time now, transport::LinkId link, std::string_view bytes) {
   auto message = fanes::unpack(bytes);
   if (!message) {
     ++unread_;
@@ -147,7 +147,7 @@
 
 // On a link that is to no member. An edge tells what members told it, and never what it heard of edges: a lie
 // goes no further than one step.
-void Follower::hear_edge(puez::LinkId link, const fanes::Message& message) {
+void Follower::hear_edge(transport::LinkId link, const fanes::Message& message) {
   if (std::get_if<fanes::Where>(&message)) {
     wire_.send(link, fanes::pack(fanes::There{cores_term_, cores_}));
     return;
@@ -159,7 +159,7 @@
   keep_links();
 }
 
-bool Follower::taken(Time now, puez::LinkId link, View::Taken taken) {
+bool Follower::taken(Time now, transport::LinkId link, View::Taken taken) {
   if (taken == View::Taken::old) return false;
   news_ = now;
   leader_link_ = link;
@@ -183,7 +183,7 @@
   if (now < touch_due_) return changed;
   touch_due_ = now + touch_every;
   std::string word = silent ? hello() : ack();
-  for (puez::LinkId link : std::vector(up_)) wire_.send(link, word);
+  for (transport::LinkId link : std::vector(up_)) wire_.send(link, word);
   if (silent) {
     lost_ = true;
     keep_links();
@@ -205,7 +205,8 @@
 }
 
 void Follower::farewell() {
-  for (puez::LinkId link : std::vector(up_)) wire_.send(link, fanes::pack(fanes::Farewell{options_.life}));
+  for (transport::LinkId link : std::vector(up_))
+    wire_.send(link, fanes::pack(fanes::Farewell{options_.life}));
 }
 
 }  // namespace pearspar::vazzoler
--- a/src/vazzoler/follower.h
+++ b/src/vazzoler/follower.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "puez/wire.h"
+#include "transport/wire.h"
 #include "vazzoler/asking.h"
 #include "vazzoler/view.h"
 
@@ -26,14 +26,14 @@
 
 class Follower {
  public:
-  Follower(puez::Wire& wire, FollowerOptions options);
+  Follower(transport::Wire& wire, FollowerOptions options);
 
   void start(Time now);
   void set_seeds(std::vector<std::string> seeds);
-  void link_up(puez::LinkId link, const std::string& address);
-  void link_down(puez::LinkId link);
+  void link_up(transport::LinkId link, const std::string& address);
+  void link_down(transport::LinkId link);
   // True where the view has changed; false too for what is no frame of ours.
-  bool frame(Time now, puez::LinkId link, std::string_view bytes);
+  bool frame(Time now, transport::LinkId link, std::string_view bytes);
   // True where the view has changed.
   bool tick(Time now);
   Time due() const { return std::min({touch_due_, provisional_due_, asking_.due()}); }
@@ -61,18 +61,18 @@
  private:
   std::string hello() const;
   std::string ack() const;
-  bool taken(Time now, puez::LinkId link, View::Taken taken);
+  bool taken(Time now, transport::LinkId link, View::Taken taken);
   bool take_provisional(Time now);
   bool silent(Time now) const;
   void keep_links();
   void take_welcome(const fanes::Welcome& welcome);
-  void hear_edge(puez::LinkId link, const fanes::Message& message);
+  void hear_edge(transport::LinkId link, const fanes::Message& message);
 
-  puez::Wire& wire_;
+  transport::Wire& wire_;
   FollowerOptions options_;
   View view_;
-  std::vector<puez::LinkId> up_;     // to members
-  std::vector<puez::LinkId> edges_;  // to edges that are asked
+  std::vector<transport::LinkId> up_;     // to members
+  std::vector<transport::LinkId> edges_;  // to edges that are asked
   Asking asking_;
   bool lost_ = false;  // no leader was heard for long, and none has told since where the core is
   std::vector<std::string> cores_;
@@ -85,7 +85,7 @@
   Time first_nodes_{};
   Time news_{};  // last heard of a leader
   Time touch_due_{};
-  puez::LinkId leader_link_ = 0;  // by which the newest news came; 0 = none
+  transport::LinkId leader_link_ = 0;  // by which the newest news came; 0 = none
   std::uint32_t coverage_ = 100;
   std::uint64_t asked_ = 0;  // number of the newest question
   Time asked_at_{};
--- a/tests/system/links_test.cpp
+++ b/tests/system/links_test.cpp
@@ -1,6 +1,6 @@
 // The two sides that touch sockets, on loopback with scripted peers: connections to nodes, links between
 // processes.
-#include "puez/links.h"
+#include "transport/links.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -109,7 +109,7 @@
 
 }  // namespace
 
-class LinksTest : public CppUnit::TestFixture, private puez::LinksUser {
+class LinksTest : public CppUnit::TestFixture, private transport::LinksUser {
   CPPUNIT_TEST_SUITE(LinksTest);
   CPPUNIT_TEST(aConnectionIsUsedAgain);
   CPPUNIT_TEST(aConnectionPastItsTimeIsNotUsed);
@@ -402,10 +402,10 @@
 
   // Links between processes.
   std::vector<std::string> frames;
-  std::vector<puez::LinkId> up, down;
-  void link_up(puez::LinkId link, const std::string&) override { up.push_back(link); }
-  void link_frame(puez::LinkId, std::string_view frame) override { frames.emplace_back(frame); }
-  void link_down(puez::LinkId link) override { down.push_back(link); }
+  std::vector<transport::LinkId> up, down;
+  void link_up(transport::LinkId link, const std::string&) override { up.push_back(link); }
+  void link_frame(transport::LinkId, std::string_view frame) override { frames.emplace_back(frame); }
+  void link_down(transport::LinkId link) override { down.push_back(link); }
   void clear() {
     frames.clear();
     up.clear();
@@ -420,7 +420,7 @@
   void framesArriveWholeAndInOrder() {
     clear();
     net::Address address = free_address();
-    puez::Links here(loop, *this), there(loop, *this);
+    transport::Links here(loop, *this), there(loop, *this);
     there.listen(address);
     std::string large(1 << 20, 'x');
     CPPUNIT_ASSERT(here.send_to(address.text(), "one"));
@@ -434,15 +434,15 @@
   void aDialledLinkComesUpAgain() {
     clear();
     net::Address address = free_address();
-    puez::Links here(loop, *this);
+    transport::Links here(loop, *this);
     here.keep({address.text()});
     {
-      puez::Links there(loop, *this);
+      transport::Links there(loop, *this);
       there.listen(address);
       until([&] { return up.size() == 1; });
     }
     until([&] { return down.size() == 1; });
-    puez::Links again(loop, *this);
+    transport::Links again(loop, *this);
     again.listen(address);
     until([&] { return up.size() == 2; });
     here.keep({});
@@ -455,7 +455,7 @@
   void bothEndsOfALinkAreProbed() {
     clear();
     net::Address address = free_address();
-    puez::Links here(loop, *this), there(loop, *this);
+    transport::Links here(loop, *this), there(loop, *this);
     there.listen(address);
     here.keep({address.text()});
     until([&] { return up.size() == 1 && there.count() == 1; });
@@ -485,7 +485,7 @@
   void aFrameThatIsTooLongEndsItsLink() {
     clear();
     net::Address address = free_address();
-    puez::Links there(loop, *this);
+    transport::Links there(loop, *this);
     there.listen(address);
     int error = 0;
     net::Fd fd = net::start_connect(address, error);
@@ -502,12 +502,12 @@
   void whoListensBoundsWhatOthersOpen() {
     clear();
     net::Address address = free_address();
-    puez::Links there(loop, *this);
+    transport::Links there(loop, *this);
     there.listen(address, {2, 64});
-    puez::LinksUser& user = *this;
-    std::vector<std::unique_ptr<puez::Links>> here;
+    transport::LinksUser& user = *this;
+    std::vector<std::unique_ptr<transport::Links>> here;
     for (int i = 0; i < 3; ++i)
-      here.emplace_back(std::make_unique<puez::Links>(loop, user))->keep({address.text()});
+      here.emplace_back(std::make_unique<transport::Links>(loop, user))->keep({address.text()});
     until([&] { return up.size() >= 3 && !down.empty(); });
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, there.count());
     for (auto& each : here) each->send_to(address.text(), std::string(65, 'x'));
--- a/tests/system/neighbours_test.cpp
+++ b/tests/system/neighbours_test.cpp
@@ -8,7 +8,7 @@
 
 #include "biella/cluster.h"
 #include "fanes/pack.h"
-#include "puez/links.h"
+#include "transport/links.h"
 
 namespace pearspar {
 
@@ -18,12 +18,12 @@
 using averau::Time;
 
 // What an edge asks of its links.
-struct Dialled : puez::Wire {
+struct Dialled : transport::Wire {
   std::vector<std::string> kept;
   std::vector<fanes::Message> sent;
   void keep(const std::vector<std::string>& addresses) override { kept = addresses; }
   bool send_to(const std::string&, std::string_view) override { return true; }
-  bool send(puez::LinkId, std::string_view frame) override {
+  bool send(transport::LinkId, std::string_view frame) override {
     sent.push_back(*fanes::unpack(frame));
     return true;
   }
@@ -46,7 +46,7 @@
     hear(1, fanes::Standing{{4, 1}, true, 1, 0, "", {}, {}, 100});
     hear(1, fanes::Neighbours{{"e1", "e2", "e3", "e4"}});
   }
-  void hear(puez::LinkId link, const fanes::Message& message) {
+  void hear(transport::LinkId link, const fanes::Message& message) {
     follower.frame(now, link, fanes::pack(message));
   }
   // Until another edge is asked, by link 9.
@@ -167,7 +167,7 @@
     edge.lose();
     fanes::Standing standing{{9, 1}, true, 1, 0, "", {{}}, {}, 100};
     standing.nodes[0].node.id = "n";
-    for (puez::LinkId link : {9, 77}) {
+    for (transport::LinkId link : {9, 77}) {
       edge.hear(link, standing);
       edge.hear(link, fanes::Welcome{9, true, {"gone"}});
       edge.hear(link, fanes::Neighbours{{"liar"}});
--- a/tests/system/news_test.cpp
+++ b/tests/system/news_test.cpp
@@ -184,11 +184,11 @@
     CPPUNIT_ASSERT_EQUAL(averau::Edition{200}, leader.edge.edition());
   }
 
-  struct Kept : puez::Wire {
+  struct Kept : transport::Wire {
     std::vector<std::string> addresses;
     void keep(const std::vector<std::string>& wanted) override { addresses = wanted; }
     bool send_to(const std::string&, std::string_view) override { return true; }
-    bool send(puez::LinkId, std::string_view) override { return true; }
+    bool send(transport::LinkId, std::string_view) override { return true; }
   };
 
   void aMemberThatIsBehindDoesNotHideTheOthers() {
--- a/tests/system/office_test.cpp
+++ b/tests/system/office_test.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-struct NoWire : puez::Wire {
+struct NoWire : transport::Wire {
   std::vector<std::pair<LinkId, std::string>> sent;
   void keep(const std::vector<std::string>&) override {}
   bool send_to(const std::string&, std::string_view) override { return true; }
--- a/tests/system/state_test.cpp
+++ b/tests/system/state_test.cpp
@@ -201,7 +201,7 @@
   }
   static std::string address(int i) { return std::string(1, static_cast<char>('a' + i)) + ":1"; }
   static LinkId link(int i) { return static_cast<LinkId>(i + 1); }
-  struct Wire : puez::Wire {
+  struct Wire : transport::Wire {
     Trio* trio = nullptr;
     int self = 0;
     void keep(const std::vector<std::string>&) override {}
--- a/tests/system/strange_calls_test.cpp
+++ b/tests/system/strange_calls_test.cpp
@@ -11,7 +11,7 @@
 namespace pearspar::sennes {
 namespace {
 
-struct KeptWire : puez::Wire {
+struct KeptWire : transport::Wire {
   std::vector<std::string> to_members;
   std::map<LinkId, std::vector<std::string>> to_links;
   void keep(const std::vector<std::string>&) override {}
--- a/tests/system/wire_fuzz_test.cpp
+++ b/tests/system/wire_fuzz_test.cpp
@@ -124,10 +124,10 @@
   return more ? std::atoi(more) : usual;
 }
 
-struct NoWire : puez::Wire {
+struct NoWire : transport::Wire {
   void keep(const std::vector<std::string>&) override {}
   bool send_to(const std::string&, std::string_view) override { return true; }
-  bool send(puez::LinkId, std::string_view) override { return true; }
+  bool send(transport::LinkId, std::string_view) override { return true; }
 };
 
 }  // namespace
