Rename lavarella to logging: the structured log

Cause: the folder's name tells a newcomer nothing. Ruled out: an alias beside the old name, since two names for one thing mislead.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -3,14 +3,14 @@
 #include <algorithm>
 #include <system_error>
 
-#include "lavarella/log.h"
+#include "logging/log.h"
 
 namespace pearspar::altavia {
 namespace {
 
 using namespace std::chrono_literals;
-using lavarella::Level;
-using lavarella::log;
+using logging::Level;
+using logging::log;
 
 constexpr net::Duration leave_after = 2600ms;  // of an end: by then two checks have missed us
 constexpr double leave_share = 0.45;           // of a grace that is shorter, at most
--- a/src/altavia/main.cpp
+++ b/src/altavia/main.cpp
@@ -18,15 +18,15 @@
 #include "altavia/edge.h"
 #include "altavia/member.h"
 #include "carestiato/commands.h"
-#include "lavarella/log.h"
+#include "logging/log.h"
 #include "net/signals.h"
 
 namespace {
 
 using namespace std::chrono_literals;
 using namespace pearspar;
-using lavarella::Level;
-using lavarella::log;
+using logging::Level;
+using logging::log;
 
 constexpr int bad_input = 2;
 
@@ -108,7 +108,7 @@
       log(Level::info, "settings_read", {{"seeds", read.settings.seeds.size()}});
       return;
     }
-    lavarella::open_log(read.settings.node_name, least_);
+    logging::open_log(read.settings.node_name, least_);
     try {
       if (!read.settings.front_door.empty())
         edge_ = std::make_unique<altavia::Edge>(loop, read.settings, fresh_number());
@@ -184,7 +184,7 @@
   const char* from = settings ? settings : std::getenv("PEARSPAR_CONFIG");
   std::string path = from ? from : "";
   Level least = Level::info;
-  bool level_good = !level || lavarella::parse_level(level, least);
+  bool level_good = !level || logging::parse_level(level, least);
   std::istringstream addresses(at ? at : "");
   for (std::string address; std::getline(addresses, address, ',');) operators.members.push_back(address);
   operators.json = json != 0;
@@ -210,6 +210,6 @@
     return bad_input;
   }
   if (command == "check-settings") return check_settings(path);
-  lavarella::open_log("altavia", least);
+  logging::open_log("altavia", least);
   return Process(path, least).run();
 }
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -2,14 +2,14 @@
 
 #include <algorithm>
 
-#include "lavarella/log.h"
+#include "logging/log.h"
 
 namespace pearspar::altavia {
 namespace {
 
 using namespace std::chrono_literals;
-using lavarella::Level;
-using lavarella::log;
+using logging::Level;
+using logging::log;
 
 constexpr std::size_t most_connections = 1024;
 constexpr std::size_t most_body = 1 << 20;
--- a/src/lavarella/log.cpp
+++ b/src/logging/log.cpp
@@ -1,4 +1,4 @@
-#include "lavarella/log.h"
+#include "logging/log.h"
 
 #include <easylogging++.h>
 #include <fmt/format.h>
@@ -10,7 +10,7 @@
 
 INITIALIZE_EASYLOGGINGPP
 
-namespace pearspar::lavarella {
+namespace pearspar::logging {
 namespace {
 
 using averau::quoted;
@@ -76,4 +76,4 @@
   LOG(INFO) << line;
 }
 
-}  // namespace pearspar::lavarella
+}  // namespace pearspar::logging
--- a/src/lavarella/log.h
+++ b/src/logging/log.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <utility>
 
-namespace pearspar::lavarella {
+namespace pearspar::logging {
 
 enum class Level { error, warning, info, debug };
 
@@ -38,4 +38,4 @@
          std::initializer_list<std::pair<std::string_view, Value>> fields = {});
 bool parse_level(std::string_view text, Level& level);
 
-}  // namespace pearspar::lavarella
+}  // namespace pearspar::logging
