Rename scoiattoli to metrics: counters and gauges as others read them

Cause: the folder's name tells a newcomer nothing. Ruled out: an alias beside the old name, since two names for one thing mislead.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -50,10 +50,10 @@
     answer.status = ready() ? 200 : 503;
     answer.body = ready() ? "{\"ready\":true}" : "{\"ready\":false}";
   } else if (message.target == "/pearspar/counters") {
-    answer.body = scoiattoli::as_json(samples());
+    answer.body = metrics::as_json(samples());
   } else if (message.target == "/pearspar/metrics") {
     answer.type = "text/plain; version=0.0.4";
-    answer.body = scoiattoli::as_text(samples(), settings_.node_name, settings_.zone);
+    answer.body = metrics::as_text(samples(), settings_.node_name, settings_.zone);
   } else {
     answer.status = 404;
   }
@@ -127,7 +127,7 @@
   ended_ = true;
 }
 
-std::vector<scoiattoli::Sample> Edge::samples() const {
+std::vector<metrics::Sample> Edge::samples() const {
   const pederu::DeskCounters& desk = door_.station().desk().counters();
   const pramperet::PurseCounters& purse = door_.station().purse().counters();
   const upstream::LinkCounters& links = door_.nodes().counters();
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -8,8 +8,8 @@
 #include "altavia/door.h"
 #include "clients/front.h"
 #include "coldai/settings.h"
+#include "metrics/metrics.h"
 #include "net/loop.h"
-#include "scoiattoli/metrics.h"
 #include "transport/links.h"
 
 namespace pearspar::altavia {
@@ -40,7 +40,7 @@
   void take_configuration();
   void each_second();
   void wind_down();
-  std::vector<scoiattoli::Sample> samples() const;
+  std::vector<metrics::Sample> samples() const;
 
   net::Loop& loop_;
   coldai::Settings settings_;
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -92,7 +92,7 @@
   if (message.target == "/pearspar/metrics") {
     clients::Answer answer;
     answer.type = "text/plain; version=0.0.4";
-    answer.body = scoiattoli::as_text(samples(), settings_.node_name, settings_.zone);
+    answer.body = metrics::as_text(samples(), settings_.node_name, settings_.zone);
     return front_.answer(connection, answer);
   }
   if (stopping_) {
@@ -113,7 +113,7 @@
 }
 void Member::link_down(transport::LinkId link) { member_.link_down(link); }
 
-std::vector<scoiattoli::Sample> Member::samples() const {
+std::vector<metrics::Sample> Member::samples() const {
   const raft::Core& core = member_.core();
   auto n = [](auto value) { return static_cast<double>(value); };
   return {
--- a/src/altavia/member.h
+++ b/src/altavia/member.h
@@ -7,8 +7,8 @@
 
 #include "clients/front.h"
 #include "coldai/settings.h"
+#include "metrics/metrics.h"
 #include "net/loop.h"
-#include "scoiattoli/metrics.h"
 #include "sennes/member.h"
 #include "storage/lmdb_store.h"
 #include "transport/links.h"
@@ -40,7 +40,7 @@
   void start_core();
   void tell_role();
   void tell_disk();
-  std::vector<scoiattoli::Sample> samples() const;
+  std::vector<metrics::Sample> samples() const;
 
   net::Loop& loop_;
   coldai::Settings settings_;
--- a/src/scoiattoli/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -1,4 +1,4 @@
-#include "scoiattoli/metrics.h"
+#include "metrics/metrics.h"
 
 #include <fmt/format.h>
 #include <prometheus/counter.h>
@@ -6,7 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-namespace pearspar::scoiattoli {
+namespace pearspar::metrics {
 namespace {
 
 constexpr std::string_view prefix = "altavia_";
@@ -47,4 +47,4 @@
   return out + "}";
 }
 
-}  // namespace pearspar::scoiattoli
+}  // namespace pearspar::metrics
--- a/src/scoiattoli/metrics.h
+++ b/src/metrics/metrics.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace pearspar::scoiattoli {
+namespace pearspar::metrics {
 
 struct Sample {
   const char* name;  // altavia_calls_total; what only rises ends in _total
@@ -19,4 +19,4 @@
 // {"calls":3,...}: names without their prefix and _total.
 std::string as_json(const std::vector<Sample>& samples);
 
-}  // namespace pearspar::scoiattoli
+}  // namespace pearspar::metrics
