--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -3,19 +3,19 @@
 #include <algorithm>
 #include <system_error>
 
-#include "lavarella/log.h"
+#include "logging/log.h"
 
 namespace pearspar::altavia {
 namespace {
 
 using namespace std::chrono_literals;
-using lavarella::Level;
-using lavarella::log;
+using logging::Level;
+using logging::log;
 
 constexpr net::Duration leave_after = 2600ms;  // of an end: by then two checks have missed us
 constexpr double leave_share = 0.45;           // of a grace that is shorter, at most
 constexpr net::Duration leave_before = 700ms;  // of the grace
-constexpr puez::Links::Bounds asked_by_edges{64, 1024};
+constexpr transport::Links::Bounds asked_by_edges{64, 1024};
 // Of the process's memory: what clients send and have not taken yet, and what index servers answer.
 constexpr double clients_share = 0.35;
 constexpr double servers_share = 0.2;
@@ -54,10 +54,10 @@
     answer.status = ready() ? 200 : 503;
     answer.body = ready() ? "{\"ready\":true}" : "{\"ready\":false}";
   } else if (message.target == "/pearspar/counters") {
-    answer.body = scoiattoli::as_json(samples());
+    answer.body = metrics::as_json(samples());
   } else if (message.target == "/pearspar/metrics") {
     answer.type = "text/plain; version=0.0.4";
-    answer.body = scoiattoli::as_text(samples(), settings_.node_name, settings_.zone);
+    answer.body = metrics::as_text(samples(), settings_.node_name, settings_.zone);
   } else {
     answer.status = 404;
   }
@@ -76,9 +76,11 @@
   return address;
 }
 
-void Edge::link_up(puez::LinkId link, const std::string& address) { door_.station().link_up(link, address); }
-void Edge::link_down(puez::LinkId link) { door_.station().link_down(link); }
-void Edge::link_frame(puez::LinkId link, std::string_view frame) {
+void Edge::link_up(transport::LinkId link, const std::string& address) {
+  door_.station().link_up(link, address);
+}
+void Edge::link_down(transport::LinkId link) { door_.station().link_down(link); }
+void Edge::link_frame(transport::LinkId link, std::string_view frame) {
   door_.station().link_frame(loop_.now(), link, frame);
   take_configuration();
 }
@@ -129,10 +131,10 @@
   ended_ = true;
 }
 
-std::vector<scoiattoli::Sample> Edge::samples() const {
+std::vector<metrics::Sample> Edge::samples() const {
   const pederu::DeskCounters& desk = door_.station().desk().counters();
   const pramperet::PurseCounters& purse = door_.station().purse().counters();
-  const croda::LinkCounters& links = door_.nodes().counters();
+  const upstream::LinkCounters& links = door_.nodes().counters();
   const clients::FrontCounters& front = door_.front().counters();
   auto n = [](auto value) { return static_cast<double>(value); };
   return {
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -2,14 +2,14 @@
 
 #include <algorithm>
 
-#include "lavarella/log.h"
+#include "logging/log.h"
 
 namespace pearspar::altavia {
 namespace {
 
 using namespace std::chrono_literals;
-using lavarella::Level;
-using lavarella::log;
+using logging::Level;
+using logging::log;
 
 constexpr std::size_t most_connections = 1024;
 constexpr std::size_t most_body = 1 << 20;
@@ -19,8 +19,8 @@
 constexpr double most_of_grace = 0.85;  // for a leave that needs others
 constexpr net::Duration least_wait = 2ms;
 
-lagazuoi::Options core_options(const coldai::Settings& settings, std::uint64_t seed) {
-  lagazuoi::Options options;
+raft::Options core_options(const coldai::Settings& settings, std::uint64_t seed) {
+  raft::Options options;
   options.address = settings.inner_address();
   options.founders = settings.inner_seeds();
   options.seeds = settings.inner_seeds();
@@ -76,7 +76,7 @@
     log(Level::error, "store_refused", {{"folder", settings_.data_dir}, {"why", error.message()}});
     return;
   }
-  const lagazuoi::Core& core = member_.core();
+  const raft::Core& core = member_.core();
   log(Level::info, "member_started",
       {{"id", core.self()},
        {"term", core.term()},
@@ -94,7 +94,7 @@
   if (message.target == "/pearspar/metrics") {
     clients::Answer answer;
     answer.type = "text/plain; version=0.0.4";
-    answer.body = scoiattoli::as_text(samples(), settings_.node_name, settings_.zone);
+    answer.body = metrics::as_text(samples(), settings_.node_name, settings_.zone);
     return front_.answer(connection, answer);
   }
   if (stopping_) {
@@ -109,14 +109,14 @@
 
 void Member::client_left(net::SlotId) {}  // its change may be under way; the answer finds nobody
 
-void Member::link_up(puez::LinkId link, const std::string&) { member_.link_up(link); }
-void Member::link_frame(puez::LinkId link, std::string_view frame) {
+void Member::link_up(transport::LinkId link, const std::string&) { member_.link_up(link); }
+void Member::link_frame(transport::LinkId link, std::string_view frame) {
   member_.link_frame(loop_.read_clock(), link, frame);
 }
-void Member::link_down(puez::LinkId link) { member_.link_down(link); }
+void Member::link_down(transport::LinkId link) { member_.link_down(link); }
 
-std::vector<scoiattoli::Sample> Member::samples() const {
-  const lagazuoi::Core& core = member_.core();
+std::vector<metrics::Sample> Member::samples() const {
+  const raft::Core& core = member_.core();
   auto n = [](auto value) { return static_cast<double>(value); };
   return {
       {"altavia_leads", "whether this member leads, its lease holding",
@@ -184,7 +184,7 @@
 
 // Once as it begins, once as it is over.
 void Member::tell_disk() {
-  const lagazuoi::Core& core = member_.core();
+  const raft::Core& core = member_.core();
   if (core.ill() == ill_) return;
   ill_ = core.ill();
   log(ill_ ? Level::error : Level::info, ill_ ? "store_refuses" : "store_takes_again",
--- a/src/tissi/lmdb_store.cpp
+++ b/src/storage/lmdb_store.cpp
@@ -1,14 +1,14 @@
-#include "tissi/lmdb_store.h"
+#include "storage/lmdb_store.h"
 
 #include <cstring>
 
 #include "fanes/agreement.h"
-#include "tissi/folder.h"
+#include "storage/folder.h"
 
-namespace pearspar::tissi {
+namespace pearspar::storage {
 namespace {
 
-using namespace lagazuoi;
+using namespace raft;
 
 constexpr std::uint64_t format = 1;
 
@@ -294,4 +294,4 @@
   });
 }
 
-}  // namespace pearspar::tissi
+}  // namespace pearspar::storage
--- a/tests/system/news_test.cpp
+++ b/tests/system/news_test.cpp
@@ -184,11 +184,11 @@
     CPPUNIT_ASSERT_EQUAL(averau::Edition{200}, leader.edge.edition());
   }
 
-  struct Kept : puez::Wire {
+  struct Kept : transport::Wire {
     std::vector<std::string> addresses;
     void keep(const std::vector<std::string>& wanted) override { addresses = wanted; }
     bool send_to(const std::string&, std::string_view) override { return true; }
-    bool send(puez::LinkId, std::string_view) override { return true; }
+    bool send(transport::LinkId, std::string_view) override { return true; }
   };
 
   void aMemberThatIsBehindDoesNotHideTheOthers() {
@@ -197,7 +197,7 @@
     averau::Time now{averau::Duration(50)};
     follower.start(now);
     follower.link_up(1, "a");
-    auto hear = [&](lagazuoi::Term term, bool leads, std::vector<std::string> cores) {
+    auto hear = [&](raft::Term term, bool leads, std::vector<std::string> cores) {
       follower.frame(now, 1, fanes::pack(fanes::Welcome{term, leads, std::move(cores)}));
       return wire.addresses.back();
     };
--- a/tests/system/office_test.cpp
+++ b/tests/system/office_test.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-struct NoWire : puez::Wire {
+struct NoWire : transport::Wire {
   std::vector<std::pair<LinkId, std::string>> sent;
   void keep(const std::vector<std::string>&) override {}
   bool send_to(const std::string&, std::string_view) override { return true; }
@@ -54,8 +54,8 @@
     Asker next = 0;
     std::map<Asker, Reply> replies;
     Fixture() : member(wire, disk, agreement(), office()) { member.start(world.now()); }
-    static lagazuoi::Options agreement() {
-      lagazuoi::Options options;
+    static raft::Options agreement() {
+      raft::Options options;
       options.address = "a:1";
       options.founders = options.seeds = {"a:1"};
       options.first_start = true;
--- a/tests/system/promises_test.cpp
+++ b/tests/system/promises_test.cpp
@@ -24,10 +24,10 @@
     R"("deadlineMs":4000,"depot":"p","tries":2},{"name":"u","hostName":"h","pathPrefix":"/u/",)"
     R"("lineKind":"unsafe","deadlineMs":4000,"depot":"p","tries":2}],"depots":[{"name":"p","connLimit":20}]})";
 
-struct NoWire : puez::Wire {
+struct NoWire : transport::Wire {
   void keep(const std::vector<std::string>&) override {}
   bool send_to(const std::string&, std::string_view) override { return true; }
-  bool send(puez::LinkId, std::string_view) override { return true; }
+  bool send(transport::LinkId, std::string_view) override { return true; }
 };
 
 // Takes each request and says nothing until it is told to.
