A log line never waits: what a stalled reader leaves standing is dropped and counted

Cause: class 'the loop waits for somebody outside'. logging wrote to standard output and waited; the program in service had met this and asks poll first, the system's log was written later and did not. Ruled out: a thread for the log (one more thing to bound; the line is lost either way), O_NONBLOCK (it is shared with whoever has the pipe). Change: a line goes out only where poll says that it would not wait, is shorter than PIPE_BUF, else it is dropped and counted; the next line and altavia_log_lines_dropped_total tell. Looked for elsewhere: the broker in service has it; the store's syncs wait by design.

--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -161,6 +161,8 @@
       {"altavia_frames_dropped_total", "frames for which there was no link, or no room", n(links_.dropped())},
       {"altavia_unread_total", "frames that could not be read", n(member_.unread())},
       {"altavia_calls_total", "control calls", n(front_.counters().requests)},
+      {"altavia_log_lines_dropped_total", "lines that would have waited, or were too many",
+       n(logging::dropped_lines())},
       {"altavia_caller_bytes", "held for callers' connections", n(front_.held_bytes())},
       {"altavia_refused_for_memory_total", "calls answered 503 since callers' bytes had reached their bound",
        n(front_.counters().refused_for_memory)},
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -36,6 +36,8 @@
 // second in the long run, are dropped and counted in the next line that is written.
 void log(Level level, std::string_view event,
          std::initializer_list<std::pair<std::string_view, Value>> fields = {});
+// Since the start: beyond those bounds, or since nobody read what was written before. A line never waits.
+std::uint64_t dropped_lines();
 bool parse_level(std::string_view text, Level& level);
 
 }  // namespace pearspar::logging
