Requests end with their clients, their time counts from their bytes, answers may end with a connection

Cause: class 'what a client is owed ends at the front door'. Change: Calls::cancel ends the connection of a call that may be repeated, or of which nothing was sent; what may not be repeated runs on. Front notes when bytes came, a pipelined request's deadline and aim count from there, and what has waited it away is refused as not run. A call's Deadline-Ms is told as it goes out, and nothing is sent past its end. The reader takes replies without a length where it is asked to, only an end in good order completes them. An edge with a short grace serves into its last sixth. Counter altavia_cancelled_total.

--- a/src/altavia/door.cpp
+++ b/src/altavia/door.cpp
@@ -109,6 +109,7 @@
   arrival.host = target.host;
   arrival.id = only_id(message);
   arrival.body = message.body;
+  arrival.began = front_.request_began(connection);
   if (auto deadline = message.header("Deadline-Ms")) {
     double ms = 0;
     auto [stop, error] = std::from_chars(deadline->data(), deadline->data() + deadline->size(), ms);
--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -14,7 +14,9 @@
 
 constexpr net::Duration leave_after = 2600ms;  // of an end: by then two checks have missed us
 constexpr double leave_share = 0.45;           // of a grace that is shorter, at most
-constexpr net::Duration leave_before = 700ms;  // of the grace
+// Before the grace is over; a request is served on into the last sixth of it.
+constexpr net::Duration leave_before = 700ms;
+constexpr double most_left_of_grace = 0.14;
 constexpr transport::Links::Bounds asked_by_edges{64, 1024};
 // Of the process's memory: what clients send and have not taken yet, and what index servers answer.
 constexpr double clients_share = 0.35;
@@ -117,7 +119,7 @@
   stopping_ = true;
   net::Duration grace(settings_.grace_s);
   stop_at_ = loop_.now() + std::min(leave_after, grace * leave_share);
-  end_at_ = loop_.now() + std::max(grace - leave_before, grace * leave_share);
+  end_at_ = loop_.now() + grace - std::min(leave_before, grace * most_left_of_grace);
   door_.front().wind_down();
   log(Level::info, "edge_stops", {{"open", door_.station().desk().open()}});
 }
@@ -181,6 +183,9 @@
       {"altavia_answers_without_memory_total", "answers of nodes broken off since theirs had reached it",
        n(links.without_memory)},
       {"altavia_unread_total", "frames that could not be read", n(door_.station().follower().unread())},
+      {"altavia_log_lines_dropped_total", "lines that would have waited, or were too many",
+       n(logging::dropped_lines())},
+      {"altavia_cancelled_total", "calls ended since their client had left", n(desk.cancelled)},
       {"altavia_open", "requests under way", n(door_.station().desk().open())},
       {"altavia_coverage", "share of the weight that is asked", door_.station().desk().coverage()},
       {"altavia_edition", "configuration in force", n(door_.station().follower().view().edition())},
--- a/src/biella/cluster_edges.cpp
+++ b/src/biella/cluster_edges.cpp
@@ -108,7 +108,8 @@
 
 // One request to one node, as a connection of its own would carry it.
 bool Cluster::Edge::Process::start(pederu::CallId call, const pederu::KnownNode& known, int,
-                                   std::string request, pederu::Time) {
+                                   pederu::NodeRequest to_send, pederu::Time end) {
+  const std::string request = to_send.text(end - cluster.world_.now());
   World& world = cluster.world_;
   std::string id = between(request, "Request-Id: ", "\r\n");
   std::string method = request.substr(0, request.find(' '));
--- a/src/biella/cluster_parts.h
+++ b/src/biella/cluster_parts.h
@@ -153,7 +153,8 @@
                                       station.follower().view().configuration()->text);
       cluster.edge_told(edge.place, routed);
     }
-    bool start(pederu::CallId call, const pederu::KnownNode& node, int most, std::string request,
+    bool cancel(pederu::CallId, bool) override { return false; }  // its own wire lets calls run on
+    bool start(pederu::CallId call, const pederu::KnownNode& node, int most, pederu::NodeRequest request,
                pederu::Time end) override;
     void take_request(const std::string& id, const std::string& target, const std::string& lines,
                       const vandelli::Drawer& drawer);
--- a/src/clients/front.cpp
+++ b/src/clients/front.cpp
@@ -22,6 +22,7 @@
 constexpr int accepts_at_once = 64;
 constexpr net::Duration linger_time = 1s;     // for a client to see our last words before the end
 constexpr net::Duration accept_pause = 20ms;  // when descriptors have run out
+constexpr std::size_t most_marks = 8;         // further bytes count as of the last one's moment
 
 }  // namespace
 
@@ -143,12 +144,14 @@
   for (int i = 0; i < reads_at_once; ++i) {
     if (connection.in.size() >= most_ahead && connection.state != State::reading) break;
     // What follows our last words is not looked at.
+    const std::size_t before_bytes = connection.in.size();
     net::IoResult result = connection.half_closed ? net::discard(connection.fd)
                                                   : net::read_into(connection.fd, connection.in, read_step);
     if (result == net::IoResult::some) {
       connection.last_used = loop_.now();
       if (connection.half_closed) continue;
       const State before = connection.state;
+      mark(connection, connection.in.size() - before_bytes);
       account(connection);
       if (!make_room() && before != State::reading) {
         // Bytes ahead of their turn, and nothing else to be given up.
@@ -220,6 +223,21 @@
   connection.keep_alive = connection.reader.message().keep_alive;
   connection.asks_head = connection.reader.asks_head();
   connection.reader.next(connection.in);
+  const std::uint64_t used = connection.received - connection.in.size();
+  std::erase_if(connection.marks, [&](const auto& mark) { return mark.until <= used; });
+}
+
+void Front::mark(Connection& connection, std::size_t bytes) {
+  connection.received += bytes;
+  if (connection.marks.size() < most_marks)
+    connection.marks.push_back({connection.received, loop_.now()});
+  else
+    connection.marks.back().until = connection.received;
+}
+
+net::Time Front::request_began(net::SlotId id) {
+  const Connection* connection = connections_.find(id);
+  return connection && !connection->marks.empty() ? connection->marks.front().at : loop_.now();
 }
 
 void Front::queue(Connection& connection, const Answer& answer, bool close_after) {
--- a/src/clients/front.h
+++ b/src/clients/front.h
@@ -77,6 +77,8 @@
   net::Address address() const { return net::local_address(listener_); }
 
   void answer(net::SlotId connection, const Answer& answer);
+  // When the first byte of the request that is at work there was read; it may have waited behind another.
+  net::Time request_began(net::SlotId connection);
 
   // Answers to HEAD name their body's length and leave it out.
   void leave_heads_bare() { bare_heads_ = true; }
@@ -120,7 +122,14 @@
     bool keep_alive = true;
     bool asks_head = false;
     std::size_t request_bytes = 0;  // of the request that waits
-    std::size_t held = 0;           // as counted in held_bytes_
+    // Which bytes came when, for those that are not used up: up to `until` of all, at `at`.
+    struct Mark {
+      std::uint64_t until;
+      net::Time at;
+    };
+    std::vector<Mark> marks;
+    std::uint64_t received = 0;
+    std::size_t held = 0;  // as counted in held_bytes_
     net::Time last_used{};
   };
 
@@ -136,6 +145,7 @@
   void give_up_waiting(net::SlotId id);
   bool idle(const Connection& connection) const;
   void consume(Connection& connection);
+  void mark(Connection& connection, std::size_t bytes);
   // Of front_memory.cpp.
   void account(Connection& connection);
   std::size_t bytes_of(const Connection& connection) const;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -80,16 +80,27 @@
       return read_head(buffer);
     case Stage::body:
       return buffer.size() < head_size_ + body_size_ ? Progress::more : finish(buffer);
+    case Stage::unframed:
+      if (buffer.size() - head_size_ > limits_.body) return fail(413, "the body is too large");
+      return Progress::more;
     default:
       return read_chunks(buffer);
   }
 }
 
+Progress MessageReader::ended(net::Buffer& buffer) {
+  const Progress progress = advance(buffer);
+  if (progress != Progress::more || stage_ != Stage::unframed) return progress;
+  body_size_ = buffer.size() - head_size_;
+  return finish(buffer);
+}
+
 void MessageReader::next(net::Buffer& buffer) {
   buffer.consume(chunked_ ? at_ : head_size_ + body_size_);
-  bool no_body = no_body_;
+  const bool no_body = no_body_, takes_unframed = takes_unframed_;
   *this = MessageReader(kind_, limits_);
   no_body_ = no_body;
+  takes_unframed_ = takes_unframed;
 }
 
 Progress MessageReader::read_head(net::Buffer& buffer) {
@@ -110,7 +121,7 @@
   if (!parse_head(view.substr(0, end)) || !settle_framing()) return Progress::failed;
   if (message_.wants_continue && buffer.size() == head_size_) continue_owed_ = true;
   at_ = head_size_;
-  stage_ = chunked_ ? Stage::chunk_size : Stage::body;
+  stage_ = chunked_ ? Stage::chunk_size : unframed_ ? Stage::unframed : Stage::body;
   return advance(buffer);
 }
 
@@ -206,8 +217,9 @@
     return refuse(411, "neither Content-Length nor chunks");
   if (kind_ == MessageKind::reply && bodiless && (chunked_ || body_size_ > 0))
     return refuse(400, "a reply that has no body names a length");
-  if (kind_ == MessageKind::reply && !chunked_ && !has_length && !bodiless && !to_head)
-    return refuse(400, "a reply without a length");
+  unframed_ = kind_ == MessageKind::reply && !chunked_ && !has_length && !bodiless && !to_head;
+  if (unframed_ && !takes_unframed_) return refuse(400, "a reply without a length");
+  if (unframed_) message_.keep_alive = false;
   return true;
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -58,6 +58,11 @@
   // Replies from here on answer a HEAD, or no more: then none has a body, whatever length it names.
   void expect_no_body(bool yes) { no_body_ = yes; }
 
+  // A reply may have no length and end with its connection; else such a one is refused.
+  void take_unframed() { takes_unframed_ = true; }
+  // Its connection has ended in good order: `done` where that is the message's end.
+  Progress ended(net::Buffer& buffer);
+
   const Message& message() const { return message_; }
   bool begun(const net::Buffer& buffer) const { return stage_ != Stage::head || buffer.size() > 0; }
   // The head is in, the body is not, and the client waits for a word before it sends it.
@@ -71,7 +76,7 @@
   const std::string& failed_why() const { return failed_why_; }
 
  private:
-  enum class Stage { head, body, chunk_size, chunk, chunk_end, trailer, done, failed };
+  enum class Stage { head, body, unframed, chunk_size, chunk, chunk_end, trailer, done, failed };
 
   Progress fail(int status, std::string why);
   bool refuse(int status, const char* why);  // fails; always false
@@ -96,6 +101,8 @@
   bool chunked_ = false;
   bool continue_owed_ = false;
   bool no_body_ = false;
+  bool takes_unframed_ = false;
+  bool unframed_ = false;
   bool asks_head_ = false;
   int minor_version_ = 1;
   Message message_;
--- a/src/measure/capacity_edges.cpp
+++ b/src/measure/capacity_edges.cpp
@@ -49,7 +49,8 @@
 
 class NoCalls : public pederu::Calls {
  public:
-  bool start(pederu::CallId, const pederu::KnownNode&, int, std::string, pederu::Time) override {
+  bool cancel(pederu::CallId, bool) override { return false; }
+  bool start(pederu::CallId, const pederu::KnownNode&, int, pederu::NodeRequest, pederu::Time) override {
     return false;
   }
 };
--- a/src/measure/system_bench.cpp
+++ b/src/measure/system_bench.cpp
@@ -61,7 +61,8 @@
     desk.nodes().set_home("a");
     for (int i = 0; i < 3200; ++i) body += static_cast<char>(i * 37 + i / 256);
   }
-  bool start(pederu::CallId call, const pederu::KnownNode&, int, std::string, Time) override {
+  bool cancel(pederu::CallId, bool) override { return false; }
+  bool start(pederu::CallId call, const pederu::KnownNode&, int, pederu::NodeRequest, Time) override {
     out.push_back(call);
     return true;
   }
--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -38,15 +38,24 @@
   request.routes = routes_;
   request.route = route;
   request.arrived = now;
+  const Time began = arrival.began == Time{} ? now : std::min(now, arrival.began);
   double deadline = route->deadline_ms;
   if (arrival.deadline_ms > 0) deadline = std::min(deadline, arrival.deadline_ms);
-  request.end = now + from_ms(deadline);
-  request.soft_end =
-      route->target_ms > 0 ? std::min(request.end, now + from_ms(route->target_ms) - way_back) : request.end;
+  request.end = began + from_ms(deadline);
+  request.soft_end = route->target_ms > 0
+                         ? std::min(request.end, began + from_ms(route->target_ms) - way_back)
+                         : request.end;
   request.head = arrival.head;
   request.asks_head = arrival.method == "HEAD";
   request.payload = arrival.body;
   request.id = arrival.id;
+  // It has waited its time away behind another on its connection.
+  if (request.end <= now) {
+    ++counters_.refused;
+    answer = refusal(request);
+    requests_.release(id);
+    return {};
+  }
   if (!plan(now, request, answer)) {
     requests_.release(id);
     return {};
@@ -139,6 +148,7 @@
   if (!request || request->done) return;
   request->done = true;
   due_.erase({request->due, id});
+  for (Part& part : request->parts) cancel(part, request->route->safe);
   release(id);
 }
 
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -24,8 +24,11 @@
  public:
   virtual ~Calls() = default;
   // False where no connection is to be had there now. Else desk.ended() follows, never from within this call.
-  virtual bool start(CallId call, const KnownNode& node, int most_connections, std::string request,
+  virtual bool start(CallId call, const KnownNode& node, int most_connections, NodeRequest request,
                      Time end) = 0;
+  // Nobody waits for its answer. True where it is over by this, and desk.ended() does not follow: its
+  // connection ends. One of which something has been sent ends only with `even_if_sent`.
+  virtual bool cancel(CallId call, bool even_if_sent) = 0;
 };
 
 // What the desk takes from a client's request; all but the strings' bytes hold during the call only.
@@ -35,6 +38,7 @@
   std::string_view host;
   std::string_view id;
   double deadline_ms = 0;  // 0 = the client named none
+  Time began{};            // its first byte came; its time counts from there. Left out: now
   std::string head;        // lines to be handed on: request line, headers, each with its end
   std::string_view body;
 };
@@ -57,6 +61,7 @@
   std::uint64_t no_way = 0;
   std::uint64_t broken = 0;
   std::uint64_t late = 0;
+  std::uint64_t cancelled = 0;  // calls whose client had gone
 };
 
 class Desk {
@@ -74,7 +79,8 @@
   }
   // Where it can be told at once, `answer` is set; else it follows in take_answers().
   RequestId arrive(Time now, const Arrival& arrival, FinalAnswer& answer);
-  // Its client has gone: the calls that are out run on, nothing new is begun.
+  // Its client has gone: nothing new is begun, and calls that may be repeated, or of which nothing was sent,
+  // end. What may not be repeated runs on.
   void left(RequestId request);
   void ended(Time now, CallId call, const CallEnd& end);
   // Does what has fallen due.
@@ -103,6 +109,7 @@
   bool admitted(Time now, const averau::Route& route, const std::vector<std::string>& depots,
                 std::size_t least, FinalAnswer& answer, const Request& request);
   bool send(Time now, RequestId id, std::size_t part);
+  void cancel(Part& part, bool even_if_sent);
   void settle_part(Time now, RequestId id, std::size_t part, const CallEnd& end);
   void look(Time now, RequestId id);
   void finish(Time now, RequestId id, FinalAnswer answer);
--- a/src/pederu/desk_calls.cpp
+++ b/src/pederu/desk_calls.cpp
@@ -16,6 +16,16 @@
 
 }  // namespace
 
+std::string NodeRequest::text(Duration left) const {
+  const long left_ms = std::max<long>(1, std::lround(left.count() * 1000));
+  std::string text = head;
+  text += fmt::format("Addressee: {}\r\nDeadline-Ms: {}\r\n", addressee, left_ms);
+  if (!payload.empty()) text += fmt::format("Content-Length: {}\r\n", payload.size());
+  text += "\r\n";
+  text += payload;
+  return text;
+}
+
 // A node takes so many connections from all callers together; each edge keeps to its part.
 int Desk::connections_for(const Request& request, const std::string& depot) const {
   const averau::Depot* known = request.routes->depot(depot);
@@ -34,15 +44,8 @@
     NodePtr node = nodes_.choose(now, part.depot, passed, ++turn_, book_.away_factor(*request.route));
     if (!node) break;
     CallId call = out_.add();
-    double left = Duration(request.end - now).count() * 1000;
-    std::string text = request.head;
-    text +=
-        fmt::format("Addressee: {}\r\nDeadline-Ms: {}\r\n", node->id, std::max<long>(1, std::lround(left)));
-    if (!request.payload.empty()) text += fmt::format("Content-Length: {}\r\n", request.payload.size());
-    text += "\r\n";
-    text += request.payload;
-    std::size_t size = text.size();
-    if (!calls_.start(call, *node, most, std::move(text), request.end)) {
+    const std::size_t size = request.head.size() + request.payload.size();
+    if (!calls_.start(call, *node, most, {request.head, node->id, request.payload}, request.end)) {
       out_.release(call);
       passed.push_back(node);
       continue;
@@ -64,6 +67,17 @@
   return false;
 }
 
+// What is learnt of a node from a call that ends so is nothing: it has not answered, and was not late.
+void Desk::cancel(Part& part, bool even_if_sent) {
+  for (const CallId call : std::vector<CallId>(part.calls)) {
+    if (!calls_.cancel(call, even_if_sent)) continue;
+    ++counters_.cancelled;
+    nodes_.ended(*out_.find(call)->node);
+    out_.release(call);
+    std::erase(part.calls, call);
+  }
+}
+
 void Desk::outcome(Time now, Out& out, bool bad) {
   if (out.counted) return;
   out.counted = true;
--- a/src/pederu/request.h
+++ b/src/pederu/request.h
@@ -32,6 +32,15 @@
   std::optional<std::size_t> length;  // that it names; an answer to HEAD names one and has no body
 };
 
+// A request as it is handed to a node. What is left of its time is told as it goes out, not as it is decided.
+struct NodeRequest {
+  std::string head;  // request line and headers, each with its end
+  std::string addressee;
+  std::string payload;
+
+  std::string text(Duration left) const;
+};
+
 // A shard of a gathered request, or the one service of any other.
 struct Part {
   std::string depot;
--- a/src/upstream/node_links.cpp
+++ b/src/upstream/node_links.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::string_view id_header = "Request-Id";
 
+std::uint64_t key(net::SlotId id) { return std::uint64_t{id.index} << 32 | id.generation; }
+
 // The id as it stands in a request's head; clients write the header's name as they like.
 std::string id_of(std::string_view request) {
   std::string_view head = request.substr(0, request.find("\r\n\r\n"));
@@ -46,8 +48,8 @@
 
 }  // namespace
 
-bool NodeLinks::start(pederu::CallId call, const pederu::KnownNode& node, int most, std::string request,
-                      pederu::Time end) {
+bool NodeLinks::start(pederu::CallId call, const pederu::KnownNode& node, int most,
+                      pederu::NodeRequest request, pederu::Time end) {
   // Looked up anew each time: with its last connection a pool is gone.
   while (!pools_[node.address].idle.empty()) {
     auto& idle = pools_[node.address].idle;
@@ -64,7 +66,7 @@
     }
     ++counters_.reused;
     begin(id, call, std::move(request), end);
-    write(id);
+    send_request(id);
     return true;
   }
   if (pools_[node.address].connections >= most) return false;
@@ -87,16 +89,39 @@
   return true;
 }
 
-void NodeLinks::begin(net::SlotId id, pederu::CallId call, std::string request, net::Time end) {
+void NodeLinks::begin(net::SlotId id, pederu::CallId call, pederu::NodeRequest request, net::Time end) {
   Connection& connection = *connections_.find(id);
   connection.busy = true;
   connection.call = call;
-  connection.id = id_of(request);
+  connection.id = id_of(request.head);
   connection.end = end;
-  connection.out = std::move(request);
+  connection.reader.expect_no_body(request.head.starts_with("HEAD "));
+  connection.request = std::move(request);
+  connection.out.clear();
   connection.written = 0;
-  connection.reader.expect_no_body(connection.out.starts_with("HEAD "));
+  connection.all_written = false;
   connection.timer = loop_.at(end + grace, [this, id] { due(id); });
+  calls_[key(call)] = id;
+}
+
+// With the time that is left now, which may be less than when the connection was asked for.
+void NodeLinks::send_request(net::SlotId id) {
+  Connection& connection = *connections_.find(id);
+  connection.out = connection.request.text(connection.end - loop_.now());
+  connection.request = {};
+  write(id);
+}
+
+bool NodeLinks::cancel(pederu::CallId call, bool even_if_sent) {
+  const auto found = calls_.find(key(call));
+  if (found == calls_.end()) return false;
+  const net::SlotId id = found->second;
+  Connection& connection = *connections_.find(id);
+  if (connection.written > 0 && !even_if_sent) return false;
+  calls_.erase(found);
+  connection.busy = false;
+  close(id, Ending::no_way);
+  return true;
 }
 
 void NodeLinks::due(net::SlotId id) {
@@ -112,8 +137,10 @@
   if (!connection->up) {
     if (net::connect_error(connection->fd) != 0) return close(id, Ending::no_way);
     connection->up = true;
+    // A process that stood still meanwhile: what nobody waits for any more is not sent.
+    if (loop_.now() >= connection->end) return close(id, Ending::no_way);
     connection->timer = loop_.at(connection->end + grace, [this, id] { due(id); });
-    return write(id);
+    return send_request(id);
   }
   if ((events & (POLLIN | POLLHUP | POLLERR)) != 0) {
     read(id);
@@ -136,7 +163,9 @@
     if (result == net::IoResult::none) break;
     connection.written += written;
   }
-  bool rest = connection.written < connection.out.size();
+  connection.all_written = connection.written == connection.out.size();
+  bool rest = !connection.all_written;
+  if (!rest) std::string().swap(connection.out);
   connection.watch.want(static_cast<short>(rest ? POLLIN | POLLOUT : POLLIN));
 }
 
@@ -153,7 +182,7 @@
     if (result == net::IoResult::none) break;
     if (result != net::IoResult::some) {
       // What has come before the end may be a whole answer.
-      if (connection.busy && advance(connection) == http::Progress::done) answered(id);
+      if (connection.busy && ended(connection, result) == http::Progress::done) answered(id);
       return close(id, Ending::broken);
     }
     account(connection);
@@ -179,6 +208,13 @@
   }
 }
 
+// No more comes. Only an end in good order is one of an answer that has no other.
+http::Progress NodeLinks::ended(Connection& connection, net::IoResult result) {
+  const http::Progress progress = advance(connection);
+  if (progress != http::Progress::more || result != net::IoResult::ended) return progress;
+  return connection.reader.ended(connection.in);
+}
+
 void NodeLinks::account(Connection& connection) {
   const std::size_t before = std::exchange(connection.held, connection.in.capacity());
   held_bytes_ += connection.held - before;
@@ -224,10 +260,11 @@
     end.ending = Ending::not_run;
   else
     end.ending = Ending::answered;
-  bool keep = echoed && message.keep_alive && connection.written == connection.out.size();
+  bool keep = echoed && message.keep_alive && connection.all_written;
   connection.idle_until = loop_.now() + kept_for(message) - idle_margin;
   pederu::CallId call = connection.call;
   connection.busy = false;
+  calls_.erase(key(call));
   connection.timer.reset();
   // The slices hold until the reader moves on; on_end may start another call, never on this connection.
   on_end_(call, end);
@@ -274,6 +311,7 @@
   }
   connections_.release(id);
   if (!busy) return;
+  calls_.erase(key(call));
   CallEnd end;
   end.ending = ending;
   on_end_(call, end);
--- a/src/upstream/node_links.h
+++ b/src/upstream/node_links.h
@@ -35,8 +35,9 @@
   using OnEnd = std::function<void(pederu::CallId, const pederu::CallEnd&)>;
   NodeLinks(net::Loop& loop, OnEnd on_end) : loop_(loop), on_end_(std::move(on_end)) {}
 
-  bool start(pederu::CallId call, const pederu::KnownNode& node, int most_connections, std::string request,
-             pederu::Time end) override;
+  bool start(pederu::CallId call, const pederu::KnownNode& node, int most_connections,
+             pederu::NodeRequest request, pederu::Time end) override;
+  bool cancel(pederu::CallId call, bool even_if_sent) override;
   // Bytes of answers that are coming, over all connections, at the most: beyond it the one that grows ends.
   void set_memory_bound(std::size_t bytes) { memory_bound_ = bytes; }
   // Connections that have been idle past their time; to be called every second or so.
@@ -45,6 +46,12 @@
   const LinkCounters& counters() const { return counters_; }
 
  private:
+  // An answer may have no length, and end with its connection.
+  static http::MessageReader answer_reader() {
+    http::MessageReader reader(http::MessageKind::reply, {16 * 1024, std::size_t{4} << 20, 4096});
+    reader.take_unframed();
+    return reader;
+  }
   struct Connection {
     net::Fd fd;
     net::Watch watch;
@@ -56,10 +63,12 @@
     pederu::CallId call;
     std::string id;  // of the request that is out
     net::Time end{};
+    pederu::NodeRequest request;  // until the connection is up
     std::string out;
     std::size_t written = 0;
+    bool all_written = false;  // `out` is given back then
     net::Buffer in;
-    http::MessageReader reader{http::MessageKind::reply, {16 * 1024, std::size_t{4} << 20, 4096}};
+    http::MessageReader reader = answer_reader();
     net::Time idle_until{};
     std::size_t held = 0;  // as counted in held_bytes_
   };
@@ -68,12 +77,14 @@
     int connections = 0;
   };
 
-  void begin(net::SlotId id, pederu::CallId call, std::string request, net::Time end);
+  void begin(net::SlotId id, pederu::CallId call, pederu::NodeRequest request, net::Time end);
+  void send_request(net::SlotId id);
   void on_ready(net::SlotId id, short events);
   void write(net::SlotId id);
   void unwritten(net::SlotId id);
   void read(net::SlotId id);
   static http::Progress advance(Connection& connection);
+  static http::Progress ended(Connection& connection, net::IoResult result);
   void answered(net::SlotId id);
   void account(Connection& connection);
   void rest(net::SlotId id);
@@ -84,7 +95,8 @@
   net::Loop& loop_;
   OnEnd on_end_;
   net::SlotTable<Connection> connections_;
-  std::unordered_map<std::string, Pool> pools_;  // by address
+  std::unordered_map<std::string, Pool> pools_;           // by address
+  std::unordered_map<std::uint64_t, net::SlotId> calls_;  // those that are out, by their ids
   std::size_t memory_bound_ = std::numeric_limits<std::size_t>::max();
   std::size_t held_bytes_ = 0;
   LinkCounters counters_;
--- a/src/vandelli/station.cpp
+++ b/src/vandelli/station.cpp
@@ -95,6 +95,7 @@
   waiting.head = arrival.head;
   waiting.body = arrival.body;
   waiting.deadline_ms = arrival.deadline_ms;
+  waiting.began = arrival.began == Time{} ? now : arrival.began;
   waiting.drawer = drawer;
   waiting.kind = route->kind;
   Duration aim = pederu::from_ms(route->target_ms > 0 ? route->target_ms : route->deadline_ms);
@@ -144,6 +145,7 @@
     arrival.head = std::move(each.head);
     arrival.body = each.body;
     arrival.deadline_ms = each.deadline_ms;
+    arrival.began = each.began;
     RequestId id = begin(now, arrival, verdict, answer);
     if (!id) {
       answers_.emplace_back(each.ticket, std::move(answer));
--- a/src/vandelli/station.h
+++ b/src/vandelli/station.h
@@ -67,6 +67,7 @@
     RequestId ticket;
     std::string method, target, host, id, head, body;
     double deadline_ms = 0;
+    Time began{};
     Drawer drawer;
     std::string kind;
     Time until{};
--- a/tests/system/desk_test.cpp
+++ b/tests/system/desk_test.cpp
@@ -76,10 +76,16 @@
   std::deque<Sent> sent;
   Desk* desk = nullptr;
   bool full = false;
+  std::vector<std::pair<CallId, bool>> cancels;
   std::unique_ptr<Desk> held;
   std::uint64_t stamps = 0;
 
-  bool start(CallId call, const KnownNode& node, int, std::string text, Time) override {
+  bool cancel(CallId call, bool even_if_sent) override {
+    cancels.emplace_back(call, even_if_sent);
+    return even_if_sent;
+  }
+  bool start(CallId call, const KnownNode& node, int, NodeRequest request, Time end) override {
+    const std::string text = request.text(end - now);
     if (full) return false;
     sent.push_back({call, node.id, std::move(text)});
     return true;
@@ -514,10 +520,16 @@
   }
 
   void aClientThatLeftCostsNothingMore() {
-    RequestId id = ask("/s/x");
-    desk->left(id);
+    desk->left(ask("/s/x"));
+    CPPUNIT_ASSERT((cancels == std::vector<std::pair<CallId, bool>>{{last().call, true}}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, desk->open());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, desk->counters().cancelled);
+    // What may not be repeated runs on, if any of it has been sent.
+    desk->left(ask("/s/u/x"));
+    CPPUNIT_ASSERT((cancels.back() == std::pair<CallId, bool>{last().call, false}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, desk->open());
     end(last(), Ending::broken);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent.size());
     CPPUNIT_ASSERT(desk->take_answers().empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, desk->open());
   }
--- a/tests/system/links_test.cpp
+++ b/tests/system/links_test.cpp
@@ -134,6 +134,7 @@
   CPPUNIT_TEST(bothEndsOfALinkAreProbed);
   CPPUNIT_TEST(aFrameThatIsTooLongEndsItsLink);
   CPPUNIT_TEST(whoListensBoundsWhatOthersOpen);
+  CPPUNIT_TEST(whatIsOverBeforeItsConnectionIsUpIsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
   struct Ended {
@@ -158,7 +159,7 @@
     pederu::KnownNode node;
     node.address = address;
     return links->start({next, 1}, node, most,
-                        fmt::format("{} /x HTTP/1.1\r\nRequest-Id: id{}\r\n\r\n", method, next),
+                        {fmt::format("{} /x HTTP/1.1\r\nRequest-Id: id{}\r\n", method, next), "n", ""},
                         loop.now() + net::Duration(end_s));
   }
   Ended& get(const std::string& address, const std::string& method = "GET") {
@@ -365,7 +366,7 @@
       kernel.answer = answer;
       pederu::KnownNode node;
       node.address = "10.0.0.1:1";
-      CPPUNIT_ASSERT(breaking.start({++next, 1}, node, 4, "GET /x HTTP/1.1\r\nRequest-Id: id\r\n\r\n",
+      CPPUNIT_ASSERT(breaking.start({++next, 1}, node, 4, {"GET /x HTTP/1.1\r\nRequest-Id: id\r\n", "n", ""},
                                     kernel.at + net::Duration(3)));
       told.clear();
       for (int i = 0; i < 5 && told.empty(); ++i) turns.turn(net::Duration(0));
@@ -520,6 +521,27 @@
       return !frames.empty();
     });
   }
+
+  // A process that stood still while its connection came up.
+  void whatIsOverBeforeItsConnectionIsUpIsNotSent() {
+    BreakingKernel kernel;
+    net::StandIn stands_in(kernel);
+    net::Loop turns;
+    std::vector<pederu::Ending> told;
+    upstream::NodeLinks late(turns,
+                             [&](pederu::CallId, const pederu::CallEnd& end) { told.push_back(end.ending); });
+    constexpr std::size_t room = 1000;
+    kernel.takes = room;
+    kernel.lives = true;
+    pederu::KnownNode node;
+    node.address = "10.0.0.1:1";
+    CPPUNIT_ASSERT(late.start({++next, 1}, node, 4, {"GET /x HTTP/1.1\r\nRequest-Id: id\r\n", "n", ""},
+                              kernel.at + net::Duration(3)));
+    kernel.at += net::Duration(10);
+    for (int i = 0; i < 5 && told.empty(); ++i) turns.turn(net::Duration(0));
+    CPPUNIT_ASSERT((told == std::vector{pederu::Ending::no_way}));
+    CPPUNIT_ASSERT_EQUAL(room, kernel.takes);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LinksTest);
