--- a/tests/processes/processes_measure.cpp
+++ b/tests/processes/processes_measure.cpp
@@ -163,6 +163,9 @@
         if (!results[i].traffic.empty())
           std::printf("seed %llu: %s\n", static_cast<unsigned long long>(plans[i].seed),
                       results[i].traffic.c_str());
+        for (const std::string& line : results[i].story)
+          if (line.find("keeps its id") != line.npos)
+            std::printf("seed %llu: %s\n", static_cast<unsigned long long>(plans[i].seed), line.c_str());
         if (results[i].told.faults.empty()) continue;
         std::string text = fmt::format("seed {} is broken\n", plans[i].seed);
         for (const std::string& fault : results[i].told.faults) text += "  " + fault + "\n";
--- a/tests/processes/processes_run.cpp
+++ b/tests/processes/processes_run.cpp
@@ -352,7 +352,9 @@
                // Promised as long as the leader that it acknowledged to leads on, and has not folded beyond.
                if (!leader.empty() && leader == scene_.leader()) {
                  ++result_.past;
-                 if (id_of(whom) != before && !id_of(whom).empty()) ++result_.past_found;
+                 const bool found = id_of(whom) != before && !id_of(whom).empty();
+                 if (found) ++result_.past_found;
+                 if (!found) tell(fmt::format("core{} set back keeps its id: {}", whom, transfers_of(whom)));
                }
                recovers(whom);
              });
@@ -360,6 +362,24 @@
          });
   }
 
+  // Whether it was told a snapshot since its start, and in which term it is.
+  std::string transfers_of(int whom) {
+    net::Loop loop;
+    carestiato::Caller caller(loop, {});
+    const auto reply =
+        caller.ask(hall_.member(whom).control, {"GET", "/pearspar/metrics", "", "", ""}, 500ms);
+    std::string told;
+    for (const char* name : {"altavia_snapshots_taken_total", "altavia_term", "altavia_voter"}) {
+      const std::size_t at = reply.body.find(fmt::format("\n{}{{", name));
+      const std::size_t from = at == reply.body.npos ? at : reply.body.find("} ", at);
+      told += fmt::format("{} {}, ", name,
+                          from == reply.body.npos
+                              ? "?"
+                              : reply.body.substr(from + 2, reply.body.find('\n', from + 2) - from - 2));
+    }
+    return told;
+  }
+
   void leave(int whom) {
     const int next = hall_.add_member(false, older());
     when([this, next] { return counted(next); }, counted_within_s + 8,
