Whatever word of a leader comes first, it finds out a folder that was set back

Cause: class 'a check on one of several ways in'. Ruled out: comparing at the start (the disk alone can't tell), a counter of starts on every peer's disk (docs/control.md, weighed before). An older member passes the number over. Looked for elsewhere: votes are not compared, and can't be (docs/control.md).

--- a/src/raft/replication.cpp
+++ b/src/raft/replication.cpp
@@ -96,6 +96,12 @@
   if (word.term > vote_.term && !save_term(word.term, 0)) return false;
   follow(now, word.term, word.from, word.from_address);
   answer.term = vote_.term;
+  // It once acknowledged more than is here: its disk came back from the past, or has lied. Whatever the leader
+  // says next, a snapshot too, would only hide that votes may be forgotten with it.
+  if (word.acknowledged > log_.last()) {
+    become_another(now);
+    return false;
+  }
   return true;
 }
 
@@ -123,7 +129,7 @@
   Index last_new = append.index + append.entries.size();
   if (append.index > log_.last() ||
       (append.index >= log_.snapshot().index && log_.term_at(append.index) != append.log_term)) {
-    // It once acknowledged just this: its disk came back from the past, or has lied.
+    // It once acknowledged just this, and has something else in its place.
     if (append.index <= append.acknowledged) return become_another(now);
     answer.index = std::min(log_.last(), append.index > 0 ? append.index - 1 : 0);
     answer.index = std::max(answer.index, commit_);
