Failed requests can be explained afterwards; invariants are checked, counted and on in tests

Change: pederu/failures keeps the newest 256 failures with their reason and what became of each call (GET /pearspar/failures, 150 KB at the most); src/invariants counts violations of twelve promises where they are kept (raft, orders, versions, answers, repeats, refusals, tries, parts, deadlines, bytes). A violation is logged and counted, never ends a process; the system's tests fail and the soak names it where there is one. Weighed: asserts (they end processes that serve), a log line a failure (priced and bounded to 20 a second; the record costs no system call).

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <system_error>
 
+#include "invariants/invariants.h"
 #include "logging/log.h"
 
 namespace pearspar::altavia {
@@ -57,6 +58,8 @@
     answer.body = ready() ? "{\"ready\":true}" : "{\"ready\":false}";
   } else if (message.target == "/pearspar/counters") {
     answer.body = metrics::as_json(samples());
+  } else if (message.target == "/pearspar/failures") {
+    answer.body = door_.station().desk().failures().as_json(loop_.now());
   } else if (message.target == "/pearspar/metrics") {
     answer.type = "text/plain; version=0.0.4";
     answer.body = metrics::as_text(samples(), settings_.node_name, settings_.zone);
@@ -186,6 +189,7 @@
       {"altavia_log_lines_dropped_total", "lines that would have waited, or were too many",
        n(logging::dropped_lines())},
       {"altavia_cancelled_total", "calls ended since their client had left", n(desk.cancelled)},
+      {"altavia_violations_total", "of invariants; never to be more than none", n(invariants::violations())},
       {"altavia_open", "requests under way", n(door_.station().desk().open())},
       {"altavia_coverage", "share of the weight that is asked", door_.station().desk().coverage()},
       {"altavia_edition", "configuration in force", n(door_.station().follower().view().edition())},
--- a/src/altavia/main.cpp
+++ b/src/altavia/main.cpp
@@ -19,6 +19,7 @@
 #include "altavia/edge.h"
 #include "altavia/member.h"
 #include "carestiato/commands.h"
+#include "invariants/invariants.h"
 #include "logging/log.h"
 #include "net/signals.h"
 
@@ -140,6 +141,10 @@
   bool stop_ = false;
 };
 
+void tell_violation(invariants::Promise promise, std::string_view what) {
+  log(Level::error, "invariant_broken", {{"promise", invariants::name(promise)}, {"what", what}});
+}
+
 int check_settings(const std::string& path) {
   coldai::ReadSettings read = coldai::read_settings(path);
   if (!read.fault.empty()) {
@@ -215,6 +220,7 @@
   }
   if (command == "check-settings") return check_settings(path);
   ::mallopt(M_MMAP_THRESHOLD, mapped_from);
+  invariants::set_handler(tell_violation);
   logging::open_log("altavia", least);
   return Process(path, least).run();
 }
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "invariants/invariants.h"
 #include "logging/log.h"
 
 namespace pearspar::altavia {
@@ -163,6 +164,7 @@
       {"altavia_calls_total", "control calls", n(front_.counters().requests)},
       {"altavia_log_lines_dropped_total", "lines that would have waited, or were too many",
        n(logging::dropped_lines())},
+      {"altavia_violations_total", "of invariants; never to be more than none", n(invariants::violations())},
       {"altavia_caller_bytes", "held for callers' connections", n(front_.held_bytes())},
       {"altavia_refused_for_memory_total", "calls answered 503 since callers' bytes had reached their bound",
        n(front_.counters().refused_for_memory)},
--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -4,15 +4,22 @@
 #include <algorithm>
 #include <cmath>
 
+#include "invariants/invariants.h"
+
 namespace pearspar::pederu {
 namespace {
 
 using namespace std::chrono_literals;
+using invariants::Promise;
 
 // From our answer to its client's reading it: the way there, and what lies before us in its queue.
 constexpr Duration way_back = 12ms;
 constexpr std::size_t most_open = 4096;  // requests held at once
 
+bool has_run(const Request& request) {
+  return std::any_of(request.parts.begin(), request.parts.end(), [](const Part& part) { return part.ran; });
+}
+
 }  // namespace
 
 void Desk::set_edges(std::uint32_t edges) {
@@ -22,16 +29,18 @@
 
 RequestId Desk::arrive(Time now, const Arrival& arrival, FinalAnswer& answer) {
   ++counters_.requests;
-  auto refuse = [&](int status, double retry_after_s) {
+  auto refuse = [&](int status, double retry_after_s, Reason reason) {
     answer.status = status;
     answer.retry_after_s = retry_after_s;
     answer.unrun = true;
+    answer.reason = reason;
+    failures_.add({now, std::string(arrival.id), std::string(arrival.target), status, reason, {}, {}});
     return RequestId{};
   };
-  if (!routes_) return ++counters_.refused, refuse(503, 0.2);
+  if (!routes_) return ++counters_.refused, refuse(503, 0.2, Reason::no_configuration);
   const averau::Route* route = routes_->find(arrival.host, arrival.target);
-  if (!route) return ++counters_.no_route, refuse(404, 0);
-  if (requests_.size() >= most_open) return ++counters_.refused, refuse(503, 0.2);
+  if (!route) return ++counters_.no_route, refuse(404, 0, Reason::no_route);
+  if (requests_.size() >= most_open) return ++counters_.refused, refuse(503, 0.2, Reason::too_many_open);
 
   RequestId id = requests_.add();
   Request& request = *requests_.find(id);
@@ -52,11 +61,13 @@
   // It has waited its time away behind another on its connection.
   if (request.end <= now) {
     ++counters_.refused;
-    answer = refusal(request);
+    answer = refusal(request, Reason::out_of_time);
+    note_failure(now, request, answer);
     requests_.release(id);
     return {};
   }
   if (!plan(now, request, answer)) {
+    note_failure(now, request, answer);
     requests_.release(id);
     return {};
   }
@@ -66,7 +77,9 @@
   std::size_t least = route->gathers() ? least_parts(request.parts.size(), route->least_share) : 1;
   if (sent == 0 || sent < least) {
     // What was sent runs to its end; nothing more is made of it.
-    answer = sent == 0 ? refusal(request) : failure(now, request);
+    answer = sent == 0 ? refusal(request, Reason::no_node) : failure(now, request);
+    if (sent > 0) answer.reason = Reason::too_few_parts;
+    note_failure(now, request, answer);
     ++counters_.refused;
     request.done = true;
     release(id);
@@ -84,7 +97,7 @@
   if (admission_.admit(now, route, depots, least, book_.typical(route).count() * 1000)) return true;
   ++counters_.refused;
   ++counters_.given_up;
-  answer = refusal(request);
+  answer = refusal(request, Reason::overload);
   return false;
 }
 
@@ -135,7 +148,7 @@
   }
   if (wanted < least_parts(route.shards.size(), route.least_share)) {
     ++counters_.refused;
-    answer = refusal(request);
+    answer = refusal(request, Reason::too_few_parts);
     return false;
   }
   for (const Part& part : request.parts)
@@ -195,12 +208,28 @@
     ++counters_.refused;
   else if (answer.status >= 500 && request.route->gathers())
     ++counters_.failed;
-  static_cast<void>(now);
+  invariants::check(Promise::one_answer_per_request, !request.done, request.id);
+  invariants::check(Promise::refusal_means_not_run, !answer.unrun || !has_run(request), request.id);
+  note_failure(now, request, answer);
   request.done = true;
   due_.erase({request.due, id});
   answers_.emplace_back(id, std::move(answer));
 }
 
+// With what became of its calls, those that are out still among them.
+void Desk::note_failure(Time now, const Request& request, const FinalAnswer& answer) {
+  if (answer.status < 500 && answer.reason == Reason::none) return;
+  const Reason reason = answer.reason == Reason::none ? Reason::failed_at_nodes : answer.reason;
+  Failure failure{now, request.id, request.route->name, answer.status, reason, now - request.arrived, {}};
+  for (const Part& part : request.parts) {
+    failure.calls.insert(failure.calls.end(), part.failed.begin(), part.failed.end());
+    for (const CallId call : part.calls)
+      if (const Out* out = out_.find(call))
+        failure.calls.push_back({out->node->id, "no answer yet", now - out->started});
+  }
+  failures_.add(std::move(failure));
+}
+
 // A request's place is kept until its last call has ended.
 void Desk::release(RequestId id) {
   Request* request = requests_.find(id);
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -93,6 +93,7 @@
   double coverage() const { return coverage_.share(); }
   void begin_coverage(double share) { coverage_.begin(share); }
   Allowance& allowance() { return allowance_; }
+  const FailureLog& failures() const { return failures_; }
   const Admission& admission() const { return admission_; }
 
  private:
@@ -115,8 +116,9 @@
   void finish(Time now, RequestId id, FinalAnswer answer);
   FinalAnswer gathered(Request& request);
   FinalAnswer single(const Request& request, const CallEnd& end, int status) const;
-  FinalAnswer refusal(const Request& request) const;
+  FinalAnswer refusal(const Request& request, Reason reason) const;
   FinalAnswer failure(Time now, const Request& request) const;
+  void note_failure(Time now, const Request& request, const FinalAnswer& answer);
   void schedule(RequestId id, Request& request);
   void second_calls(Time now, RequestId id);
   void note_late(Time now, Request& request);
@@ -139,6 +141,7 @@
   std::set<std::pair<Time, RequestId>> due_;
   std::vector<std::pair<RequestId, FinalAnswer>> answers_;
   DeskCounters counters_;
+  FailureLog failures_;
 };
 
 }  // namespace pearspar::pederu
--- a/src/pederu/desk_answers.cpp
+++ b/src/pederu/desk_answers.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "invariants/invariants.h"
 #include "pederu/desk.h"
 #include "pederu/merge.h"
 
@@ -35,7 +36,7 @@
   if (!enough(*request, in + coming)) {
     bool ran = std::any_of(request->parts.begin(), request->parts.end(),
                            [](const Part& part) { return part.in || part.ran || !part.calls.empty(); });
-    return finish(now, id, ran ? failure(now, *request) : refusal(*request));
+    return finish(now, id, ran ? failure(now, *request) : refusal(*request, Reason::too_few_parts));
   }
   double share = static_cast<double>(in) / static_cast<double>(request->parts.size());
   bool soft = now >= request->soft_end && share * share > late_worth;
@@ -73,6 +74,8 @@
   }
   Merged merged = merge(bodies, static_cast<std::size_t>(request.route->top));
   std::size_t missing = request.parts.size() - bodies.size();
+  invariants::check(invariants::Promise::parts_are_of_one_set,
+                    request.parts.size() == request.route->shards.size() && !bodies.empty(), request.id);
   if (missing == 0) weights_.learn(names, merged.survived);
   ++(missing == 0 ? counters_.whole : counters_.partial);
   answer.status = 200;
@@ -86,8 +89,9 @@
 
 // It has not run and never will: the client may come again, and is told when. A tenth of the aim, so that a
 // second try still has most of it.
-FinalAnswer Desk::refusal(const Request& request) const {
+FinalAnswer Desk::refusal(const Request& request, Reason reason) const {
   FinalAnswer answer;
+  answer.reason = reason;
   answer.status = 503;
   answer.unrun = true;
   double aim = request.route->target_ms > 0 ? request.route->target_ms : request.route->deadline_ms / 10;
@@ -98,6 +102,7 @@
 FinalAnswer Desk::failure(Time now, const Request& request) const {
   FinalAnswer answer;
   answer.status = now >= request.end ? 504 : 502;
+  answer.reason = answer.status == 504 ? Reason::deadline : Reason::failed_at_nodes;
   answer.headers = fmt::format("Request-Id: {}\r\n", request.id);
   return answer;
 }
--- a/src/pederu/desk_calls.cpp
+++ b/src/pederu/desk_calls.cpp
@@ -4,13 +4,32 @@
 #include <algorithm>
 #include <cmath>
 
+#include "invariants/invariants.h"
 #include "pederu/desk.h"
 
 namespace pearspar::pederu {
 namespace {
 
+using invariants::Promise;
+
 constexpr double share_of_connections = 0.9;
 
+std::string how(const CallEnd& end) {
+  switch (end.ending) {
+    case Ending::answered:
+      return fmt::format("answered {}", end.status);
+    case Ending::not_run:
+      return "did not run it";
+    case Ending::misplaced:
+      return "another node is there";
+    case Ending::no_way:
+      return "no connection";
+    case Ending::broken:
+      return "connection broke, or no answer came";
+  }
+  return {};
+}
+
 // To a client these say that its request has not run and never will.
 bool promises(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
@@ -61,6 +80,8 @@
     part.calls.push_back(call);
     ++part.tries;
     ++counters_.calls;
+    invariants::check(Promise::tries_within_route, part.tries <= request.route->tries, request.id);
+    invariants::check(Promise::unsafe_is_not_repeated, request.route->safe || !part.ran, request.id);
     return true;
   }
   if (part.calls.empty()) part.over = true;
@@ -127,7 +148,10 @@
   nodes_.ended(node);
   Request* request = requests_.find(out.request);
   if (!request) return;
-  std::erase(request->parts[out.part].calls, call);
+  Part& part = request->parts[out.part];
+  std::erase(part.calls, call);
+  if (!answer && part.failed.size() < FailureLog::most_calls)
+    part.failed.push_back({out.node->id, how(end), now - out.started});
   if (!request->done) {
     settle_part(now, out.request, out.part, end);
     look(now, out.request);
@@ -172,7 +196,7 @@
     bool spoilt = end.status >= 200 && end.status < 300;
     return finish(now, id, single(request, end, spoilt ? 502 : end.status));
   }
-  finish(now, id, part.ran ? failure(now, request) : refusal(request));
+  finish(now, id, part.ran ? failure(now, request) : refusal(request, Reason::refused_by_nodes));
 }
 
 // A second call where the first takes longer than nearly all do, there is time for it, and the budget allows
--- a/src/pederu/request.h
+++ b/src/pederu/request.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pederu/failures.h"
 #include "pederu/node_book.h"
 #include "pederu/routes.h"
 #include "pederu/types.h"
@@ -46,6 +47,7 @@
   std::string depot;
   std::vector<NodePtr> tried;
   std::vector<CallId> calls;  // out
+  std::vector<FailedCall> failed;
   int tries = 0;
   bool wanted = false;  // it is sent at all
   bool in = false;
@@ -78,7 +80,8 @@
   int status = 0;
   double retry_after_s = 0;
   bool unrun = false;  // ours: no node has run it, and none will. A node's own 404 or 503 may follow a run
-  bool bare = false;   // has no body by its nature; what length it names stands in `headers`
+  Reason reason = Reason::none;  // of a failure that is ours
+  bool bare = false;             // has no body by its nature; what length it names stands in `headers`
   std::string type;
   std::string headers;
   std::string body;
--- a/src/raft/core.cpp
+++ b/src/raft/core.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include "invariants/invariants.h"
+
 namespace pearspar::raft {
 namespace {
 
@@ -132,7 +134,22 @@
   return due;
 }
 
+void Core::check_invariants() {
+  using invariants::Promise;
+  invariants::check(Promise::commit_never_falls, commit_ >= checked_commit_, options_.address);
+  invariants::check(Promise::term_never_falls, vote_.term >= checked_term_, options_.address);
+  invariants::check(Promise::applied_within_log, applied_ <= commit_ && commit_ <= log_.last(),
+                    options_.address);
+  checked_commit_ = commit_;
+  checked_term_ = vote_.term;
+}
+
 void Core::tick(Time now) {
+  act(now);
+  check_invariants();
+}
+
+void Core::act(Time now) {
   if (role_ == Role::leader) {
     if (now < due_) return;
     if (now - majority_heard(now, false) > options_.timing.most_silence) return step_down(now);
@@ -196,6 +213,11 @@
 // A pre-vote first: nobody's term rises while most still hear a leader.
 
 void Core::step(Time now, const Message& message) {
+  take(now, message);
+  check_invariants();
+}
+
+void Core::take(Time now, const Message& message) {
   if (message.to != 0 && message.to != self_) return;  // meant for who was here before the disk was lost
   switch (message.kind) {
     case MessageKind::ask_pre_vote:
--- a/src/raft/core.h
+++ b/src/raft/core.h
@@ -151,6 +151,8 @@
   bool up_to_date(const Message& ask) const;
   bool leader_lives(Time now) const;
 
+  void act(Time now);
+  void take(Time now, const Message& message);
   void on_ask(Time now, const Message& ask);
   void on_vote(Time now, const Message& vote);
   void on_append(Time now, const Message& append);
@@ -196,6 +198,8 @@
   bool append_own(Entry entry);
   Time majority_heard(Time now, bool rounds) const;
   void become_another(Time now);
+  // What always holds between calls, against what held after the call before.
+  void check_invariants();
   void fail(const std::error_code& error) {
     ill_ = static_cast<bool>(error);
     if (error) ++counters_.refused_writes;
@@ -228,6 +232,8 @@
   std::shared_ptr<const Snapshot> sending_;  // the one that all transfers under way send
   std::optional<Incoming> incoming_;
   Counters counters_;
+  Index checked_commit_ = 0;
+  Term checked_term_ = 0;
   std::vector<Outgoing> out_;
 };
 
--- a/src/raft/replication.cpp
+++ b/src/raft/replication.cpp
@@ -96,8 +96,8 @@
   if (word.term > vote_.term && !save_term(word.term, 0)) return false;
   follow(now, word.term, word.from, word.from_address);
   answer.term = vote_.term;
-  // It once acknowledged more than is here: its disk came back from the past, or has lied. Whatever the leader
-  // says next, a snapshot too, would only hide that votes may be forgotten with it.
+  // It once acknowledged more than is here: its disk came back from the past, or has lied. Whatever the
+  // leader says next, a snapshot too, would only hide that votes may be forgotten with it.
   if (word.acknowledged > log_.last()) {
     become_another(now);
     return false;
--- a/src/sennes/office_changes.cpp
+++ b/src/sennes/office_changes.cpp
@@ -5,6 +5,7 @@
 // wherever it is under way. One that builds on an edition above waits for it, since that may still come.
 #include <charconv>
 
+#include "invariants/invariants.h"
 #include "sennes/office.h"
 
 namespace pearspar::sennes {
@@ -91,6 +92,8 @@
   proposal_.reset();
   // Where the term ended before it was applied nobody knows yet whether it will be in force: no clear answer.
   bool taken = !lost && state_.took(done.edition, done.digest);
+  invariants::check(invariants::Promise::acknowledged_is_applied, !taken || state_.edition() >= done.edition,
+                    "an order");
   for (const Request& request : done.callers)
     if (taken)
       reply(request, 200, "{}", false);  // a majority has it on disk, whoever leads now
--- a/src/upstream/node_links.cpp
+++ b/src/upstream/node_links.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "invariants/invariants.h"
+
 namespace pearspar::upstream {
 namespace {
 
@@ -107,6 +109,8 @@
 // With the time that is left now, which may be less than when the connection was asked for.
 void NodeLinks::send_request(net::SlotId id) {
   Connection& connection = *connections_.find(id);
+  invariants::check(invariants::Promise::nothing_sent_past_deadline, loop_.now() <= connection.end,
+                    connection.id);
   connection.out = connection.request.text(connection.end - loop_.now());
   connection.request = {};
   write(id);
--- a/src/vandelli/station.cpp
+++ b/src/vandelli/station.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "invariants/invariants.h"
+
 namespace pearspar::vandelli {
 namespace {
 
@@ -42,6 +44,7 @@
     desk_.begin_coverage(view.coverage());
   }
   if (view.edition() == routed_) return;
+  invariants::check(invariants::Promise::version_never_falls, view.edition() > routed_, "configuration");
   routed_ = view.edition();
   desk_.set_routes(std::make_shared<const pederu::Routes>(view.configuration()));
   purse_.configure(view.configuration()->allowances);
--- a/tests/processes/processes_hall.cpp
+++ b/tests/processes/processes_hall.cpp
@@ -245,6 +245,8 @@
   if (options_.chatty) std::printf("%.*s\n", static_cast<int>(line.size()), line.data());
   if (line.find("Sanitizer") != line.npos || line.find("terminate called") != line.npos)
     scene_.judge.fault("END", fmt::format("{} says: {}", who, line));
+  if (line.find("\"event\":\"invariant_broken\"") != line.npos)
+    scene_.judge.fault("INVARIANT", fmt::format("{} says: {}", who, line));
   constexpr std::string_view mark = "\"event\":\"configuration\",\"edition\":";
   const std::size_t at = line.find(mark);
   if (edge && at != line.npos)
--- a/tests/system/desk_test.cpp
+++ b/tests/system/desk_test.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(aNodeOfAnotherZoneCountsAsSlower);
   CPPUNIT_TEST(aRefusalGoesToAnotherNode);
   CPPUNIT_TEST(refusedByAllIsRefusedAtOnceWithATime);
+  CPPUNIT_TEST(aFailureCanBeExplainedAfterwards);
   CPPUNIT_TEST(whatMayHaveRunIsNeverCalledUnrun);
   CPPUNIT_TEST(aNodesOwnRefusalIsNotCalledUnrun);
   CPPUNIT_TEST(whatMayNotRepeatIsNotRepeated);
@@ -362,6 +363,35 @@
     CPPUNIT_ASSERT(got.headers.find("Postmark: st1\r\n") != std::string::npos);
   }
 
+  void aFailureCanBeExplainedAfterwards() {
+    ask("/s/x");
+    const std::string first = last().node;
+    end(last(), Ending::broken);
+    wait(3);
+    const std::string second = last().node;
+    end(last(), Ending::answered, 500);
+    FinalAnswer got = answer();
+    CPPUNIT_ASSERT_EQUAL(500, got.status);
+    const Failure& failure = desk->failures().newest().back();
+    CPPUNIT_ASSERT_EQUAL(std::string("id"), failure.id);
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), failure.route);
+    CPPUNIT_ASSERT(failure.reason == Reason::failed_at_nodes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, failure.calls.size());
+    CPPUNIT_ASSERT_EQUAL(first, failure.calls[0].node);
+    CPPUNIT_ASSERT_EQUAL(second, failure.calls[1].node);
+    CPPUNIT_ASSERT_EQUAL(std::string("answered 500"), failure.calls[1].how);
+    full = true;
+    CPPUNIT_ASSERT(!ask("/s/x", got));
+    CPPUNIT_ASSERT(desk->failures().newest().back().reason == Reason::no_node);
+    full = false;
+    // Bounded, however many fail.
+    for (std::size_t i = 0; i < 2 * FailureLog::most; ++i) ask("/none", got);
+    CPPUNIT_ASSERT_EQUAL(FailureLog::most, desk->failures().newest().size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2 * FailureLog::most}, desk->failures().count(Reason::no_route));
+    CPPUNIT_ASSERT(desk->failures().as_json(now).starts_with(
+        R"({"failures":[{"agoMs":0,"id":"id","route":"/none","status":404,"reason":"no_route")"));
+  }
+
   void refusedByAllIsRefusedAtOnceWithATime() {
     ask("/s/x");
     end(last(), Ending::not_run, 503);
--- a/tests/system/main.cpp
+++ b/tests/system/main.cpp
@@ -8,7 +8,18 @@
 
 #include <iostream>
 
+#include "invariants/invariants.h"
+
+namespace {
+
+void tell(pearspar::invariants::Promise promise, std::string_view what) {
+  std::cerr << "invariant broken: " << pearspar::invariants::name(promise) << ": " << what << "\n";
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
+  pearspar::invariants::set_handler(tell);
   CppUnit::TestResult result;
   CppUnit::TestResultCollector collected;
   CppUnit::BriefTestProgressListener progress;
@@ -20,5 +31,7 @@
   CppUnit::CompilerOutputter(&collected, std::cerr).write();
   std::cout << collected.runTests() - collected.testFailuresTotal() << " passed, "
             << collected.testFailuresTotal() << " failed\n";
-  return collected.wasSuccessful() && collected.runTests() > 0 ? 0 : 1;
+  // Whatever the cases ask for, the code's own invariants held all the while.
+  const bool held = pearspar::invariants::violations() == 0;
+  return held && collected.wasSuccessful() && collected.runTests() > 0 ? 0 : 1;
 }
--- a/tests/system_stalled_log.sh
+++ b/tests/system_stalled_log.sh
@@ -46,6 +46,7 @@
 done
 answers ready | grep -q '^HTTP/1.1 503' || fail "the process stands still"
 answers metrics | grep -q '^altavia_log_lines_dropped_total{.*} [1-9]' || fail "what was dropped is not counted"
+answers failures | grep -q '"failures":\[' || fail "failures are not told"
 # The pipe is read again: the next line tells.
 head -c 65536 <&3 >/dev/null
 kill -HUP "$pid"
