--- a/tests/system/links_test.cpp
+++ b/tests/system/links_test.cpp
@@ -134,6 +134,7 @@
   CPPUNIT_TEST(bothEndsOfALinkAreProbed);
   CPPUNIT_TEST(aFrameThatIsTooLongEndsItsLink);
   CPPUNIT_TEST(whoListensBoundsWhatOthersOpen);
+  CPPUNIT_TEST(withoutDescriptorsTheLoopRests);
   CPPUNIT_TEST(whatIsOverBeforeItsConnectionIsUpIsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
@@ -500,6 +501,27 @@
   }
 
   // As edges do for other edges: two at once, short words; room again when one has gone.
+  // A listener that stays ready while no descriptor is free: it is looked at again after a pause, not at
+  // once.
+  void withoutDescriptorsTheLoopRests() {
+    struct FullKernel : BreakingKernel {
+      int looks = 0;
+      net::AcceptResult accept(int, int&) override {
+        ++looks;
+        return net::AcceptResult::no_descriptors;
+      }
+    } kernel;
+    net::StandIn stands_in(kernel);
+    net::Loop turns;
+    transport::Links links(turns, *this);
+    links.listen({0x7f000001, 0});
+    for (int i = 0; i < 100; ++i) turns.turn(net::Duration(0));
+    CPPUNIT_ASSERT_EQUAL(1, kernel.looks);
+    kernel.at += net::Duration(0.05);
+    for (int i = 0; i < 100; ++i) turns.turn(net::Duration(0));
+    CPPUNIT_ASSERT_EQUAL(2, kernel.looks);
+  }
+
   void whoListensBoundsWhatOthersOpen() {
     clear();
     net::Address address = free_address();
