--- a/src/biella/allowance_explore.cpp
+++ b/src/biella/allowance_explore.cpp
@@ -94,7 +94,8 @@
     std::string out(packer.view());
     auto put = [&](std::uint64_t value) { out += std::to_string(value) + ','; };
     put(static_cast<std::uint64_t>(state.now));
-    put(static_cast<std::uint64_t>(state.crashes * 64 + state.losses * 8 + state.turns));
+    put(static_cast<std::uint64_t>(state.crashes) * 64 + static_cast<std::uint64_t>(state.losses) * 8 +
+        static_cast<std::uint64_t>(state.turns));
     for (const EdgeState& edge : state.edges) {
       out += edge.purse->describe(time(state));
       put(static_cast<std::uint64_t>(edge.said));
--- a/src/biella/cluster_ballast.cpp
+++ b/src/biella/cluster_ballast.cpp
@@ -69,7 +69,8 @@
 double Cluster::transfer_s() const {
   auto bytes = static_cast<double>(options_.ballast);
   // To those that are lost, and to the successor of one that is to leave, over one way out.
-  double at_once = (options_.cores - 1) / 2 + 1;
+  const auto lost = (options_.cores - 1) / 2;
+  double at_once = static_cast<double>(lost + 1);
   double wire = options_.bandwidth > 0 ? at_once * bytes / options_.bandwidth : 0;
   double disk = options_.disk_bytes_s > 0 ? bytes / options_.disk_bytes_s : 0;
   // A leader whose disk takes the state for longer than a lease loses its lead over a fold: it begins anew.
--- a/src/biella/cluster_parts.h
+++ b/src/biella/cluster_parts.h
@@ -134,7 +134,7 @@
     bool woken = false;
     std::unordered_map<std::uint64_t, std::string> open;  // request -> its id
     Process(Cluster& to, Edge& of, std::uint64_t number);
-    ~Process();
+    ~Process() override;
     vandelli::Station& make_station(std::uint64_t number);
     // Every second, on its own loop.
     void sweep();
--- a/src/measure/cluster_measure.cpp
+++ b/src/measure/cluster_measure.cpp
@@ -9,6 +9,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <exception>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <string>
@@ -76,6 +78,27 @@
   return std::fclose(file) == 0;
 }
 
+// What a schedule that could not be played leaves behind: whether memory was short, or an allocation too large.
+void tell_memory(std::FILE* to) {
+  for (const char* file : {"/proc/self/status", "/proc/meminfo"}) {
+    std::ifstream lines(file);
+    for (std::string line; std::getline(lines, line);)
+      if (line.starts_with("Vm") || line.starts_with("MemAvailable") || line.starts_with("Commit"))
+        std::fprintf(to, "  %s\n", line.c_str());
+  }
+}
+
+template <typename One>
+void with_evidence(int seed, const One& one) {
+  try {
+    one(seed);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "seed %d could not be played: %s\n", seed, error.what());
+    tell_memory(stderr);
+    throw;
+  }
+}
+
 // Runs `one` for each seed, on so many threads.
 template <typename One>
 void for_seeds(int from, int count, int jobs, One one) {
@@ -83,7 +106,7 @@
   std::vector<std::thread> threads;
   for (int j = 0; j < jobs; ++j)
     threads.emplace_back([&] {
-      for (int i = next++; i < count; i = next++) one(from + i);
+      for (int i = next++; i < count; i = next++) with_evidence(from + i, one);
     });
   for (std::thread& thread : threads) thread.join();
 }
