--- a/tests/system/state_test.cpp
+++ b/tests/system/state_test.cpp
@@ -127,6 +127,11 @@
         member(i).link_up(link(other));
       }
   }
+  // The link that `from` has dialled ends with all that is on it, and comes up again.
+  void renew_link(int from, int to) {
+    member(from).link_down(link(to));
+    member(from).link_up(link(to));
+  }
   void kill(int i) { seats_[static_cast<std::size_t>(i)].member.reset(); }
   void wipe(int i) { seats_[static_cast<std::size_t>(i)].disk.wipe(); }
   void freeze(int i, double seconds) {
@@ -250,6 +255,7 @@
   CPPUNIT_TEST(nothingIsToldBeforeAnEntryOfTheOwnTerm);
   CPPUNIT_TEST(anOrderIsTakenAgainAfterTenThousandOthers);
   CPPUNIT_TEST(ofTwoUnderOneNumberOneIsTakenForEver);
+  CPPUNIT_TEST(aCallThatALinkLosesIsSentAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -855,6 +861,24 @@
     }
     CPPUNIT_ASSERT(taken_by_second > 10);
   }
+
+  // The leader stays; the link on which a call was on its way does not.
+  void aCallThatALinkLosesIsSentAgain() {
+    Trio trio;
+    const int leader = trio.wait_for_leader(), follower = trio.follower();
+    trio.run(0.5);
+    bool drops = true;
+    trio.passes = [&](int from, int, const fanes::Message& message) {
+      return !drops || from != follower || !std::get_if<fanes::Call>(&message);
+    };
+    const Asker order = trio.order(follower, 0, config(3));
+    trio.run(0.05);
+    drops = false;
+    trio.renew_link(follower, leader);
+    CPPUNIT_ASSERT_EQUAL(200, trio.wait(order));
+    CPPUNIT_ASSERT(trio.answers[order].after < 0.4);
+    CPPUNIT_ASSERT_EQUAL(1, trio.answers[order].count);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StateTest);
