A call passed on goes again when the link to its leader comes up anew

Cause: class 'what is queued on a link is lost with it, and nobody sends it again'. The caller got 503 after 850 ms. Ruled out: resending by a timer (it doubles calls that only take long). Change: a link that comes up to the member that a call was passed on to sends it again under its next number; calls may be repeated unchanged, and an answer to the earlier one counts where it is definite. Looked for elsewhere: hellos and acknowledgements are said anew on each link; raft's rounds repeat; questions for tokens are asked anew after 0.5 s.

--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -110,7 +110,9 @@
 
 void Member::client_left(net::SlotId) {}  // its change may be under way; the answer finds nobody
 
-void Member::link_up(transport::LinkId link, const std::string&) { member_.link_up(link); }
+void Member::link_up(transport::LinkId link, const std::string& address) {
+  member_.link_up(loop_.read_clock(), link, address);
+}
 void Member::link_frame(transport::LinkId link, std::string_view frame) {
   member_.link_frame(loop_.read_clock(), link, frame);
 }
--- a/src/biella/cluster_parts.h
+++ b/src/biella/cluster_parts.h
@@ -97,7 +97,9 @@
     Time own(Time at) const { return started + step + (at - started) * rate; }
     Time worlds(Time own) const { return started + (own - step - started) / rate; }
     Time now() const { return own(life.world.now()); }
-    void link_up(transport::LinkId link, const std::string&) override { member->link_up(link); }
+    void link_up(transport::LinkId link, const std::string& address) override {
+      member->link_up(now(), link, address);
+    }
     void link_frame(transport::LinkId link, std::string_view frame) override {
       member->link_frame(now(), link, frame);
     }
--- a/src/sennes/member.cpp
+++ b/src/sennes/member.cpp
@@ -48,8 +48,10 @@
     office_.call(now, asker, method, path, if_match, body);
 }
 
-void Member::link_up(LinkId link) {
-  if (started_) wire_.send(link, fanes::pack(office_.hello()));
+void Member::link_up(Time now, LinkId link, const std::string& address) {
+  if (!started_) return;
+  wire_.send(link, fanes::pack(office_.hello()));
+  office_.link_opened(now, address);
 }
 
 void Member::link_frame(Time now, LinkId link, std::string_view frame) {
--- a/src/sennes/member.h
+++ b/src/sennes/member.h
@@ -23,7 +23,8 @@
 
   void call(Time now, Asker asker, std::string_view method, std::string_view path, std::string_view if_match,
             std::string_view body);
-  void link_up(LinkId link);
+  // A link that we dialled, to the member at that address.
+  void link_up(Time now, LinkId link, const std::string& address);
   void link_frame(Time now, LinkId link, std::string_view frame);
   void link_down(LinkId link) {
     early_.erase(link);
--- a/src/sennes/office.h
+++ b/src/sennes/office.h
@@ -63,6 +63,9 @@
             std::string_view body);
   void message(Time now, LinkId link, const fanes::Message& message);
   void link_closed(LinkId link) { followers_.on_closed(link); }
+  // What was on its way to that member over the link before is lost: calls passed on to it go again,
+  // unchanged.
+  void link_opened(Time now, const std::string& address);
   // To be called after every event and at due(): does what has become possible.
   void advance(Time now);
   Time due() const;
--- a/src/sennes/office_calls.cpp
+++ b/src/sennes/office_calls.cpp
@@ -179,6 +179,13 @@
           {leader, as_call(now, passed.number, options_.inner_address, passed.request), false});
 }
 
+void Office::link_opened(Time now, const std::string& address) {
+  for (auto& [number, passed] : passed_.all())
+    if (passed.to == address && passed_.again(passed, address))
+      messages_.push_back(
+          {address, as_call(now, passed.number, options_.inner_address, passed.request), false});
+}
+
 void Office::on_answer(Time now, const fanes::CallAnswer& answer) {
   auto request = passed_.answered(answer.number, answer.status < 500);
   if (!request) return;
--- a/tests/system/state_test.cpp
+++ b/tests/system/state_test.cpp
@@ -123,14 +123,14 @@
     for (int other = 0; other < 3; ++other)
       if (other != i && up(other)) {
         member(other).link_down(link(i));
-        member(other).link_up(link(i));
-        member(i).link_up(link(other));
+        member(other).link_up(world.now(), link(i), address(i));
+        member(i).link_up(world.now(), link(other), address(other));
       }
   }
   // The link that `from` has dialled ends with all that is on it, and comes up again.
   void renew_link(int from, int to) {
     member(from).link_down(link(to));
-    member(from).link_up(link(to));
+    member(from).link_up(world.now(), link(to), address(to));
   }
   void kill(int i) { seats_[static_cast<std::size_t>(i)].member.reset(); }
   void wipe(int i) { seats_[static_cast<std::size_t>(i)].disk.wipe(); }
