--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -45,9 +45,9 @@
              warn}) {
   door_.station().desk().nodes().set_home(settings.zone);
   door_.set_memory_bounds(settings.memory_bytes(clients_share), settings.memory_bytes(servers_share));
-  door_.start(*net::Address::parse(settings.front_door));
+  door_.start(net::Address::of(settings.front_door));
   check_.leave_heads_bare();
-  if (!settings.ready_check.empty()) check_.listen(*net::Address::parse(settings.ready_check));
+  if (!settings.ready_check.empty()) check_.listen(net::Address::of(settings.ready_check));
   each_second();
 }
 
@@ -73,7 +73,7 @@
   std::string address = settings_.edge_address();
   if (address.empty()) return address;
   try {
-    links_.listen(*net::Address::parse(address), asked_by_edges);
+    links_.listen(net::Address::of(address), asked_by_edges);
   } catch (const std::system_error& error) {
     log(Level::warning, "edges_not_heard", {{"why", error.what()}});
     address.clear();
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -62,8 +62,8 @@
       store_(settings.data_dir),
       member_(links_, store_, core_options(settings, seed), office_options(settings, seed)) {
   front_.set_memory_bound(settings.memory_bytes(callers_share));
-  links_.listen(*net::Address::parse(settings.inner_address()));
-  front_.listen(*net::Address::parse(settings.control_port));
+  links_.listen(net::Address::of(settings.inner_address()));
+  front_.listen(net::Address::of(settings.control_port));
   start_core();
 }
 
--- a/src/biella/cluster.cpp
+++ b/src/biella/cluster.cpp
@@ -96,13 +96,9 @@
   for (auto& edge : edges_) {
     if (!edge->process) continue;
     checker_.settled(edge->name, edge->process->station.follower().view().edition());
-    std::size_t up = 0;
     for (auto& node : nodes_)
-      if (node->up && !node->closing) {
-        ++up;
-        if (!edge->process->station.follower().view().nodes().find(node->id))
-          checker_.broken("LIST", edge->name + " does not know " + node->id);
-      }
+      if (node->up && !node->closing && !edge->process->station.follower().view().nodes().find(node->id))
+        checker_.broken("LIST", edge->name + " does not know " + node->id);
     std::size_t known = edge->process->station.follower().view().nodes().all().size();
     if (known > nodes_.size()) checker_.broken("LIST", edge->name + " knows too many nodes");
   }
--- a/src/biella/cluster_edges.cpp
+++ b/src/biella/cluster_edges.cpp
@@ -41,7 +41,7 @@
       });
     };
     net::StandIn in(process.service->host);
-    process.service->door->start(*net::Address::parse(edge.door));
+    process.service->door->start(net::Address::of(edge.door));
     process.sweep();
   } else {
     process.station.start(world_.now());
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -215,6 +215,13 @@
 
 }  // namespace
 
+Value::Value() = default;
+Value::Value(const Value& other) = default;
+Value::Value(Value&& other) noexcept = default;
+Value& Value::operator=(const Value& other) = default;
+Value& Value::operator=(Value&& other) noexcept = default;
+Value::~Value() = default;
+
 const Value* Value::find(std::string_view name) const {
   for (const auto& [key, value] : members)
     if (key == name) return &value;
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -21,6 +21,14 @@
 
 class Value {
  public:
+  // Defined where the class is whole: its members hold it by way of a pair.
+  Value();
+  Value(const Value& other);
+  Value(Value&& other) noexcept;
+  Value& operator=(const Value& other);
+  Value& operator=(Value&& other) noexcept;
+  ~Value();
+
   Kind kind = Kind::null;
   std::string_view raw;      // a text's without its quotes, escapes as they stand
   bool escaped = false;      // a text that holds escapes
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -53,6 +53,14 @@
   return Address{ntohl(parsed.s_addr), static_cast<std::uint16_t>(port)};
 }
 
+Address Address::of(std::string_view text) {
+  const auto parsed = parse(text);
+  if (!parsed)
+    throw std::system_error(std::make_error_code(std::errc::invalid_argument),
+                            "address " + std::string(text));
+  return *parsed;
+}
+
 std::string Address::text() const {
   std::string text;
   for (int shift = 24; shift >= 0; shift -= 8)
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -38,6 +38,8 @@
 
   // "127.0.0.1:3000"; nothing where the text is anything else.
   static std::optional<Address> parse(std::string_view text);
+  // Throws std::system_error where it is none: for those that are to be listened to.
+  static Address of(std::string_view text);
   std::string text() const;
   bool operator==(const Address&) const = default;
 };
--- a/src/raft/replication.cpp
+++ b/src/raft/replication.cpp
@@ -31,7 +31,8 @@
   if (!error || applied_ == log_.snapshot().index || applied_ < fold_after_) return error;
   fold_log();
   if (ill_) return error;
-  error = log_.replace_tail(from, std::move(entries));
+  // What was refused is still here.
+  error = log_.replace_tail(from, std::move(entries));  // NOLINT(bugprone-use-after-move)
   fail(error);
   return error;
 }
--- a/src/sennes/member.cpp
+++ b/src/sennes/member.cpp
@@ -87,11 +87,11 @@
   core_.tick(now);
   office_.advance(now);
   bool leads = core_.may_speak(clock());
-  for (auto& out : core_.take_out()) wire_.send_to(out.address, fanes::pack(std::move(out.message)));
+  for (auto& out : core_.take_out()) wire_.send_to(out.address, fanes::pack(out.message));
   for (auto& out : office_.take_messages()) {
     auto* answer = std::get_if<fanes::CallAnswer>(&out.message);
     if (answer && out.by_lease && !leads) *answer = {answer->number, 503, fault_json(nobody_leads)};
-    wire_.send_to(out.address, fanes::pack(std::move(out.message)));
+    wire_.send_to(out.address, fanes::pack(out.message));
   }
   for (auto& out : office_.take_news(clock())) wire_.send(out.link, out.bytes);
   keep_links();
--- a/src/standins/hall.cpp
+++ b/src/standins/hall.cpp
@@ -53,7 +53,7 @@
         options_(options),
         random_(std::random_device{}()),
         id_("i-" + random_id(random_).substr(8)) {
-    front_.listen(*net::Address::parse(options.address));
+    front_.listen(net::Address::of(options.address));
   }
   const std::string& id() const { return id_; }
   std::string address() const { return front_.address().text(); }
--- a/tests/processes/traffic.h
+++ b/tests/processes/traffic.h
@@ -83,6 +83,7 @@
   void judge_arrivals();
   void judge_departures();
   void judge_ends();
+  double told_to_end_before(const ClientTry& attempt) const;
   const ClientTry* find(const std::string& id) const;
 
   Judge& judge_;
--- a/tests/system_command_line.sh
+++ b/tests/system_command_line.sh
@@ -74,4 +74,15 @@
 wait_until 30 "a full disk" fill
 wants 4 op status; says "its disk refuses"
 wants 0 op --on $base config put <(configuration $((base + 1)) shard0)
+
+# Settings that read but name what is no address: it says so, and waits for better ones.
+sed "s|^controlPort *=.*|controlPort = \"nowhere\"|; s|^ipAddress *=.*|ipAddress = \"$net.0.9\"|; s|^dataDir *=.*|dataDir = \"$dir/wrong\"|" \
+  "$dir/core1.toml" >"$dir/wrong.toml"
+PEARSPAR_CONFIG="$dir/wrong.toml" $altavia serve >"$dir/wrong.log" 2>&1 &
+wrong=$!
+pids+=("$wrong")
+wait_until 10 "start_failed" grep -q '"event":"start_failed","why":"address nowhere' "$dir/wrong.log"
+kill -0 "$wrong"
+kill -TERM "$wrong"
+wait "$wrong"
 echo "command line: all steps held"
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,5 +10,5 @@
   mapfile -t files < <(sed -n 's/^ *"file": "\(.*\)",\{0,1\}$/\1/p' "$build/compile_commands.json" |
     grep -E "^$PWD/(src|tests)/" | sort -u)
 fi
-printf '%s\0' "${files[@]}" | xargs -0 -n 4 -P "${LINT_JOBS:-$(nproc)}" clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p "$build" 2>/dev/null
+printf '%s\0' "${files[@]}" | xargs -0 -n 4 -P "${LINT_JOBS:-$(nproc)}" clang-tidy-16 --quiet --extra-arg=-Wno-unknown-warning-option -p "$build" 2>/dev/null
 echo "lint: ${#files[@]} files as .clang-tidy wants them"
--- a/tools/need.sh
+++ b/tools/need.sh
@@ -2,7 +2,7 @@
 # Installs from Debian what building, tests and the quick start need and this machine lacks.
 set -euo pipefail
 missing=()
-for pair in g++:g++ cmake:cmake make:make pkg-config:pkg-config clang-format:clang-format protoc:protobuf-compiler; do
+for pair in g++:g++ cmake:cmake make:make pkg-config:pkg-config clang-format:clang-format clang-tidy-16:clang-tidy-16 protoc:protobuf-compiler; do
   command -v "${pair%%:*}" >/dev/null || missing+=("${pair##*:}")
 done
 for pair in gtest/gtest.h:libgtest-dev CLI/CLI.hpp:libcli11-dev fmt/format.h:libfmt-dev \
