--- a/src/measure/cluster_measure.cpp
+++ b/src/measure/cluster_measure.cpp
@@ -78,7 +78,8 @@
   return std::fclose(file) == 0;
 }
 
-// What a schedule that could not be played leaves behind: whether memory was short, or an allocation too large.
+// What a schedule that could not be played leaves behind: whether memory was short, or an allocation too
+// large.
 void tell_memory(std::FILE* to) {
   for (const char* file : {"/proc/self/status", "/proc/meminfo"}) {
     std::ifstream lines(file);
--- a/tests/system/promises_test.cpp
+++ b/tests/system/promises_test.cpp
@@ -22,7 +22,8 @@
 constexpr const char* configuration =
     R"({"edition":1,"postalRoutes":[{"name":"s","hostName":"h","pathPrefix":"/s/","lineKind":"safe",)"
     R"("deadlineMs":4000,"depot":"p","tries":2},{"name":"u","hostName":"h","pathPrefix":"/u/",)"
-    R"("lineKind":"unsafe","deadlineMs":4000,"depot":"p","tries":2}],"depots":[{"name":"p","connLimit":20}]})";
+    R"("lineKind":"unsafe","deadlineMs":4000,"depot":"p","tries":2}],)"
+    R"("depots":[{"name":"p","connLimit":20}]})";
 
 struct NoWire : transport::Wire {
   void keep(const std::vector<std::string>&) override {}
