A broken soak run keeps what its requests, edges and plan said

Cause: broke DEADLINE once; neither its processes' logs nor what its client and index servers knew were left. Ruled out: keeping everything of every run (a run writes some hundred MB of requests); only ids that a rule names are told. Change: each process's lines go to a file; a broken run keeps its folder with the plan, the story and, for every request that a broken rule names, both sides of it and of the request before it on its connection.

--- a/tests/processes/processes.h
+++ b/tests/processes/processes.h
@@ -132,7 +132,8 @@
   int past = 0, past_found = 0;  // folders set back, and found out
   std::uint64_t cut_connections = 0;
   double took_s = 0;
-  std::string traffic;  // what clients and index servers saw, in a line
+  std::string traffic;   // what clients and index servers saw, in a line
+  std::string evidence;  // all that is known of the requests that broken rules name
 };
 Result play(const Plan& plan, const RunOptions& options);
 
--- a/tests/processes/processes_hall.cpp
+++ b/tests/processes/processes_hall.cpp
@@ -245,6 +245,8 @@
 
 void Hall::heard(const std::string& who, std::uint32_t life, bool edge, std::string_view line) {
   if (options_.chatty) std::printf("%.*s\n", static_cast<int>(line.size()), line.data());
+  std::ofstream& file = logs_.try_emplace(who, options_.folder + "/" + who + ".log").first->second;
+  file << fmt::format("{:.3f} {}\n", scene_.judge.now(), line) << std::flush;
   if (line.find("Sanitizer") != line.npos || line.find("terminate called") != line.npos)
     scene_.judge.fault("END", fmt::format("{} says: {}", who, line));
   if (line.find("\"event\":\"invariant_broken\"") != line.npos)
--- a/tests/processes/processes_hall.h
+++ b/tests/processes/processes_hall.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -74,6 +75,7 @@
   const RunOptions& options_;
   bool relays_;
   trial::StreamRelay relay_;
+  std::map<std::string, std::ofstream> logs_;  // by process: what all its lives have said
   std::deque<Member> members_;
   std::map<int, std::unique_ptr<trial::Process>> edges_;
   std::map<std::string, int> serving_;  // depot -> node
--- a/tests/processes/processes_measure.cpp
+++ b/tests/processes/processes_measure.cpp
@@ -68,6 +68,7 @@
     std::error_code ignored;
     if (!keep_) std::filesystem::remove_all(path, ignored);
   }
+  void keep() { keep_ = true; }
   std::string path;
 
  private:
@@ -78,11 +79,24 @@
   return {options.programs, folder, net.text, options.edges, options.chatty, options.traffic};
 }
 
+// What a broken run is traced by, beside its processes' logs, settings and folders.
+void write_account(const std::string& folder, const Plan& plan, const Result& result) {
+  std::ofstream(folder + "/plan") << text_of(plan);
+  std::ofstream account(folder + "/account");
+  for (const std::string& fault : result.told.faults) account << fault << '\n';
+  for (const std::string& line : result.story) account << line << '\n';
+  std::ofstream(folder + "/requests") << result.evidence;
+}
+
 Result play_in(const Options& options, const Plan& plan, int job) {
   Folder folder(options.keep);
   const Net net(job);
   Result result = play(plan, run_options(options, net, folder.path));
-  if (options.keep)
+  if (!result.told.faults.empty()) {
+    folder.keep();
+    write_account(folder.path, plan, result);
+  }
+  if (options.keep || !result.told.faults.empty())
     std::printf("seed %llu: files in %s\n", static_cast<unsigned long long>(plan.seed), folder.path.c_str());
   return result;
 }
--- a/tests/processes/processes_run.cpp
+++ b/tests/processes/processes_run.cpp
@@ -43,6 +43,7 @@
     came_up_ = begin();
     if (came_up_) {
       base_ = scene_.judge.now();
+      result_.story.push_back(fmt::format("times below count from {:.3f} of the judge's clock", base_));
       for (const Step& step : plan_.steps) {
         turn_until(base_ + step.at);
         befall(step);
@@ -316,6 +317,7 @@
     servers_.reset();
     history_.close();
     result_.traffic = history_.summary();
+    result_.evidence = history_.evidence();
   }
 
   // In good order: it serves on while its clients go elsewhere, ends within its grace and is started again.
--- a/tests/processes/traffic.h
+++ b/tests/processes/traffic.h
@@ -30,8 +30,10 @@
   double deadline_s = 0;    // as the client named it
   bool safe = true;         // its route may be repeated
   bool kept = false;        // not the first request on its connection
+  std::string behind;       // pipelined: the request before it, not answered yet when this one was sent
   bool all_sent = false;    // the edge has every byte of it
   int status = 0;           // 0: none came
+  double whole_at = never;  // the last byte was handed to the socket
   double ended_at = never;  // the answer, or the end of the connection
   double left_at = never;   // the client closed its connection without waiting
 };
@@ -45,6 +47,7 @@
   std::string path;
   std::string body;
   std::string stamp;
+  std::string connection;  // the address that it came from
   double at = 0;
   double deadline_s = 0;      // as the edge handed it on
   double work_s = 0;          // how long the server means to work
@@ -77,6 +80,8 @@
   // Every rule over all that was seen; the faults go to the judge.
   void close();
   std::string summary() const;
+  // All that is known of the requests that broken rules name, with those before them on their connections.
+  std::string evidence() const;
 
  private:
   bool calm(const std::string& edge, double from, double until) const;
@@ -84,6 +89,8 @@
   void judge_departures();
   void judge_ends();
   double told_to_end_before(const ClientTry& attempt) const;
+  void fault_of(const std::string& id, const std::string& rule, const std::string& what);
+  std::string told_of(const std::string& id) const;
   const ClientTry* find(const std::string& id) const;
 
   Judge& judge_;
@@ -94,6 +101,7 @@
   std::map<std::string, double> left_service_;  // by server
   std::map<std::string, std::vector<std::pair<double, double>>> troubled_;
   std::map<std::string, std::vector<double>> ends_;
+  std::vector<std::string> named_;  // requests of broken rules
   std::string summary_;
 };
 
--- a/tests/processes/traffic_clients.cpp
+++ b/tests/processes/traffic_clients.cpp
@@ -153,6 +153,7 @@
   void pipelined(const ClientTry& first, double until) {
     ClientTry second = draw();
     second.sent_at = history_.now();
+    second.behind = first.id;
     history_.sent(second);
     const bool sent = send(text_of(second, false), until);
     if (sent) history_.sent_whole(second.id);
--- a/tests/processes/traffic_history.cpp
+++ b/tests/processes/traffic_history.cpp
@@ -73,6 +73,7 @@
 void TrafficHistory::sent_whole(const std::string& id) {
   std::lock_guard lock(mutex_);
   tries_[id].all_sent = true;
+  tries_[id].whole_at = now();
 }
 
 void TrafficHistory::left(const std::string& id) {
@@ -93,7 +94,7 @@
   attempt.ended_at = now();
   judge_.client(attempt.path, status);
   auto mixed = [&](const std::string& what) {
-    judge_.fault("MIXED", fmt::format("{} {} at {}: {}", attempt.path, id, attempt.edge, what));
+    fault_of(id, "MIXED", fmt::format("{} {} at {}: {}", attempt.path, id, attempt.edge, what));
   };
   const std::string stamp = header(head, "Postmark"), parts = header(head, "Part-Postmarks");
   if (status < 200 || status > 299) {
@@ -173,42 +174,44 @@
   for (const Arrival& arrival : arrivals_) {
     const ClientTry* attempt = find(arrival.id);
     if (!attempt) {
-      judge_.fault("UNASKED", fmt::format("{} ran {}, which no client sent", arrival.server, arrival.id));
+      fault_of(arrival.id, "UNASKED",
+               fmt::format("{} ran {}, which no client sent", arrival.server, arrival.id));
       continue;
     }
     if (arrival.method != attempt->method || arrival.path != attempt->path || arrival.body != attempt->body)
-      judge_.fault("UNASKED",
-                   fmt::format("{} got {} changed: {} {}, {} bytes of {}", arrival.server, arrival.id,
-                               arrival.method, arrival.path, arrival.body.size(), attempt->body.size()));
+      fault_of(arrival.id, "UNASKED",
+               fmt::format("{} got {} changed: {} {}, {} bytes of {}", arrival.server, arrival.id,
+                           arrival.method, arrival.path, arrival.body.size(), attempt->body.size()));
     if (++by_service[{arrival.id, arrival.service}] == most_tries + 1)
-      judge_.fault("BUDGET", fmt::format("{} came to {} more often than its route's tries", arrival.id,
-                                         arrival.service));
+      fault_of(arrival.id, "BUDGET",
+               fmt::format("{} came to {} more often than its route's tries", arrival.id, arrival.service));
     if (arrival.ran && ++ran[arrival.id] == 2 && !attempt->safe)
-      judge_.fault("TWICE", fmt::format("{} may not be repeated and ran twice", arrival.id));
+      fault_of(arrival.id, "TWICE", fmt::format("{} may not be repeated and ran twice", arrival.id));
     if (arrival.ran && !attempt->safe && promises_not_run(attempt->status))
-      judge_.fault("REFUSED", fmt::format("{} was answered {} and ran", arrival.id, attempt->status));
+      fault_of(arrival.id, "REFUSED", fmt::format("{} was answered {} and ran", arrival.id, attempt->status));
     const double over = arrival.at + arrival.deadline_s - (attempt->sent_at + attempt->deadline_s);
     if (over > late_after_s && attempt->all_sent && calm(attempt->edge, attempt->sent_at, arrival.at))
-      judge_.fault("DEADLINE",
-                   fmt::format("{} was handed {:.2f} s more than its client had", arrival.id, over));
+      fault_of(arrival.id, "DEADLINE",
+               fmt::format("{} was handed {:.2f} s more than its client had", arrival.id, over));
     const auto left = left_service_.find(arrival.server);
     if (left != left_service_.end() && arrival.at > left->second + drain_s + busy_machine_s &&
         calm(attempt->edge, left->second, arrival.at))
-      judge_.fault("DRAIN", fmt::format("{} got {} {:.2f} s after its leave was acknowledged", arrival.server,
-                                        arrival.id, arrival.at - left->second));
+      fault_of(arrival.id, "DRAIN",
+               fmt::format("{} got {} {:.2f} s after its leave was acknowledged", arrival.server, arrival.id,
+                           arrival.at - left->second));
   }
 }
 
 // Clients that closed their connection: nothing new is sent for them, and work that may be repeated ends.
 void TrafficHistory::judge_departures() {
   int late = 0, lasting = 0, still = 0;
-  std::string example;
+  std::string example, late_one;
   for (const Arrival& arrival : arrivals_) {
     const ClientTry* attempt = find(arrival.id);
     if (!attempt || attempt->left_at == never) continue;
     const double known = attempt->left_at + gone_after_s + busy_machine_s;
     if (!calm(attempt->edge, attempt->sent_at, known)) continue;
-    if (arrival.at > known) ++late;
+    if (arrival.at > known) ++late, late_one = arrival.id;
     if (!attempt->safe || arrival.at > attempt->left_at) continue;
     if (arrival.at + std::min(arrival.work_s, arrival.deadline_s) <= known) continue;
     ++lasting;
@@ -221,10 +224,11 @@
                                         [](const auto& each) { return each.second.left_at != never; }),
                           lasting, still, late);
   if (late > few)
-    judge_.fault("GONE", fmt::format("{} requests were sent after their client had left", late));
+    fault_of(late_one, "GONE", fmt::format("{} requests were sent after their client had left", late));
   if (lasting >= 4 && still * 4 > lasting)
-    judge_.fault("GONE", fmt::format("{} of {} requests were worked on after their client had left, as {}",
-                                     still, lasting, example));
+    fault_of(example, "GONE",
+             fmt::format("{} of {} requests were worked on after their client had left, as {}", still,
+                         lasting, example));
 }
 
 // When its edge was told to end, where that was around this try; else negative.
@@ -254,8 +258,8 @@
     if (was_calm && attempt.ended_at > due) ++unanswered[attempt.edge];
     // The server did its part: whole bytes in good order, inside the time that it was given.
     if (was_calm && attempt.status == 502 && sound.count(id) && sound[id]->work_s < sound[id]->deadline_s)
-      judge_.fault("ANSWER",
-                   fmt::format("{} {} got 502 though {} answered it", attempt.path, id, sound[id]->server));
+      fault_of(id, "ANSWER",
+               fmt::format("{} {} got 502 though {} answered it", attempt.path, id, sound[id]->server));
     if (attempt.status != 0 || attempt.ended_at == never || !sound.count(id)) continue;
     const double told = told_to_end_before(attempt);
     const bool ending = told >= 0;
@@ -268,8 +272,8 @@
     if (ending || was_calm) {
       ++lost;
       if (ending || lost == few + 1)
-        judge_.fault(
-            "LOST",
+        fault_of(
+            id, "LOST",
             fmt::format(
                 "{} {} was passed on to a sound server by {} and its connection closed "
                 "without an answer after {:.2f} s{}",
@@ -294,6 +298,48 @@
   judge_ends();
 }
 
+void TrafficHistory::fault_of(const std::string& id, const std::string& rule, const std::string& what) {
+  judge_.fault(rule, what);
+  if (std::find(named_.begin(), named_.end(), id) == named_.end()) named_.push_back(id);
+}
+
+std::string TrafficHistory::told_of(const std::string& id) const {
+  std::string text = id + "\n";
+  const ClientTry* attempt = find(id);
+  if (attempt)
+    text += fmt::format(
+        "  client: {} {} at {}, {} bytes of body, deadline {:.3f} s, {}{}sent from {:.3f} until {:.3f}, left "
+        "{:.3f}, ended {:.3f} with {}\n",
+        attempt->method, attempt->path, attempt->edge, attempt->body.size(), attempt->deadline_s,
+        attempt->kept ? "on a kept connection, " : "",
+        attempt->behind.empty() ? std::string() : "behind " + attempt->behind + ", ", attempt->sent_at,
+        attempt->whole_at, attempt->left_at, attempt->ended_at, attempt->status);
+  for (const Arrival& arrival : arrivals_) {
+    if (arrival.id != id) continue;
+    text += fmt::format(
+        "  {} ({}): {} {} from {} at {:.3f}, {} bytes of body, handed {:.3f} s, works {:.3f} s until {:.3f}, "
+        "ran {}, sound {}\n",
+        arrival.server, arrival.service, arrival.method, arrival.path, arrival.connection, arrival.at,
+        arrival.body.size(), arrival.deadline_s, arrival.work_s, arrival.stopped_at, arrival.ran,
+        arrival.sound);
+  }
+  return text;
+}
+
+std::string TrafficHistory::evidence() const {
+  std::lock_guard lock(mutex_);
+  std::string text;
+  for (const std::string& id : named_) {
+    text += told_of(id);
+    const ClientTry* attempt = find(id);
+    if (attempt && !attempt->behind.empty()) text += told_of(attempt->behind);
+  }
+  for (const auto& [edge, spans] : troubled_)
+    for (const auto& [from, until] : spans)
+      text += fmt::format("{} was in trouble from {:.3f} until {:.3f}\n", edge, from, until);
+  return text;
+}
+
 std::string TrafficHistory::summary() const {
   std::lock_guard lock(mutex_);
   return summary_;
--- a/tests/processes/traffic_servers.cpp
+++ b/tests/processes/traffic_servers.cpp
@@ -1,5 +1,7 @@
 // Index servers that misbehave: each is a thread with a loop that serves, and a thread that beats.
+#include <arpa/inet.h>
 #include <fmt/format.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -47,6 +49,13 @@
                              {Way::cut_short, 2},  {Way::not_run, 3}, {Way::failure, 2},  {Way::mute, 1},
                              {Way::long_work, 10}, {Way::surplus, 2}, {Way::early, 2},    {Way::garbage, 1}};
 
+std::string peer_of(const net::Fd& fd) {
+  sockaddr_in peer{};
+  socklen_t size = sizeof peer;
+  if (::getpeername(fd.get(), reinterpret_cast<sockaddr*>(&peer), &size) != 0) return "nobody";
+  return net::Address{ntohl(peer.sin_addr.s_addr), ntohs(peer.sin_port)}.text();
+}
+
 Way draw_way(std::mt19937_64& random) {
   int sum = 0;
   for (const Weighted& each : ways) sum += each.weight;
@@ -76,6 +85,7 @@
  private:
   struct Connection {
     net::Fd fd;
+    std::string peer;
     net::Watch watch;
     net::Timer timer;
     net::Buffer in;
@@ -112,6 +122,7 @@
   void accepted(net::Fd fd) {
     const net::SlotId slot = connections_.add();
     Connection& connection = *connections_.find(slot);
+    connection.peer = peer_of(fd);
     connection.fd = std::move(fd);
     connection.watch =
         loop_->watch(connection.fd.get(), POLLIN, [this, slot](short events) { ready(slot, events); });
@@ -158,6 +169,7 @@
     arrival.method = message.method;
     arrival.path = message.target;
     arrival.body = message.body;
+    arrival.connection = connection.peer;
     arrival.at = history_.now();
     arrival.deadline_s = std::atof(std::string(message.header("Deadline-Ms").value_or("0")).c_str()) / 1000;
     arrival.stamp = fmt::format("{}.{}.{}", service_, arrival.server, ++stamps_);
