A request's time counts also while its bytes wait unread behind a long one

What a connection waits for was settled while the request at its front still stood in the buffer: over 64 KB of it passed for bytes ahead of their turn, and nothing was read until its answer. The next request's time counts from its reading, so it began with that answer (a first one of 1 s at a mute server: 0.99 s). Same cause elsewhere: of all places that set what a descriptor waits for, only this one derives it from a buffer's size; but bytes behind 64 KB read ahead are truly left in the kernel, and were counted from their reading as well. Change: it is settled once the request has left the buffer; what is read after a pause counts from the pause's beginning.

--- a/src/clients/front.cpp
+++ b/src/clients/front.cpp
@@ -164,7 +164,10 @@
       if (still->state != before || still->in.size() >= most_ahead) break;
       continue;
     }
-    if (result == net::IoResult::none) return true;
+    if (result == net::IoResult::none) {
+      connection.unread_since.reset();
+      return true;
+    }
     close(id);  // a client that ends its side, or breaks off, waits for no answer
     return false;
   }
@@ -208,7 +211,6 @@
   connection.consumed = false;
   connection.request_bytes = connection.in.size();
   account(connection);
-  want(connection);
   if (!make_room()) return refuse_for_memory(id);
   user_.request_arrived(id, connection.reader.message());
   // Its user has taken what it needs: a long body is not held twice until the answer is here.
@@ -216,6 +218,9 @@
   if (!waits || waits->state != State::waiting) return;
   consume(*waits);
   account(*waits);
+  // Only now: while it stood in the buffer, a long request would have passed for bytes ahead of their turn,
+  // and the next one's time, which counts from its reading, would have begun with this one's answer.
+  want(*waits);
 }
 
 // Takes the request out of the buffer.
@@ -231,7 +236,7 @@
 void Front::mark(Connection& connection, std::size_t bytes) {
   connection.received += bytes;
   if (connection.marks.size() < most_marks)
-    connection.marks.push_back({connection.received, loop_.now()});
+    connection.marks.push_back({connection.received, connection.unread_since.value_or(loop_.now())});
   else
     connection.marks.back().until = connection.received;
 }
@@ -319,9 +324,9 @@
 }
 
 void Front::want(Connection& connection) {
-  short events = connection.in.size() < most_ahead || connection.state == State::reading
-                     ? static_cast<short>(POLLIN)
-                     : static_cast<short>(POLLRDHUP);
+  const bool reads = connection.in.size() < most_ahead || connection.state == State::reading;
+  if (!reads && !connection.unread_since) connection.unread_since = loop_.now();
+  short events = static_cast<short>(reads ? POLLIN : POLLRDHUP);
   if (connection.state == State::writing) events = static_cast<short>(events | POLLOUT);
   connection.watch.want(events);
 }
--- a/src/clients/front.h
+++ b/src/clients/front.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -129,6 +130,8 @@
     };
     std::vector<Mark> marks;
     std::uint64_t received = 0;
+    // Nothing has been read since then: what is read next may have come at any moment after it.
+    std::optional<net::Time> unread_since;
     std::size_t held = 0;  // as counted in held_bytes_
     net::Time last_used{};
   };
--- a/tests/system/promises_test.cpp
+++ b/tests/system/promises_test.cpp
@@ -128,6 +128,7 @@
   CPPUNIT_TEST(workThatMayNotBeRepeatedRunsOnWithoutItsClient);
   CPPUNIT_TEST(timeThatAPipelinedRequestHasWaitedIsNotHandedOn);
   CPPUNIT_TEST(timeThatARequestWaitedBehindALargeBodyIsNotHandedOn);
+  CPPUNIT_TEST(timeThatARequestWaitedUnreadIsNotHandedOn);
   CPPUNIT_TEST(anAnswerWithoutALengthEndsWithItsConnection);
   CPPUNIT_TEST(anAnswerWithoutALengthThatIsResetIsNotWhole);
   CPPUNIT_TEST_SUITE_END();
@@ -233,6 +234,30 @@
                            handed > 1000 && handed <= 2450);
   }
 
+  // The third stands behind more bytes than a connection reads ahead: it is read only when the second is at
+  // work, and may have come at any moment since reading stopped.
+  void timeThatARequestWaitedUnreadIsNotHandedOn() {
+    auto pipelines = client();
+    const std::string body(100'000, 'b');
+    pipelines->send(request("/s/x", "a", 3000) +
+                    fmt::format("POST /u/x HTTP/1.1\r\nHost: h\r\nRequest-Id: b\r\nDeadline-Ms: 3000\r\n"
+                                "Content-Length: {}\r\n\r\n{}",
+                                body.size(), body) +
+                    request("/s/x", "c", 3000));
+    CPPUNIT_ASSERT(until(1s, [&] { return server->taken.size() == 1; }));
+    until(600ms, [] { return false; });
+    for (std::size_t i : {0, 1}) {
+      CPPUNIT_ASSERT(until(1s, [&] { return server->taken.size() == i + 1; }));
+      const std::string id = server->header(i, "Request-Id");
+      server->say(i, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRequest-Id: " + id + "\r\nPostmark: m\r\n\r\n");
+    }
+    CPPUNIT_ASSERT(until(1s, [&] { return server->taken.size() == 3; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), server->header(2, "Request-Id"));
+    const int handed = std::atoi(server->header(2, "Deadline-Ms").c_str());
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("{} ms of 3000 were handed on after 600", handed),
+                           handed > 1000 && handed <= 2450);
+  }
+
   void anAnswerWithoutALengthEndsWithItsConnection() {
     auto asks = client();
     asks->send(request("/s/x", "a", 3000));
