A leaver holds on while the leader says that it is needed until a newcomer counts

Cause: a member told to end asked only whether more stand than are wanted; with another member gone and both successors still being sent the state as many stood as are wanted, so it ended as for a restart and left one of three in the count. Ruled out: waiting whenever no majority lives without it (a restart beside a loss would use up its grace for nothing); a message of its own (a flag that appends and pieces have, false from older programs, says it with every round). Change: must_stay() at the leader, note_whether_to_stay() at the member; a new leader's first words release nobody.

--- a/src/raft/core.h
+++ b/src/raft/core.h
@@ -102,7 +102,7 @@
   void hand_over(Time now);
   // An end was asked for: hands over, and has itself let go where a successor stands.
   void leave(Time now);
-  // Whether those who stay hold what this member holds, or it is to come back.
+  // Whether those who stay hold what this member holds, or it is to come back and they can do without it.
   bool may_end() const;
   void set_seeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
 
@@ -189,6 +189,8 @@
   bool caught_up(Time now, const Peer& peer) const;
   bool stands_at(const std::string& address) const;
   bool can_stand(Time now, const Membership& next) const;
+  bool must_stay(Time now, MemberId id) const;
+  void note_whether_to_stay(Time now, bool stay);
   std::optional<Membership> without(Time now, MemberId id) const;
   std::optional<Membership> without_leaver(Time now) const;
   std::optional<Membership> make_room(Time now) const;
@@ -220,8 +222,10 @@
   Time heard_leader_{};  // also the start of the process: what was promised before it is kept
   Time due_{};           // of the next step of our role
   Time join_due_{};
-  bool leaving_ = false;  // an end was asked for
-  Time leave_due_{};      // of saying so again
+  bool leaving_ = false;       // an end was asked for
+  Time leave_due_{};           // of saying so again
+  bool told_to_stay_ = false;  // by a leader, or by our own count where we lead: see must_stay()
+  Time stay_told_{};           // last
   std::map<MemberId, bool> votes_;
   std::map<MemberId, Peer> peers_;  // of a leader: voters but us, and newcomers
   Index term_start_ = 0;            // of a leader: its first entry
--- a/src/raft/describe.cpp
+++ b/src/raft/describe.cpp
@@ -68,6 +68,8 @@
   out.wait(join_due_);
   out.number(leaving_);
   out.wait(leaving_ ? leave_due_ : now);
+  out.number(told_to_stay_);
+  out.age(stay_told_, 2 * timing.join_every);
   out.number(round_);
 
   const Snapshot& snapshot = log_.snapshot();
--- a/src/raft/membership.cpp
+++ b/src/raft/membership.cpp
@@ -77,10 +77,11 @@
 
 // Nothing that is agreed on rests on this member any more than on one that was never here: it is out of the
 // count by an entry that a majority of those who stay holds, with all before it. Or nobody stands in for it:
-// then its end is that of a restart, and it stays in the count.
+// then its end is that of a restart, and it stays in the count; unless the leader says that it is needed
+// until a newcomer is in.
 bool Core::may_end() const {
   const Membership& membership = log_.membership();
-  if (membership.has(self_)) return membership.voters.size() <= membership.wanted;
+  if (membership.has(self_)) return membership.voters.size() <= membership.wanted && !told_to_stay_;
   return log_.membership_since() <= commit_;
 }
 
@@ -94,6 +95,29 @@
   return living >= next.majority();
 }
 
+// Those that live are no majority without it, and a newcomer is about to come in: as soon as that one counts,
+// the others can do without it. Where nobody is coming, waiting would change nothing.
+bool Core::must_stay(Time now, MemberId id) const {
+  const bool newcomer = std::any_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
+    return !peer.second.voter && peer.second.asked_to_leave == Time{} && lives(now, peer.second);
+  });
+  if (!newcomer || !log_.membership().has(id)) return false;
+  std::size_t living = id == self_ ? 0 : 1;
+  for (const auto& [other, peer] : peers_)
+    if (peer.voter && other != id && lives(now, peer)) ++living;
+  return living < log_.membership().majority();
+}
+
+// A new leader knows of newcomers only when they have asked it: its first words release nobody.
+void Core::note_whether_to_stay(Time now, bool stay) {
+  if (stay) {
+    told_to_stay_ = true;
+    stay_told_ = now;
+  } else if (now - stay_told_ >= 2 * options_.timing.join_every) {
+    told_to_stay_ = false;
+  }
+}
+
 std::optional<Membership> Core::without(Time now, MemberId id) const {
   Membership next = log_.membership();
   std::erase_if(next.voters, [&](const Member& voter) { return voter.id == id; });
--- a/src/raft/replication.cpp
+++ b/src/raft/replication.cpp
@@ -56,6 +56,7 @@
   ++round_;
   let_go(now);
   rounds_[round_] = now;
+  note_whether_to_stay(now, must_stay(now, self_));
   while (rounds_.size() > rounds_kept) rounds_.erase(rounds_.begin());
   for (auto& [id, peer] : peers_) send_to(now, id, peer, true);
   due_ = now + options_.timing.heartbeat;
@@ -72,6 +73,7 @@
   message.commit = commit_;
   message.round = round_;
   message.acknowledged = peer.match;
+  message.yes = must_stay(now, id);
   message.index = peer.next - 1;
   message.log_term = log_.term_at(peer.next - 1);
   if (news && peer.flight.free(round_)) {
@@ -103,6 +105,7 @@
     become_another(now);
     return false;
   }
+  note_whether_to_stay(now, word.yes);
   return true;
 }
 
--- a/src/raft/transfer.cpp
+++ b/src/raft/transfer.cpp
@@ -41,6 +41,7 @@
   message.term = vote_.term;
   message.round = round_;
   message.acknowledged = peer.match;
+  message.yes = must_stay(now, id);
   if (!sends || !(peer.can & can_take_pieces)) {
     // Between the tries a heartbeat that holds whatever the member has.
     message.kind = goes ? MessageKind::install : MessageKind::append;
--- a/src/raft/types.h
+++ b/src/raft/types.h
@@ -92,7 +92,9 @@
   Index commit = 0;
   Index acknowledged = 0;   // append: what this leader was told that the one asked holds
   std::uint64_t round = 0;  // of the leader; comes back with the answer
-  bool yes = false;         // granted, accepted; join: this is the first start of the whole system
+  // Granted, accepted. join: this is the first start of the whole system. append, install, piece: were the
+  // one asked to end, it is to stay until a newcomer counts.
+  bool yes = false;
   std::vector<Entry> entries;
   Snapshot snapshot;  // install; piece: its state is the bytes from `offset` on
   std::uint64_t can = 0;
--- a/tests/system/agreement_test.cpp
+++ b/tests/system/agreement_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(aLeaverThatHoldsMostLeadsAgainFirst);
   CPPUNIT_TEST(aRestartWaitsForNobody);
   CPPUNIT_TEST(aRestartBesideALossWaitsForNobody);
+  CPPUNIT_TEST(aNewLeadersFirstWordsReleaseNoLeaver);
   CPPUNIT_TEST(aLeaverThatReturnsIsTakenInAnew);
   CPPUNIT_TEST(whoIsNotCountedDoesNotStand);
   CPPUNIT_TEST(aVoteFromOutsideDoesNotCount);
@@ -241,6 +242,28 @@
     band.good();
   }
 
+  // It knows of a newcomer only when that one has asked it.
+  void aNewLeadersFirstWordsReleaseNoLeaver() {
+    Band band(3);
+    std::size_t a = band.led(), c = other_than({a});
+    Message word;
+    word.kind = MessageKind::append;
+    word.from = band.core(a).self();
+    word.from_address = band.place(a).address;
+    word.term = band.core(a).term();
+    word.index = band.core(c).log().last();
+    word.log_term = band.core(c).log().term_at(word.index);
+    word.commit = band.core(c).commit();
+    word.yes = true;
+    band.hand(c, word);
+    band.core(c).leave(band.now(c));
+    CPPUNIT_ASSERT(!band.core(c).may_end());
+    // Heartbeats without the word: the first of them change nothing.
+    band.run(0.2);
+    CPPUNIT_ASSERT(!band.core(c).may_end());
+    CPPUNIT_ASSERT(band.until(1, [&] { return band.core(c).may_end(); }));
+  }
+
   // Nobody is coming: what is missing without it is missing whether it waits or not.
   void aRestartBesideALossWaitsForNobody() {
     Band band(3);
