All bytes that others make a process hold are bounded together, links and the broker in service too

Cause: frames between the system's processes were bounded each (4 MB on up to 8,192 links), clients' bytes of the broker in service only each (64 KB on 768 connections beside 192 MB).

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <system_error>
 
+#include "altavia/memory_shares.h"
 #include "invariants/invariants.h"
 #include "logging/log.h"
 
@@ -19,9 +20,6 @@
 constexpr net::Duration leave_before = 700ms;
 constexpr double most_left_of_grace = 0.14;
 constexpr transport::Links::Bounds asked_by_edges{64, 1024};
-// Of the process's memory: what clients send and have not taken yet, and what index servers answer.
-constexpr double clients_share = 0.35;
-constexpr double servers_share = 0.2;
 constexpr std::size_t other_files = 300;  // descriptors that are no client's
 
 std::size_t most_clients(const coldai::Settings& settings) {
@@ -44,7 +42,9 @@
              most_clients(settings),
              warn}) {
   door_.station().desk().nodes().set_home(settings.zone);
-  door_.set_memory_bounds(settings.memory_bytes(clients_share), settings.memory_bytes(servers_share));
+  door_.set_memory_bounds(settings.memory_bytes(edge_shares.clients),
+                          settings.memory_bytes(edge_shares.servers));
+  links_.set_memory_bound(settings.memory_bytes(edge_shares.links));
   door_.start(net::Address::of(settings.front_door));
   check_.leave_heads_bare();
   if (!settings.ready_check.empty()) check_.listen(net::Address::of(settings.ready_check));
@@ -185,6 +185,9 @@
        n(front.closed_for_memory)},
       {"altavia_answers_without_memory_total", "answers of nodes broken off since theirs had reached it",
        n(links.without_memory)},
+      {"altavia_link_bytes", "held for links to other processes", n(links_.held_bytes())},
+      {"altavia_links_closed_for_memory_total", "links cut off since their bytes had reached their bound",
+       n(links_.closed_for_memory())},
       {"altavia_unread_total", "frames that could not be read", n(door_.station().follower().unread())},
       {"altavia_log_lines_dropped_total", "lines that would have waited, or were too many",
        n(logging::dropped_lines())},
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "altavia/memory_shares.h"
 #include "invariants/invariants.h"
 #include "logging/log.h"
 
@@ -14,7 +15,6 @@
 
 constexpr std::size_t most_connections = 1024;
 constexpr std::size_t most_body = 1 << 20;
-constexpr double callers_share = 0.25;  // of the process's memory, for what callers send and have not taken
 constexpr net::Duration start_pause = 300ms;
 constexpr net::Duration stop_within = 400ms;
 constexpr double most_of_grace = 0.85;  // for a leave that needs others
@@ -61,7 +61,8 @@
       links_(loop, *this),
       store_(settings.data_dir),
       member_(links_, store_, core_options(settings, seed), office_options(settings, seed)) {
-  front_.set_memory_bound(settings.memory_bytes(callers_share));
+  front_.set_memory_bound(settings.memory_bytes(member_shares.clients));
+  links_.set_memory_bound(settings.memory_bytes(member_shares.links));
   links_.listen(net::Address::of(settings.inner_address()));
   front_.listen(net::Address::of(settings.control_port));
   start_core();
@@ -164,6 +165,9 @@
       {"altavia_frames_dropped_total", "frames for which there was no link, or no room", n(links_.dropped())},
       {"altavia_accept_failures_total", "links that waited, since no descriptor was free",
        n(links_.accept_failures())},
+      {"altavia_link_bytes", "held for links to other processes", n(links_.held_bytes())},
+      {"altavia_links_closed_for_memory_total", "links cut off since their bytes had reached their bound",
+       n(links_.closed_for_memory())},
       {"altavia_unread_total", "frames that could not be read", n(member_.unread())},
       {"altavia_calls_total", "control calls", n(front_.counters().requests)},
       {"altavia_log_lines_dropped_total", "lines that would have waited, or were too many",
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -14,6 +14,10 @@
 
 // Descriptors that are neither a client's nor a node's: the listener, discovery, signals, the log.
 constexpr std::size_t other_descriptors = 24;
+// Of the process's memory, for what clients send and have not taken yet. Frames from and to nodes have 66 KB
+// each on a quarter of the descriptors, and open queries are bounded in number.
+constexpr double clients_share = 0.35;
+
 // How long after the word to end new queries are still taken: those who send them learn of it by then.
 constexpr net::Duration taking_on = 700ms;
 
@@ -56,6 +60,7 @@
       members_(log, source_of(loop, log, config, options), *this),
       engine_(config.module, {config.broker.zones, config.broker.kinds}, std::move(policy),
               {*this, *this, *this, *this}) {
+  front_.set_memory_bound(static_cast<std::size_t>(config_.memory_mb * clients_share * (1 << 20)));
   for (std::size_t i = 0; i < config_.module.classes.size(); ++i)
     classes_[config_.module.classes[i].name] = static_cast<int>(i);
   for (std::size_t i = 0; i < config_.module.tenants.size(); ++i)
@@ -316,9 +321,10 @@
   out += fmt::format(
       "}},\"probes\":{},\"batches\":{},\"clients\":{{\"accepted\":{},\"open\":{},\"requests\":{},"
       "\"bad_requests\":{},\"closed_for_room\":{},\"timed_out\":{},\"closed_unused\":{},\"accept_failures\":{"
-      "}}},",
+      "},\"held_bytes\":{},\"refused_for_memory\":{},\"closed_for_memory\":{}}},",
       counters.probes, counters.batches, front.accepted, front_.connections(), front.requests,
-      front.bad_requests, front.closed_for_room, front.timed_out, front.closed_unused, front.accept_failures);
+      front.bad_requests, front.closed_for_room, front.timed_out, front.closed_unused, front.accept_failures,
+      front_.held_bytes(), front.refused_for_memory, front.closed_for_memory);
   out += fmt::format(
       "\"nodes\":{{\"connects\":{},\"connects_failed\":{},\"open\":{},\"frames\":{},\"give_ups\":{},"
       "\"closed_idle\":{},\"closed_for_room\":{},\"fell_silent\":{},\"closed_silent\":{},\"late_answers\":{},"
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -15,6 +15,8 @@
 
 constexpr int default_sockets = 1024;
 constexpr int least_sockets = 64;
+constexpr int default_memory_mb = 192;
+constexpr int least_memory_mb = 16;
 constexpr std::size_t largest_file = std::size_t{16} << 20;
 constexpr int most_open = 1 << 20;
 
@@ -86,14 +88,14 @@
   return seed;
 }
 
-int read_sockets(const json::Value& root) {
+// One of the platform's limits; `usual` where it names none.
+int read_limit(const json::Value& root, const std::string& key, int usual, int least) {
   const json::Value* limits = root.find("limits");
-  if (!limits) return default_sockets;
-  const json::Value* sockets = limits->find("sockets");
-  if (!sockets) return default_sockets;
-  auto value = sockets->whole();
-  if (!value) fail("limits.sockets", "is not a whole number");
-  if (*value < least_sockets) fail("limits.sockets", "is below " + std::to_string(least_sockets));
+  const json::Value* limit = limits ? limits->find(key) : nullptr;
+  if (!limit) return usual;
+  auto value = limit->whole();
+  if (!value) fail("limits." + key, "is not a whole number");
+  if (*value < least) fail("limits." + key, "is below " + std::to_string(least));
   return static_cast<int>(std::min<std::int64_t>(*value, 1 << 20));
 }
 
@@ -126,7 +128,8 @@
   config.listen = take_address(root, "listen");
   config.discovery = take_address(root, "discovery");
   config.seed = read_seed(take_text(root, "seed"));
-  config.max_sockets = read_sockets(root);
+  config.max_sockets = read_limit(root, "sockets", default_sockets, least_sockets);
+  config.memory_mb = read_limit(root, "memory_mb", default_memory_mb, least_memory_mb);
   if (const json::Value* known = root.find("known"); known && !known->is(Kind::null)) {
     try {
       config.known = discovery::read_members(*known);
@@ -154,6 +157,7 @@
   if (now.name != then.name) keys.push_back("name");
   if (now.listen != then.listen) keys.push_back("listen");
   if (now.max_sockets != then.max_sockets) keys.push_back("limits.sockets");
+  if (now.memory_mb != then.memory_mb) keys.push_back("limits.memory_mb");
   if (auto path = now.settings.first_difference(then.settings)) keys.push_back("settings." + *path);
   return keys;
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -26,6 +26,7 @@
   net::Address discovery;
   std::uint64_t seed = 0;
   int max_sockets = 0;
+  int memory_mb = 0;            // that this process may use
   discovery::MemberList known;  // as this broker last had it; may be old, or empty
   Settings module;
   settings::BrokerSettings broker;
--- a/src/transport/links.cpp
+++ b/src/transport/links.cpp
@@ -1,6 +1,7 @@
 #include "transport/links.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pearspar::transport {
 namespace {
@@ -124,6 +125,10 @@
   }
   for (int shift = 24; shift >= 0; shift -= 8) link.out += static_cast<char>((frame.size() >> shift) & 255);
   link.out += frame;
+  account(link);
+  // Not from within the call that sends: others may be told of the end of their link.
+  if (held_bytes_ > memory_bound_ && !make_room_.pending())
+    make_room_ = loop_.at(loop_.now(), [this] { make_room(); });
   // Written at the end of the turn, with whatever else is queued until then.
   if (link.up) link.watch.want(POLLIN | POLLOUT);
 }
@@ -157,6 +162,10 @@
       close(id);
       return false;
     }
+    account(*link);
+    make_room();
+    link = links_.find(id);
+    if (!link) return false;
     while (link->in.size() >= length_bytes) {
       std::string_view view = link->in.view();
       std::size_t size = 0;
@@ -170,6 +179,7 @@
       link = links_.find(id);
       if (!link) return false;
       link->in.consume(length_bytes + size);
+      account(*link);
     }
     if (link->in.size() < read_step) break;
   }
@@ -193,6 +203,28 @@
   } else {
     link.watch.want(POLLIN | POLLOUT);
   }
+  account(link);
+}
+
+void Links::account(Link& link) {
+  const std::size_t before = std::exchange(link.held, link.in.capacity() + link.out.capacity());
+  held_bytes_ += link.held - before;
+}
+
+void Links::make_room() {
+  make_room_.reset();
+  while (held_bytes_ > memory_bound_ && close_largest()) ++closed_for_memory_;
+}
+
+bool Links::close_largest() {
+  net::SlotId largest;
+  std::size_t most = 0;
+  links_.each([&](net::SlotId id, Link& link) {
+    if (link.held > most) largest = id, most = link.held;
+  });
+  if (!largest) return false;
+  close(largest);
+  return true;
 }
 
 void Links::close(net::SlotId id) {
@@ -200,6 +232,7 @@
   if (!link) return;
   std::string address = link->address;
   bool was_up = link->up;
+  held_bytes_ -= link->held;
   links_.release(id);
   if (was_up) user_.link_down(number(id));
   if (address.empty()) return static_cast<void>(--accepted_);
--- a/src/transport/links.h
+++ b/src/transport/links.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -26,6 +27,14 @@
     std::size_t links = 8192;
     std::size_t frame = fanes::most_frame;
   };
+  // Bytes held for all links together, at the most: frames that are coming and what has not been taken yet.
+  // Beyond them the link that holds the most is closed; one that we dialled comes up again.
+  void set_memory_bound(std::size_t bytes) { memory_bound_ = bytes; }
+  std::size_t held_bytes() const { return held_bytes_; }
+  std::uint64_t closed_for_memory() const { return closed_for_memory_; }
+  // Closes the link that holds the most; false where none holds anything.
+  bool close_largest();
+
   // Throws std::system_error where the address cannot be had.
   void listen(const net::Address& address, const Bounds& bounds);
   void listen(const net::Address& address) { listen(address, Bounds()); }
@@ -49,6 +58,7 @@
     net::Buffer in;
     std::string out;
     std::size_t written = 0;
+    std::size_t held = 0;  // as counted in held_bytes_
   };
   struct Dial {
     net::SlotId link;
@@ -68,6 +78,8 @@
   void on_ready(net::SlotId id, short events);
   bool read(net::SlotId id);
   void write(net::SlotId id);
+  void account(Link& link);
+  void make_room();
   void close(net::SlotId id);
 
   net::Loop& loop_;
@@ -79,6 +91,10 @@
   std::size_t accepted_ = 0;
   net::SlotTable<Link> links_;
   std::map<std::string, Dial> dials_;
+  std::size_t memory_bound_ = std::numeric_limits<std::size_t>::max();
+  std::size_t held_bytes_ = 0;
+  net::Timer make_room_;
+  std::uint64_t closed_for_memory_ = 0;
   std::uint64_t dropped_ = 0;
   std::uint64_t accept_failures_ = 0;
 };
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -149,6 +149,45 @@
   EXPECT_EQ(ask(client, query("9b20", two_parts())).substr(0, 18), R"(200 {"total":true,)");
 }
 
+// Each of them keeps inside its own bounds; together they would take more than the process may hold for
+// clients.
+TEST_F(BrokerTest, ClientsBytesAreBoundedTogether) {
+  peers::ConfigText text;
+  text.limits = R"({"memory_mb":16,"sockets":1024})";
+  start(false, text);
+  constexpr int clients = 150;
+  constexpr std::size_t most_held = 16 * 35 * (1 << 20) / 100, length = 60'000;
+  std::vector<Peer> slow(clients);
+  std::size_t peak = 0;
+  for (Peer& each : slow) {
+    ASSERT_TRUE(connect(each));
+    each.write("POST /search HTTP/1.1\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" +
+               std::string(length - 1, 'x'));
+    int turns = 0;
+    until([&] { return ++turns > 3; });
+    const std::string counters = broker->counters_json();
+    const std::size_t at = counters.find("\"held_bytes\":");
+    peak = std::max<std::size_t>(peak, std::strtoul(counters.c_str() + at + 13, nullptr, 10));
+  }
+  EXPECT_GT(peak, most_held / 2);
+  EXPECT_LE(peak, most_held);
+  EXPECT_EQ(broker->counters_json().find("\"refused_for_memory\":0,"), std::string::npos);
+  int told_to_come_back = 0;
+  until([&] {
+    told_to_come_back = 0;
+    for (Peer& each : slow) {
+      each.read();
+      if (each.seen().substr(0, 12) == "HTTP/1.1 503" &&
+          each.seen().find("Retry-After") != std::string_view::npos)
+        ++told_to_come_back;
+    }
+    return told_to_come_back > 0;
+  });
+  EXPECT_GT(told_to_come_back, 0);
+  ASSERT_TRUE(connect(client));
+  EXPECT_EQ(ask(client, query("9b1f", two_parts())).substr(0, 4), "200 ");
+}
+
 // Ready from the first moment on the saved list, with discovery down.
 TEST_F(BrokerTest, TheSavedListServesWhileDiscoveryIsDown) {
   agent.close();
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -61,9 +61,10 @@
   EXPECT_TRUE(fixed_differences(now, read_config(text.text())).empty());
   text.max_open = "201";
   text.listen = "127.0.0.1:7";
-  text.limits = R"({"sockets":256})";
-  EXPECT_EQ(fixed_differences(now, read_config(text.text())),
-            (std::vector<std::string>{"listen", "limits.sockets", "settings.limits.max_open"}));
+  text.limits = R"({"sockets":256,"memory_mb":128})";
+  EXPECT_EQ(
+      fixed_differences(now, read_config(text.text())),
+      (std::vector<std::string>{"listen", "limits.sockets", "limits.memory_mb", "settings.limits.max_open"}));
 }
 
 // The same settings give the module the same, whichever way they are written.
@@ -105,6 +106,8 @@
            {"8c1f30d27a5be964", "xyz", "seed is not"},
            {"\"sockets\":1024", "\"sockets\":3", "limits.sockets is below"},
            {"\"sockets\":1024", "\"sockets\":\"x\"", "limits.sockets is not"},
+           {"\"memory_mb\":192", "\"memory_mb\":3", "limits.memory_mb is below"},
+           {"\"memory_mb\":192", "\"memory_mb\":1.5", "limits.memory_mb is not"},
            {"\"revision\":1,", "", "known: revision"},
            {"\"aim_s\":2.0", "\"aim_s\":\"2.0\"", "classes.0.aim_s is not a number"},
            {"\"aim_s\":1.5,", "", "classes.1.aim_s is missing"},
--- a/tests/system/links_test.cpp
+++ b/tests/system/links_test.cpp
@@ -133,6 +133,7 @@
   CPPUNIT_TEST(aDialledLinkComesUpAgain);
   CPPUNIT_TEST(bothEndsOfALinkAreProbed);
   CPPUNIT_TEST(aFrameThatIsTooLongEndsItsLink);
+  CPPUNIT_TEST(framesOfAllLinksAreBoundedTogether);
   CPPUNIT_TEST(whoListensBoundsWhatOthersOpen);
   CPPUNIT_TEST(withoutDescriptorsTheLoopRests);
   CPPUNIT_TEST(whatIsOverBeforeItsConnectionIsUpIsNotSent);
@@ -500,6 +501,43 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, there.count());
   }
 
+  // Each frame is inside its bound; the link that holds the most goes, and others carry theirs meanwhile.
+  void framesOfAllLinksAreBoundedTogether() {
+    clear();
+    net::Address address = free_address();
+    transport::Links there(loop, *this), here(loop, *this);
+    there.listen(address);
+    there.set_memory_bound(1 << 20);
+    here.keep({address.text()});
+    until([&] { return there.count() == 1; });
+    const std::string beginning =
+        std::string("\0\x0f\x42\x40", 4) + std::string(400'000, 'x');  // of 1,000,000
+    std::vector<net::Fd> strangers;
+    std::size_t peak = 0;
+    for (int i = 0; i < 8; ++i) {
+      int error = 0;
+      strangers.push_back(net::start_connect(address, error));
+      std::size_t sent = 0;
+      until([&] {
+        std::size_t written = 0;
+        net::write_from(strangers.back(), std::string_view(beginning).substr(sent), written);
+        sent += written;
+        peak = std::max(peak, there.held_bytes());
+        return sent == beginning.size() || written == 0;
+      });
+    }
+    until([&] { return there.closed_for_memory() >= 4; });
+    CPPUNIT_ASSERT(there.closed_for_memory() >= 4);
+    // One read may pass the bound before it is looked at.
+    CPPUNIT_ASSERT(peak <= (1 << 20) + 4 * 64 * 1024);
+    CPPUNIT_ASSERT(here.send_to(address.text(), "still carried"));
+    until([&] { return !frames.empty(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("still carried"), frames.back());
+    strangers.clear();
+    until([&] { return there.count() == 1; });
+    CPPUNIT_ASSERT(there.held_bytes() < 100'000);
+  }
+
   // As edges do for other edges: two at once, short words; room again when one has gone.
   // A listener that stays ready while no descriptor is free: it is looked at again after a pause, not at
   // once.
