A process without memory uses a reserve, gives up connections, or ends with a line that says why

Cause: a refused allocation ended a process by terminate, with nothing in its log; C libraries failed in ways of their own (a message packed with a hole, a valid configuration read as none). Ruled out: catching std::bad_alloc for each connection (no function between is written to leave its state whole); ending at the first refusal (60 bytes would cost every open request). An idle client is no longer taken for a request that is still coming where room is needed.

--- /dev/null
+++ b/src/allocation/global_new.cpp
@@ -0,0 +1,25 @@
+// Global operator new and delete of our programs: what the system refuses is met as allocation.h says, in
+// place of std::bad_alloc. Linked into a program as an object, never into a library.
+#include <new>
+
+#include "allocation/allocation.h"
+
+namespace allocation = pearspar::allocation;
+
+void* operator new(std::size_t size) { return allocation::allocate(size); }
+void* operator new[](std::size_t size) { return allocation::allocate(size); }
+void* operator new(std::size_t size, std::align_val_t alignment) {
+  return allocation::allocate_aligned(size, static_cast<std::size_t>(alignment));
+}
+void* operator new[](std::size_t size, std::align_val_t alignment) {
+  return allocation::allocate_aligned(size, static_cast<std::size_t>(alignment));
+}
+
+void operator delete(void* memory) noexcept { allocation::release(memory); }
+void operator delete[](void* memory) noexcept { allocation::release(memory); }
+void operator delete(void* memory, std::size_t) noexcept { allocation::release(memory); }
+void operator delete[](void* memory, std::size_t) noexcept { allocation::release(memory); }
+void operator delete(void* memory, std::align_val_t) noexcept { allocation::release(memory); }
+void operator delete[](void* memory, std::align_val_t) noexcept { allocation::release(memory); }
+void operator delete(void* memory, std::size_t, std::align_val_t) noexcept { allocation::release(memory); }
+void operator delete[](void* memory, std::size_t, std::align_val_t) noexcept { allocation::release(memory); }
--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <system_error>
 
+#include "allocation/allocation.h"
 #include "altavia/memory_shares.h"
 #include "invariants/invariants.h"
 #include "logging/log.h"
@@ -103,6 +104,7 @@
 }
 
 void Edge::after_turn() {
+  const allocation::Activity activity("requests that are due");
   net::Time now = loop_.now();
   door_.after_turn();
   take_configuration();
@@ -192,6 +194,7 @@
       {"altavia_log_lines_dropped_total", "lines that would have waited, or were too many",
        n(logging::dropped_lines())},
       {"altavia_cancelled_total", "calls ended since their client had left", n(desk.cancelled)},
+      {"altavia_allocations_refused_total", "served from the reserve", n(allocation::refusals())},
       {"altavia_violations_total", "of invariants; never to be more than none", n(invariants::violations())},
       {"altavia_open", "requests under way", n(door_.station().desk().open())},
       {"altavia_coverage", "share of the weight that is asked", door_.station().desk().coverage()},
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -24,6 +24,12 @@
   // No more ready; serves on while clients go elsewhere, then ends.
   void stop();
   bool stopped() const { return ended_; }
+  // Gives up what one connection holds; false where nothing is left to give up.
+  bool shed() { return door_.front().shed() || links_.close_largest(); }
+  // Bytes that others make this process hold.
+  std::size_t client_bytes() const { return door_.front().held_bytes() + check_.held_bytes(); }
+  std::size_t server_bytes() const { return door_.nodes().held_bytes(); }
+  std::size_t link_bytes() const { return links_.held_bytes(); }
   bool ready() const { return !stopping_ && door_.station().ready(); }
 
  private:
--- a/src/altavia/main.cpp
+++ b/src/altavia/main.cpp
@@ -1,11 +1,14 @@
 // The one program of the system: what it does on a machine follows from the settings that the platform hands
 // to it. It serves clients where it is given a front door, and is a member of the core where it is given a
 // control port and a folder on disk.
+#include <cjson/cJSON.h>
 #include <malloc.h>
 #include <popt.h>
 #include <signal.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
@@ -16,6 +19,7 @@
 #include <system_error>
 #include <vector>
 
+#include "allocation/allocation.h"
 #include "altavia/edge.h"
 #include "altavia/member.h"
 #include "carestiato/commands.h"
@@ -62,9 +66,12 @@
 }
 
 // What runs here, and what it is told.
-class Process {
+class Process : private allocation::Holdings {
  public:
-  Process(std::string path, Level least) : path_(std::move(path)), watched_(path_), least_(least) {}
+  Process(std::string path, Level least) : path_(std::move(path)), watched_(path_), least_(least) {
+    allocation::set_report(STDOUT_FILENO, "", this);
+  }
+  ~Process() override { allocation::set_report(STDOUT_FILENO, "", nullptr); }
 
   int run() {
     net::Loop& loop = loop_;
@@ -90,6 +97,7 @@
       loop.turn();
       if (edge_) edge_->after_turn();
       if (member_) member_->after_turn();
+      restore_reserve();
       if (stop_ && (!edge_ || edge_->stopped()) && (!member_ || member_->stopped())) {
         log(Level::info, "ended");
         return 0;
@@ -98,8 +106,29 @@
   }
 
  private:
+  // The system has refused memory: what holds the most makes way until the reserve is whole again.
+  void restore_reserve() {
+    if (allocation::reserve_is_whole()) return;
+    const std::uint64_t refusals = allocation::refusals();
+    int given_up = 0;
+    while (!allocation::fill_reserve() && ((edge_ && edge_->shed()) || (member_ && member_->shed())))
+      ++given_up;
+    log(Level::warning, "short_of_memory",
+        {{"refusals", refusals}, {"given_up", given_up}, {"reserve_whole", allocation::reserve_is_whole()}});
+  }
+
+  std::size_t describe(char* into, std::size_t room) const noexcept override {
+    const std::size_t clients = (edge_ ? edge_->client_bytes() : 0) + (member_ ? member_->client_bytes() : 0);
+    const std::size_t servers = edge_ ? edge_->server_bytes() : 0;
+    const std::size_t links = (edge_ ? edge_->link_bytes() : 0) + (member_ ? member_->link_bytes() : 0);
+    const int size =
+        std::snprintf(into, room, "\"clients\":%zu,\"servers\":%zu,\"links\":%zu", clients, servers, links);
+    return static_cast<std::size_t>(std::max(size, 0));
+  }
+
   // Settings that are no good change nothing; at the start they are waited for.
   void read(net::Loop& loop) {
+    const allocation::Activity activity("the settings and what they start");
     look_ = false;
     coldai::ReadSettings read = coldai::read_settings(path_);
     if (!read.fault.empty()) {
@@ -114,6 +143,7 @@
       return;
     }
     logging::open_log(read.settings.node_name, least_);
+    allocation::set_report(STDOUT_FILENO, read.settings.node_name.c_str(), this);
     try {
       if (!read.settings.front_door.empty())
         edge_ = std::make_unique<altavia::Edge>(loop, read.settings, fresh_number());
@@ -220,6 +250,9 @@
   }
   if (command == "check-settings") return check_settings(path);
   ::mallopt(M_MMAP_THRESHOLD, mapped_from);
+  cJSON_Hooks memory{allocation::allocate, allocation::release};
+  cJSON_InitHooks(&memory);
+  allocation::fill_reserve();
   invariants::set_handler(tell_violation);
   logging::open_log("altavia", least);
   return Process(path, least).run();
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "allocation/allocation.h"
 #include "altavia/memory_shares.h"
 #include "invariants/invariants.h"
 #include "logging/log.h"
@@ -172,6 +173,7 @@
       {"altavia_calls_total", "control calls", n(front_.counters().requests)},
       {"altavia_log_lines_dropped_total", "lines that would have waited, or were too many",
        n(logging::dropped_lines())},
+      {"altavia_allocations_refused_total", "served from the reserve", n(allocation::refusals())},
       {"altavia_violations_total", "of invariants; never to be more than none", n(invariants::violations())},
       {"altavia_caller_bytes", "held for callers' connections", n(front_.held_bytes())},
       {"altavia_refused_for_memory_total", "calls answered 503 since callers' bytes had reached their bound",
@@ -204,6 +206,7 @@
 }
 
 void Member::after_turn() {
+  const allocation::Activity activity("the log, its store and calls that are due");
   net::Time now = loop_.read_clock();
   if (!member_.started() && now >= start_again_) start_core();
   for (auto& reply : member_.advance([this] { return loop_.read_clock(); })) {
--- a/src/altavia/member.h
+++ b/src/altavia/member.h
@@ -26,6 +26,11 @@
   void settings_changed(const coldai::Settings& settings);
   // Hands over what it leads, and answers what it still can. It ends when the others can do without it.
   void stop();
+  // Gives up what one connection holds; false where nothing is left to give up.
+  bool shed() { return front_.shed() || links_.close_largest(); }
+  // Bytes that others make this process hold.
+  std::size_t client_bytes() const { return front_.held_bytes(); }
+  std::size_t link_bytes() const { return links_.held_bytes(); }
   bool stopped() const {
     return stopping_ && loop_.now() >= stop_at_ && (member_.may_end() || loop_.now() >= grace_over_);
   }
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -45,6 +45,9 @@
   // names what can't.
   void reload(const config::Config& config, const options::Options& options = {});
 
+  // Gives up what one client's connection holds; false where nothing is left to give up.
+  bool shed() { return front_.shed(); }
+
   // A planned end: queries are taken for a while yet, and what was taken is answered.
   void wind_down();
   bool done() const { return done_; }
--- a/src/clients/front.cpp
+++ b/src/clients/front.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <utility>
 
+#include "allocation/allocation.h"
 #include "clients/query.h"
 #include "invariants/invariants.h"
 
@@ -123,6 +124,7 @@
 }
 
 void Front::on_ready(net::SlotId id, short events) {
+  const allocation::Activity activity("a client's connection");
   Connection* connection = connections_.find(id);
   if (!connection) return;
   if ((events & (POLLIN | POLLRDHUP | POLLHUP | POLLERR)) != 0) {
--- a/src/clients/front.h
+++ b/src/clients/front.h
@@ -73,6 +73,8 @@
   // request that is still coming and holds the most, then by closing on whoever does not take its answer.
   void set_memory_bound(std::size_t bytes) { memory_bound_ = bytes; }
   std::size_t held_bytes() const { return held_bytes_; }
+  // Gives up what one connection holds, as for the bound; false where nothing is left to give up.
+  bool shed();
 
   void listen(const net::Address& address);
   net::Address address() const { return net::local_address(listener_); }
--- a/src/clients/front_memory.cpp
+++ b/src/clients/front_memory.cpp
@@ -43,21 +43,26 @@
 
 // False where the bound is passed and nothing can be given up for it.
 bool Front::make_room() {
-  while (held_bytes_ > memory_bound_) {
-    const net::SlotId coming = largest([](const Connection& connection) {
-      return connection.state == State::reading && !connection.half_closed;
-    });
-    if (coming) {
-      refuse_for_memory(coming);
-      continue;
-    }
-    const net::SlotId untaken = largest([&](const Connection& connection) {
-      return connection.state == State::writing && connection.last_used + taken_within < loop_.now();
-    });
-    if (!untaken) return false;
-    ++counters_.closed_for_memory;
-    close(untaken);
+  while (held_bytes_ > memory_bound_)
+    if (!shed()) return false;
+  return true;
+}
+
+bool Front::shed() {
+  const net::SlotId coming = largest([](const Connection& connection) {
+    return connection.state == State::reading && !connection.half_closed &&
+           connection.reader.begun(connection.in);
+  });
+  if (coming) {
+    refuse_for_memory(coming);
+    return true;
   }
+  const net::SlotId untaken = largest([&](const Connection& connection) {
+    return connection.state == State::writing && connection.last_used + taken_within < loop_.now();
+  });
+  if (!untaken) return false;
+  ++counters_.closed_for_memory;
+  close(untaken);
   return true;
 }
 
@@ -66,10 +71,9 @@
   Connection& connection = *connections_.find(id);
   ++counters_.refused_for_memory;
   connection.timer.reset();
+  connection.in.release();  // first, so that there is room for the answer
   Answer answer{503, error_body("no memory for this request"), "application/json", {}, come_back_s};
   queue(connection, answer, true);
-  connection.in.release();
-  account(connection);
   write(id);
 }
 
--- a/src/fanes/pack.cpp
+++ b/src/fanes/pack.cpp
@@ -1,5 +1,7 @@
 #include "fanes/pack.h"
 
+#include "allocation/allocation.h"
+
 namespace pearspar::fanes {
 namespace {
 
@@ -52,11 +54,13 @@
 
 }  // namespace
 
-Packer::Packer() {
-  msgpack_sbuffer_init(&buffer_);
-  msgpack_packer_init(&packer_, &buffer_, msgpack_sbuffer_write);
+// Into a string of ours: the library's own buffer reports a refused allocation to whoever packs a value, and
+// would leave a message with a hole.
+Packer::Packer() { msgpack_packer_init(&packer_, this, append); }
+int Packer::append(void* packer, const char* bytes, std::size_t size) {
+  static_cast<Packer*>(packer)->buffer_.append(bytes, size);
+  return 0;
 }
-Packer::~Packer() { msgpack_sbuffer_destroy(&buffer_); }
 void Packer::array(std::size_t size) { msgpack_pack_array(&packer_, size); }
 void Packer::number(std::uint64_t value) { msgpack_pack_uint64(&packer_, value); }
 void Packer::real(double value) { msgpack_pack_double(&packer_, value); }
@@ -68,10 +72,15 @@
 
 Unpacker::Unpacker(std::string_view bytes) {
   msgpack_unpacked_init(&unpacked_);
-  std::size_t at = 0;
   if (!lengths_fit(bytes)) return;
-  if (msgpack_unpack_next(&unpacked_, bytes.data(), bytes.size(), &at) != MSGPACK_UNPACK_SUCCESS ||
-      at != bytes.size() || unpacked_.data.type != MSGPACK_OBJECT_ARRAY)
+  std::size_t at = 0;
+  msgpack_unpack_return result = MSGPACK_UNPACK_NOMEM_ERROR;
+  while ((result = msgpack_unpack_next(&unpacked_, bytes.data(), bytes.size(), &at)) ==
+         MSGPACK_UNPACK_NOMEM_ERROR) {
+    allocation::make_room(bytes.size());
+    at = 0;
+  }
+  if (result != MSGPACK_UNPACK_SUCCESS || at != bytes.size() || unpacked_.data.type != MSGPACK_OBJECT_ARRAY)
     return;
   good_ = true;
   arrays_[0] = unpacked_.data.via.array;
--- a/src/fanes/pack.h
+++ b/src/fanes/pack.h
@@ -14,7 +14,6 @@
 class Packer {
  public:
   Packer();
-  ~Packer();
   Packer(const Packer&) = delete;
 
   void array(std::size_t size);
@@ -22,10 +21,12 @@
   void real(double value);
   void flag(bool value);
   void text(std::string_view value);
-  std::string_view view() const { return {buffer_.data, buffer_.size}; }
+  std::string_view view() const { return buffer_; }
 
  private:
-  msgpack_sbuffer buffer_;
+  static int append(void* packer, const char* bytes, std::size_t size);
+
+  std::string buffer_;
   msgpack_packer packer_;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <system_error>
 
+#include "allocation/allocation.h"
 #include "broker/broker.h"
 #include "cli/fleet_commands.h"
 #include "cli/registry_commands.h"
@@ -54,6 +55,14 @@
   }
 }
 
+// The system has refused memory: what clients hold makes way until the reserve is whole again.
+void restore_reserve(pearspar::broker::Broker& broker, pearspar::log::Logger& log) {
+  int given_up = 0;
+  while (!pearspar::allocation::fill_reserve() && broker.shed()) ++given_up;
+  log.warning("short of memory: {} allocations refused so far, {} clients given up",
+              pearspar::allocation::refusals(), given_up);
+}
+
 int serve(const std::string& config_path, const std::string& options_path, pearspar::log::Level level) {
   pearspar::net::Signals signals{SIGTERM, SIGINT, SIGUSR1, SIGHUP};
   const pearspar::config::Config config = read_config(config_path);
@@ -70,10 +79,13 @@
     else
       broker.wind_down();
   });
+  pearspar::allocation::set_report(STDERR_FILENO, config.name.c_str(), nullptr);
+  pearspar::allocation::fill_reserve();
   broker.start();
   while (!broker.done()) {
     loop.turn();
     broker.end_turn();
+    if (!pearspar::allocation::reserve_is_whole()) restore_reserve(broker, log);
   }
   log.info("ended, counters {}", broker.counters_json());
   return 0;
--- a/src/transport/links.cpp
+++ b/src/transport/links.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "allocation/allocation.h"
+
 namespace pearspar::transport {
 namespace {
 
@@ -134,6 +136,7 @@
 }
 
 void Links::on_ready(net::SlotId id, short events) {
+  const allocation::Activity activity("a link to another process");
   Link* link = links_.find(id);
   if (!link) return;
   if (!link->up) {
--- a/src/upstream/node_links.cpp
+++ b/src/upstream/node_links.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "allocation/allocation.h"
 #include "invariants/invariants.h"
 
 namespace pearspar::upstream {
@@ -136,6 +137,7 @@
 }
 
 void NodeLinks::on_ready(net::SlotId id, short events) {
+  const allocation::Activity activity("an index server's connection");
   Connection* connection = connections_.find(id);
   if (!connection) return;
   if (!connection->up) {
--- a/src/upstream/node_links.h
+++ b/src/upstream/node_links.h
@@ -40,6 +40,7 @@
   bool cancel(pederu::CallId call, bool even_if_sent) override;
   // Bytes of answers that are coming, over all connections, at the most: beyond it the one that grows ends.
   void set_memory_bound(std::size_t bytes) { memory_bound_ = bytes; }
+  std::size_t held_bytes() const { return held_bytes_; }
   // Connections that have been idle past their time; to be called every second or so.
   void sweep();
   std::size_t connections() const { return connections_.size(); }
