--- a/src/altavia/door.h
+++ b/src/altavia/door.h
@@ -26,6 +26,8 @@
   void start(const net::Address& address);
   // After every turn of the loop and every frame of the core's: answers go out, limits are taken over.
   void after_turn();
+  // This process ends: every request that is open is answered with the end of this turn.
+  void end_open() { station_.end_open(loop_.now()); }
   // True once for each edition that requests are routed by from here on.
   bool take_configuration();
   // To be called every second: connections that have been idle for too long.
--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -20,6 +20,7 @@
 // Before the grace is over; a request is served on into the last sixth of it.
 constexpr net::Duration leave_before = 700ms;
 constexpr double most_left_of_grace = 0.14;
+constexpr net::Duration answers_taken_within = 200ms;  // of what is answered then
 constexpr transport::Links::Bounds asked_by_edges{64, 1024};
 constexpr std::size_t other_files = 300;  // descriptors that are no client's
 
@@ -134,6 +135,12 @@
   door_.front().stop_listening();
   door_.front().close_idle();
   if (door_.front().busy() > 0 && loop_.now() < end_at_) return;
+  if (answers_taken_by_ == net::Time{}) {
+    answers_taken_by_ = loop_.now() + answers_taken_within;
+    door_.end_open();
+    door_.after_turn();
+  }
+  if (door_.front().busy() > 0 && loop_.now() < answers_taken_by_) return;
   door_.station().follower().farewell();
   ended_ = true;
 }
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -58,7 +58,8 @@
   bool stopping_ = false;
   bool ended_ = false;
   net::Time stop_at_{};
-  net::Time end_at_{};
+  net::Time end_at_{};            // open requests are answered, whatever they wait for
+  net::Time answers_taken_by_{};  // of those answers
 };
 
 }  // namespace pearspar::altavia
--- a/src/pederu/desk.cpp
+++ b/src/pederu/desk.cpp
@@ -175,6 +175,18 @@
   due_.emplace(due, id);
 }
 
+void Desk::end_open(Time now) {
+  ending_ = true;
+  requests_.each([&](RequestId id, Request& request) {
+    if (request.done) return;
+    request.end = std::min(request.end, now);
+    due_.erase({request.due, id});
+    request.due = now;
+    due_.insert({now, id});
+  });
+  advance(now);
+}
+
 void Desk::advance(Time now) {
   while (!due_.empty() && due_.begin()->first <= now) {
     RequestId id = due_.begin()->second;
--- a/src/pederu/desk.h
+++ b/src/pederu/desk.h
@@ -82,6 +82,9 @@
   // Its client has gone: nothing new is begun, and calls that may be repeated, or of which nothing was sent,
   // end. What may not be repeated runs on.
   void left(RequestId request);
+  // This process ends: every open request is answered now, with the parts that are in where they are enough,
+  // else by 504, since a node may have run it.
+  void end_open(Time now);
   void ended(Time now, CallId call, const CallEnd& end);
   // Does what has fallen due.
   void advance(Time now);
@@ -135,6 +138,7 @@
   RouteBook book_;
   Allowance allowance_;
   std::uint32_t edges_ = 1;
+  bool ending_ = false;
   std::uint64_t turn_ = 0;
   net::SlotTable<Request> requests_;
   net::SlotTable<Out> out_;
--- a/src/pederu/desk_answers.cpp
+++ b/src/pederu/desk_answers.cpp
@@ -102,7 +102,9 @@
 FinalAnswer Desk::failure(Time now, const Request& request) const {
   FinalAnswer answer;
   answer.status = now >= request.end ? 504 : 502;
-  answer.reason = answer.status == 504 ? Reason::deadline : Reason::failed_at_nodes;
+  answer.reason = answer.status != 504 ? Reason::failed_at_nodes
+                  : ending_            ? Reason::ending
+                                       : Reason::deadline;
   answer.headers = fmt::format("Request-Id: {}\r\n", request.id);
   return answer;
 }
--- a/src/pederu/failures.cpp
+++ b/src/pederu/failures.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::array<std::string_view, reasons> names = {
     "none",    "no_configuration", "no_route",         "too_many_open",   "out_of_time", "overload",
-    "no_node", "too_few_parts",    "refused_by_nodes", "failed_at_nodes", "deadline"};
+    "no_node", "too_few_parts",    "refused_by_nodes", "failed_at_nodes", "deadline",    "ending"};
 
 constexpr std::size_t longest_id = 128;
 
--- a/src/pederu/failures.h
+++ b/src/pederu/failures.h
@@ -24,8 +24,9 @@
   refused_by_nodes,  // each said that it did not run it
   failed_at_nodes,   // a node's failure, a connection that broke, or what was no answer
   deadline,          // passed before an answer
+  ending,            // this edge ends, and had no answer by then
 };
-inline constexpr std::size_t reasons = static_cast<std::size_t>(Reason::deadline) + 1;
+inline constexpr std::size_t reasons = static_cast<std::size_t>(Reason::ending) + 1;
 std::string_view name(Reason reason);
 
 // A call that brought no good answer.
--- a/src/vandelli/station.cpp
+++ b/src/vandelli/station.cpp
@@ -206,6 +206,13 @@
   answers_.emplace_back(ours, std::move(answer));
 }
 
+void Station::end_open(Time now) {
+  for (Waiting& each : waiting_) each.until = std::min(each.until, now);
+  for (Held& each : held_) each.until = std::min(each.until, now);
+  try_waiting(now);
+  desk_.end_open(now);
+}
+
 std::vector<std::pair<RequestId, pederu::FinalAnswer>> Station::take_answers(Time now) {
   if (!purse_.on() && draws_.empty() && held_.empty() && answers_.empty() && names_.empty())
     return desk_.take_answers();
--- a/src/vandelli/station.h
+++ b/src/vandelli/station.h
@@ -58,6 +58,8 @@
   vazzoler::Follower& follower() { return follower_; }
   const vazzoler::Follower& follower() const { return follower_; }
   const pramperet::Purse& purse() const { return purse_; }
+  // This process ends: every request that is open is answered.
+  void end_open(Time now);
 
  private:
   static constexpr std::size_t most_waiting = 2048;
--- a/tests/system/promises_test.cpp
+++ b/tests/system/promises_test.cpp
@@ -129,6 +129,7 @@
   CPPUNIT_TEST(timeThatAPipelinedRequestHasWaitedIsNotHandedOn);
   CPPUNIT_TEST(timeThatARequestWaitedBehindALargeBodyIsNotHandedOn);
   CPPUNIT_TEST(timeThatARequestWaitedUnreadIsNotHandedOn);
+  CPPUNIT_TEST(whoWaitsWhenItsEdgeEndsIsAnswered);
   CPPUNIT_TEST(anAnswerWithoutALengthEndsWithItsConnection);
   CPPUNIT_TEST(anAnswerWithoutALengthThatIsResetIsNotWhole);
   CPPUNIT_TEST_SUITE_END();
@@ -258,6 +259,19 @@
                            handed > 1000 && handed <= 2450);
   }
 
+  void whoWaitsWhenItsEdgeEndsIsAnswered() {
+    auto asks = client();
+    asks->send(request("/u/x", "a", 3000));
+    CPPUNIT_ASSERT(until(1s, [&] { return server->taken.size() == 1; }));
+    door->end_open();
+    CPPUNIT_ASSERT(until(200ms, [&] { return !asks->seen().empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 504"), asks->seen().substr(0, 12));
+    CPPUNIT_ASSERT(asks->seen().find("Request-Id: a\r\n") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, door->front().busy());
+    CPPUNIT_ASSERT(door->station().desk().failures().as_json(loop.now()).find("\"reason\":\"ending\"") !=
+                   std::string::npos);
+  }
+
   void anAnswerWithoutALengthEndsWithItsConnection() {
     auto asks = client();
     asks->send(request("/s/x", "a", 3000));
