--- a/src/allocation/global_new.cpp
+++ b/src/allocation/global_new.cpp
@@ -1,5 +1,6 @@
 // Global operator new and delete of our programs: what the system refuses is met as allocation.h says, in
 // place of std::bad_alloc. Linked into a program as an object, never into a library.
+#include <cstdlib>
 #include <new>
 
 #include "allocation/allocation.h"
@@ -14,6 +15,11 @@
 void* operator new[](std::size_t size, std::align_val_t alignment) {
   return allocation::allocate_aligned(size, static_cast<std::size_t>(alignment));
 }
+// Whoever asks so is ready for a refusal.
+void* operator new(std::size_t size, const std::nothrow_t& /*tag*/) noexcept { return std::malloc(size | 1); }
+void* operator new[](std::size_t size, const std::nothrow_t& /*tag*/) noexcept {
+  return std::malloc(size | 1);
+}
 
 void operator delete(void* memory) noexcept { allocation::release(memory); }
 void operator delete[](void* memory) noexcept { allocation::release(memory); }
@@ -23,3 +29,5 @@
 void operator delete[](void* memory, std::align_val_t) noexcept { allocation::release(memory); }
 void operator delete(void* memory, std::size_t, std::align_val_t) noexcept { allocation::release(memory); }
 void operator delete[](void* memory, std::size_t, std::align_val_t) noexcept { allocation::release(memory); }
+void operator delete(void* memory, const std::nothrow_t& /*tag*/) noexcept { allocation::release(memory); }
+void operator delete[](void* memory, const std::nothrow_t& /*tag*/) noexcept { allocation::release(memory); }
