Review case 1: an unsafe request runs twice after all processes are killed

Cause: the member that led restarts with the configuration that was applied before it led, since a leader never saves its commit index, and hands it to edges that start while nobody leads. The stand-in broker has slots, a short queue and slower requests. Nothing is mended.

--- a/review/broker.h
+++ b/review/broker.h
@@ -10,11 +10,13 @@
   struct Arrival {
     double at;
     std::string request;
-    bool misdirected;
+    bool misdirected, refused, ran;
   };
   std::string id, service;
   Endpoint address;
   double work_s = 0.005;
+  double slow_share = 0, slow_times = 4;  // so many requests take so many times as long
+  int slots = 3, queue = 12;
 
   Broker(std::string id, std::string service, const std::string& ip, std::vector<Endpoint> members)
       : id(std::move(id)), service(std::move(service)), members_(std::move(members)) {
@@ -97,16 +99,42 @@
       const std::string name = request.header("Request-Id");
       const bool other = request.has("Addressee") && request.header("Addressee") != id;
       const double at = now_s();
+      std::size_t index = 0;
       {
         std::lock_guard lock(mutex_);
-        arrivals_.push_back({at, name, other});
+        index = arrivals_.size();
+        arrivals_.push_back({at, name, other, false, false});
+      }
+      const bool full = !other && ++held_ > slots + queue;
+      if (other || full) {
+        if (full) --held_;
+        std::lock_guard lock(mutex_);
+        arrivals_[index].refused = full;
+      }
+      if (full) {
+        record->line("broker %s is full for %s (Not-Run)", id.c_str(), name.c_str());
+        if (!write_all(fd, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + name + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")) break;
+        continue;
       }
-      record->line("broker %s %s %s", id.c_str(), other ? "turns away (421)" : "runs", name.c_str());
       if (other) {
+        record->line("broker %s turns away %s (421)", id.c_str(), name.c_str());
         if (!write_all(fd, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n")) break;
         continue;
       }
-      sleep_s(work_s);
+      {
+        std::unique_lock lock(mutex_);
+        while (working_ >= slots && !stop_) free_.wait_for(lock, std::chrono::milliseconds(50));
+        ++working_;
+        arrivals_[index].ran = true;
+      }
+      record->line("broker %s runs %s", id.c_str(), name.c_str());
+      sleep_s(work_s * (std::rand() % 1000 < slow_share * 1000 ? slow_times : 0.6 + 0.001 * (std::rand() % 800)));
+      {
+        std::lock_guard lock(mutex_);
+        --working_;
+      }
+      --held_;
+      free_.notify_one();
       const std::string body = "answer of " + id + " to " + name;
       if (!write_all(fd, "HTTP/1.1 200 OK\r\nRequest-Id: " + name + "\r\nPostmark: " + id + "." + name +
                              "\r\nContent-Type: application/octet-stream\r\nContent-Length: " +
@@ -124,6 +152,9 @@
   std::mutex mutex_;
   std::vector<Arrival> arrivals_;
   std::string beat_address_;
+  std::atomic<int> held_{0};
+  int working_ = 0;
+  std::condition_variable free_;
   std::vector<std::thread> threads_, served_;
   std::thread beats_;
 };
--- a/review/harness.h
+++ b/review/harness.h
@@ -15,6 +15,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstdarg>
 #include <cstdio>
 #include <cstdlib>
