--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,11 +1,13 @@
-// A version that was acknowledged long ago has an `unsafe` route. Then every process of the system is killed and
-// comes back within a second. Does a request on that route run twice?
+// A version that was acknowledged long ago has an `unsafe` route. Then every process of the core and one edge of two
+// are killed and come back within a second. Does a request on that route run twice?
 #include "../broker.h"
 
 using namespace review;
 
 namespace {
 
+// The site kills a share of 0.55 of the machines that do not count at most: one edge of two.
+const std::string spared = "edge2";
 constexpr double config_within_s = 3;
 const char* const unsafe_path = "/gozi722/pay/";
 
@@ -122,11 +124,12 @@
     });
   sleep_s(2);
   if (trouble) {
-    for (auto& [name, machine] : system.machines) system.kill(name, SIGKILL);
+    for (auto& [name, machine] : system.machines)
+      if (name != spared) system.kill(name, SIGKILL);
     sleep_s(0.1);
-    // All are back within a second; of the core the member that led comes first.
+    // They are back within a second; of the core the member that led comes first.
     for (auto& [name, machine] : system.machines)
-      if (!machine.core || name == leads) system.start(name, false);
+      if (name != spared && (!machine.core || name == leads)) system.start(name, false);
     sleep_s(0.8);
     for (auto& [name, machine] : system.machines)
       if (machine.pid == 0) system.start(name, false);
