Edges log and count requests under a configuration that no leader confirmed

Cause: an edge's log names the configuration in force, but not whether a leader sent it or a member that leads nothing; a second call couldn't be told from others.

Change: a follower knows until when an update of the leader confirms its configuration (configWithinMs less half a second for the update's way); one that names a revision which this process could not read confirms nothing. The edge logs `configuration_confirmed` and `configuration_unconfirmed`, and counts requests and second calls between; `member_started` tells the commit index that was on disk. No decision depends on it yet.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -22,6 +22,7 @@
 constexpr double max_end_margin_share_of_grace = 0.14;
 constexpr net::Duration final_answer_time = 200ms;  // for clients to read the last answers
 constexpr transport::TcpTransport::InboundLimits edge_link_limits{64, 1024};
+constexpr net::Duration max_update_delay = 500ms;  // of the leader's updates, on their way
 constexpr std::size_t reserved_descriptors = 300;  // not available for clients
 
 std::size_t max_clients(const process_settings::Settings& settings) {
@@ -29,6 +30,10 @@
   return file_limit > 2 * reserved_descriptors ? (file_limit - reserved_descriptors) / 2 : 100;
 }
 
+subscription::Duration confirmation_lifetime(const process_settings::Settings& settings) {
+  return std::max(net::Duration{}, dispatch::from_ms(settings.config_within_ms) - max_update_delay);
+}
+
 void warn(std::string_view what) { log(Level::warning, "front_door", {{"what", what}}); }
 
 }  // namespace
@@ -39,7 +44,8 @@
       readiness_(loop, warn, 64, *this, {30s, 5s}),
       links_(loop, *this),
       proxy_(loop, links_,
-             {{incarnation, settings.node_name, settings.zone, settings.inner_seeds(), listen_to_edges()},
+             {{incarnation, settings.node_name, settings.zone, settings.inner_seeds(), listen_to_edges(),
+               confirmation_lifetime(settings)},
               {settings.retry_ratio, settings.retry_slack, net::Duration(settings.retry_window_s)},
               max_clients(settings),
               warn}) {
@@ -97,7 +103,21 @@
   if (!proxy_.take_configuration()) return;
   const auto& configuration = proxy_.gateway().follower().view().configuration();
   log(Level::info, "configuration",
-      {{"edition", configuration->revision}, {"routes", configuration->routes.size()}});
+      {{"edition", configuration->revision},
+       {"routes", configuration->routes.size()},
+       {"confirmed", proxy_.gateway().dispatcher().routes_confirmed(loop_.now())}});
+}
+
+// Logs when a leader has confirmed the configuration, and when that is too long ago.
+void Edge::log_confirmation() {
+  const dispatch::Dispatcher& dispatcher = proxy_.gateway().dispatcher();
+  const bool confirmed = dispatcher.routes_confirmed(loop_.now());
+  if (confirmed == configuration_confirmed_) return;
+  configuration_confirmed_ = confirmed;
+  log(Level::info, confirmed ? "configuration_confirmed" : "configuration_unconfirmed",
+      {{"edition", proxy_.gateway().follower().view().revision()},
+       {"unconfirmed_requests", dispatcher.counters().unconfirmed_requests},
+       {"unconfirmed_second_calls", dispatcher.counters().unconfirmed_second_calls}});
 }
 
 void Edge::each_second() {
@@ -110,6 +130,7 @@
   net::Time now = loop_.now();
   proxy_.after_turn();
   apply_configuration();
+  log_confirmation();
   if (stopping_) start_draining();
   net::Time due = proxy_.gateway().due(now);
   if (stopping_) due = std::min(due, now + net::Duration(0.05));
@@ -174,6 +195,10 @@
       {"altavia_no_route_total", "404", number(dispatcher.no_route)},
       {"altavia_calls_total", "requests sent to nodes", number(dispatcher.calls)},
       {"altavia_second_calls_total", "of those past the first of a part", number(dispatcher.second_calls)},
+      {"altavia_unconfirmed_total", "requests while no leader had confirmed the configuration of late",
+       number(dispatcher.unconfirmed_requests)},
+      {"altavia_unconfirmed_second_calls_total", "second calls of those",
+       number(dispatcher.unconfirmed_second_calls)},
       {"altavia_withheld_total", "second calls that the allowance did not cover",
        number(dispatcher.withheld)},
       {"altavia_not_run_total", "calls that a node turned away", number(dispatcher.not_run)},
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -47,6 +47,7 @@
   std::string listen_to_edges();
 
   void apply_configuration();
+  void log_confirmation();
   void each_second();
   // Carries on a shutdown that has begun.
   void start_draining();
@@ -59,6 +60,7 @@
   ReverseProxy proxy_;
   net::Timer second_timer_;
   net::Timer due_timer_;
+  bool configuration_confirmed_ = false;  // as logged last
   bool stopping_ = false;
   bool stopped_ = false;
   net::Time stop_listening_at_{};
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -85,6 +85,7 @@
       {{"id", core.self()},
        {"term", core.term()},
        {"last", core.log().last()},
+       {"committed", core.commit()},
        {"edition", member_.state().revision()},
        {"voter", core.log().membership().has(core.self())}});
 }
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -51,6 +51,8 @@
   Request& request = *requests_.find(id);
   request.routes = routes_;
   request.route = route;
+  request.confirmed = routes_confirmed(now);
+  if (!request.confirmed) ++counters_.unconfirmed_requests;
   request.arrived = now;
   const Time received_at =
       client_request.received_at == Time{} ? now : std::min(now, client_request.received_at);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -48,19 +48,21 @@
 
 struct DispatcherCounters {
   std::uint64_t requests = 0;
-  std::uint64_t gathered = 0;      // requests on routes that gather
-  std::uint64_t whole = 0;         // gathered responses with all parts
-  std::uint64_t partial = 0;       // gathered responses that lack parts
-  std::uint64_t single = 0;        // other responses
-  std::uint64_t refused = 0;       // requests answered without running them
-  std::uint64_t given_up = 0;      // of `refused`: by load shedding
-  std::uint64_t failed = 0;        // requests that failed after they may have run
-  std::uint64_t no_route = 0;      // requests without a matching route
-  std::uint64_t calls = 0;         // calls to nodes
-  std::uint64_t second_calls = 0;  // of `calls`: retries and hedged calls
-  std::uint64_t withheld = 0;      // retries and hedged calls that the retry budget did not allow
-  std::uint64_t not_run = 0;       // calls that the node reports as not run
-  std::uint64_t misdirected = 0;   // calls that reached another node
+  std::uint64_t gathered = 0;                  // requests on routes that gather
+  std::uint64_t whole = 0;                     // gathered responses with all parts
+  std::uint64_t partial = 0;                   // gathered responses that lack parts
+  std::uint64_t single = 0;                    // other responses
+  std::uint64_t refused = 0;                   // requests answered without running them
+  std::uint64_t given_up = 0;                  // of `refused`: by load shedding
+  std::uint64_t failed = 0;                    // requests that failed after they may have run
+  std::uint64_t no_route = 0;                  // requests without a matching route
+  std::uint64_t calls = 0;                     // calls to nodes
+  std::uint64_t second_calls = 0;              // of `calls`: retries and hedged calls
+  std::uint64_t unconfirmed_requests = 0;      // accepted while the routes were not confirmed
+  std::uint64_t unconfirmed_second_calls = 0;  // of `second_calls`: those of such requests
+  std::uint64_t withheld = 0;                  // retries and hedged calls that the retry budget did not allow
+  std::uint64_t not_run = 0;                   // calls that the node reports as not run
+  std::uint64_t misdirected = 0;               // calls that reached another node
   std::uint64_t no_connection = 0;
   std::uint64_t broken = 0;
   std::uint64_t late = 0;       // calls still open at the latency target
@@ -72,6 +74,9 @@
   explicit Dispatcher(NodeClient& node_client) : node_client_(node_client) {}
 
   void set_routes(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
+  // Until when the routes are known to be those in force; at first they are not.
+  void set_routes_confirmed_until(Time until) { routes_confirmed_until_ = until; }
+  bool routes_confirmed(Time now) const { return now <= routes_confirmed_until_; }
   void set_edges(std::uint32_t edges);
   void set_retry_budget(const RetryBudgetRules& rules) { retry_budget_.set_rules(rules); }
   LoadBalancer& load_balancer() { return load_balancer_; }
@@ -117,6 +122,7 @@
   bool admit(Time now, const catalog::Route& route, const std::vector<std::string>& services,
              std::size_t min_parts, ClientResponse& response, const Request& request);
   bool send_call(Time now, RequestId id, std::size_t part);
+  void count_second_call(const Request& request);
   void cancel_calls(Part& part, bool even_if_sent);
   void settle_part(Time now, RequestId id, std::size_t part, const CallResult& result);
   void check_gathered(Time now, RequestId id);
@@ -135,6 +141,7 @@
 
   NodeClient& node_client_;
   std::shared_ptr<const RouteTable> routes_;
+  Time routes_confirmed_until_ = Time::min();
   LoadBalancer load_balancer_;
   ShardWeights weights_;
   CoverageControl coverage_;
--- a/src/dispatch/dispatcher_calls.cpp
+++ b/src/dispatch/dispatcher_calls.cpp
@@ -105,6 +105,11 @@
   }
 }
 
+void Dispatcher::count_second_call(const Request& request) {
+  ++counters_.second_calls;
+  if (!request.confirmed) ++counters_.unconfirmed_second_calls;
+}
+
 // Reports a call to coverage control and load shedding, once.
 void Dispatcher::record_outcome(Time now, OpenCall& call, bool bad) {
   if (call.outcome_recorded) return;
@@ -191,7 +196,7 @@
   bool may_repeat = request.route->safe || !part.may_have_run;
   if (may_repeat && part.tries < request.route->max_attempts && now < request.deadline) {
     if (retry_budget_.spend(now, part.service)) {
-      ++counters_.second_calls;
+      count_second_call(request);
       if (send_call(now, id, index)) return;
     } else {
       ++counters_.withheld;
@@ -228,7 +233,7 @@
       ++counters_.withheld;
       continue;
     }
-    ++counters_.second_calls;
+    count_second_call(request);
     send_call(now, id, i);
   }
 }
--- a/src/dispatch/request.h
+++ b/src/dispatch/request.h
@@ -64,7 +64,8 @@
   // Of the configuration that was in force when the request arrived; all parts use it.
   std::shared_ptr<const RouteTable> routes;
   const catalog::Route* route = nullptr;
-  std::string head;  // request line and header lines to be forwarded
+  bool confirmed = false;  // the routes were known to be those in force when the request was accepted
+  std::string head;        // request line and header lines to be forwarded
   std::string body;
   std::string id;
   Time arrived{};
--- a/src/edge_gateway/edge_gateway.cpp
+++ b/src/edge_gateway/edge_gateway.cpp
@@ -33,6 +33,7 @@
 void EdgeGateway::link_frame(Time now, transport::LinkId link, std::string_view frame) {
   follower_.set_coverage(static_cast<std::uint32_t>(std::lround(dispatcher_.coverage() * 100)));
   if (follower_.link_frame(now, link, frame)) apply_updates();
+  dispatcher_.set_routes_confirmed_until(follower_.configuration_confirmed_until());
   for (const auto& [valid_until, tokens] : follower_.take_granted_tokens())
     dispatcher_.retry_budget().add_tokens(valid_until, tokens.service, tokens.count);
   for (const quota::QuotaReply& tell : follower_.take_quota_replies()) edge_quota_.on_reply(now, tell);
--- a/src/process_settings/settings.cpp
+++ b/src/process_settings/settings.cpp
@@ -159,6 +159,7 @@
   read_table("ruleBounds", [&](TableReader& bounds) {
     bounds.read("inTouchMs", settings.in_touch_ms);
     bounds.read("drainMs", settings.drain_ms);
+    bounds.read("configWithinMs", settings.config_within_ms);
     bounds.read("gracePeriodS", settings.shutdown_grace_s);
     bounds.read("retryRatio", settings.retry_ratio);
     bounds.read("retryWindowS", settings.retry_window_s);
--- a/src/process_settings/settings.h
+++ b/src/process_settings/settings.h
@@ -35,6 +35,7 @@
   // `ruleBounds` of the file.
   double in_touch_ms = 4000;
   double drain_ms = 3000;
+  double config_within_ms = 3000;
   double shutdown_grace_s = 6;
   double retry_ratio = 0;
   double retry_window_s = 10;
--- a/src/subscription/cluster_view.cpp
+++ b/src/subscription/cluster_view.cpp
@@ -1,5 +1,6 @@
 #include "subscription/cluster_view.h"
 
+#include <algorithm>
 #include <set>
 
 #include "protocol/delta.h"
@@ -38,6 +39,7 @@
   at_ = snapshot.at;
   edge_count_ = snapshot.edges;
   coverage_ = snapshot.coverage / 100.0;
+  announced_revision_ = std::max(announced_revision_, snapshot.revision);
   adopt_text(snapshot.configuration, snapshot.revision);
   for (const std::string& id : snapshot.retired)
     if (nodes_.retire(id)) changed_nodes_.push_back(id);
@@ -81,6 +83,7 @@
 }
 
 void ClusterView::apply(Time now, const protocol::Change& change) {
+  announced_revision_ = std::max(announced_revision_, change.revision);
   switch (change.kind) {
     case ChangeKind::configuration:
       return adopt_text(change.text, change.revision);
--- a/src/subscription/cluster_view.h
+++ b/src/subscription/cluster_view.h
@@ -35,6 +35,8 @@
   const protocol::Position& at() const { return at_; }
   const catalog::ConfigurationPtr& configuration() const { return configuration_; }
   catalog::Revision revision() const { return configuration_ ? configuration_->revision : 0; }
+  // The newest revision that an update has named. Above revision() if that one could not be read or applied.
+  catalog::Revision announced_revision() const { return announced_revision_; }
   // Replaces the configuration if the revision is newer.
   void adopt(catalog::ConfigurationPtr configuration);
   const catalog::NodeList& nodes() const { return nodes_; }
@@ -55,6 +57,7 @@
 
   protocol::Position at_;
   catalog::ConfigurationPtr configuration_;
+  catalog::Revision announced_revision_ = 0;
   catalog::NodeList nodes_;
   std::uint32_t edge_count_ = 0;
   double coverage_ = 1;
--- a/src/subscription/follower.cpp
+++ b/src/subscription/follower.cpp
@@ -169,6 +169,8 @@
     transport_.send(link, hello());
     return false;
   }
+  if (view_.configuration() && view_.revision() == view_.announced_revision())
+    confirmed_until_ = now + options_.confirmation_lifetime;
   if (!has_nodes_ && !view_.nodes().all().empty()) {
     has_nodes_ = true;
     first_nodes_ = now;
--- a/src/subscription/follower.h
+++ b/src/subscription/follower.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +24,9 @@
   std::string zone;
   std::vector<std::string> seeds;  // addresses of members
   std::string address = {};        // where this edge accepts other edges; empty = nowhere
+  // For how long an update of the leader confirms that the configuration is in force. Shorter than the time
+  // in which a change has to be in force everywhere, by the time that an update may take to arrive.
+  Duration confirmation_lifetime = std::chrono::milliseconds(2500);
 };
 
 class Follower {
@@ -43,6 +47,9 @@
 
   ClusterView& view() { return view_; }
   const ClusterView& view() const { return view_; }
+  // Until when the configuration counts as the one in force, since a leader has confirmed it. Time::min() if
+  // none has: a member that does not lead may have handed on one that was replaced long ago.
+  Time configuration_confirmed_until() const { return confirmed_until_; }
   // Sets this edge's coverage in percent, which acknowledgements report.
   void set_coverage(std::uint32_t percent) { coverage_ = percent; }
   // Requests retry tokens from the leader. Returns false where none was sent.
@@ -88,6 +95,7 @@
   bool has_nodes_ = false;
   Time first_nodes_{};
   Time last_update_{};  // from a leader
+  Time confirmed_until_ = Time::min();
   Time next_contact_{};
   transport::LinkId leader_link_ = 0;  // on which the last update arrived; 0 = none
   std::uint32_t coverage_ = 100;
