--- a/src/subscription/follower.cpp
+++ b/src/subscription/follower.cpp
@@ -197,7 +197,7 @@
 }
 
 // Without a leader, uses the state that members have applied: it was in force, and it is not newer than the
-// state of the next leader.
+// state of the next leader. It may be far older, which is why it confirms nothing.
 bool Follower::apply_provisional(Time now) {
   if (now < provisional_due_) return false;
   provisional_due_ = Time::max();
--- a/tests/system/unconfirmed_configuration_test.cpp
+++ b/tests/system/unconfirmed_configuration_test.cpp
@@ -149,8 +149,9 @@
   }
 };
 
-// The disk of a member that led: its log holds both editions, and its note covers only the first one.
-raft::PersistentState disk_of_a_former_leader() {
+// The log holds both editions. The note of a member that led covers only the first one, since a leader does
+// not write it.
+raft::PersistentState disk_with_both_editions(int committed_edition) {
   raft::PersistentState stored;
   stored.self = raft::founder_id(member_address);
   stored.vote = {3, stored.self};
@@ -169,7 +170,7 @@
         control_plane::digest_of(configuration(edition)), configuration(edition));
     stored.entries.push_back(entry);
   }
-  stored.commit = founding_index + 1;
+  stored.commit = founding_index + static_cast<raft::Index>(committed_edition);
   protocol::StateSnapshot nodes = state({}, 0);
   nodes.configuration.clear();
   nodes.complete = false;
@@ -182,8 +183,8 @@
   simulation::SimDisk disk{world};
   RecordingTransport wire;
   std::unique_ptr<control_plane::Member> member;
-  RestartedMember() {
-    disk.put_back(disk_of_a_former_leader());
+  explicit RestartedMember(int committed_edition) {
+    disk.put_back(disk_with_both_editions(committed_edition));
     raft::Options raft;
     raft.address = member_address;
     control_plane::ControllerOptions controller;
@@ -213,13 +214,14 @@
   CPPUNIT_TEST(unreadableConfigurationIsNotConfirmed);
   CPPUNIT_TEST(unknownPathIsNot404);
   CPPUNIT_TEST(gatheredRequestWaitsForALeader);
+  CPPUNIT_TEST(newerConfigurationOfALaterMemberIsUsed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   // After a kill of all processes, a member that had led came back first: the edge took its configuration,
   // replaced long before, for the one in force, and an unsafe request ran at two index servers.
   void replacedConfigurationOfARestartedMemberRunsNothingTwice() {
-    RestartedMember restarted;
+    RestartedMember restarted(1);
     CPPUNIT_ASSERT_EQUAL(catalog::Revision{1}, restarted.member->state().revision());
     TestedEdge edge;
     for (const std::string& frame : restarted.answers(edge.wire.sent.front())) edge.receive_frame(frame);
@@ -258,10 +260,12 @@
   void refusedCallIsSentToAnotherNode() {
     TestedEdge edge;
     edge.use_provisional(1);
+    edge.learn_durations();
+    std::size_t before = edge.calls();
     edge.submit("/s/7");
-    edge.end(0, CallOutcome::not_run);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, edge.calls());
-    edge.end(1, CallOutcome::answered, 200);
+    edge.end(before, CallOutcome::not_run);
+    CPPUNIT_ASSERT_EQUAL(before + 2, edge.calls());
+    edge.end(before + 1, CallOutcome::answered, 200);
     CPPUNIT_ASSERT_EQUAL(200, edge.status());
   }
 
@@ -329,6 +333,23 @@
     edge.submit("/g/7");
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, edge.calls());
   }
+
+  // An edge that had been handed a configuration took no newer one from the members that came back later.
+  void newerConfigurationOfALaterMemberIsUsed() {
+    RestartedMember former_leader(1), former_follower(2);
+    TestedEdge edge;
+    auto ask = [&edge](RestartedMember& member) {
+      edge.wire.sent.clear();
+      edge.gateway.link_up(member_link, member_address);
+      for (const std::string& frame : member.answers(edge.wire.sent.front())) edge.receive_frame(frame);
+      edge.run(200);
+      return edge.gateway.routed_revision();
+    };
+    CPPUNIT_ASSERT_EQUAL(catalog::Revision{1}, ask(former_leader));
+    CPPUNIT_ASSERT_EQUAL(catalog::Revision{2}, ask(former_follower));
+    CPPUNIT_ASSERT_EQUAL(catalog::Revision{2}, ask(former_leader));
+    CPPUNIT_ASSERT(!edge.repeats("/s/7"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnconfirmedConfigurationTest);
