An edge spends of the retry slack only once a leader has counted the edges

Cause: each edge takes a quarter of the slack divided by the number of edges, which it took for one until it was told: a restarted member that leads nothing tells 0. Found by looking for other figures that are handed on without a leader.

Change: until a leader has counted the edges, an edge has no share of the slack; the ratio of its own requests stays, so that what a server did not run still goes to another one.

DispatcherTest names the number of edges (one) where it relied on that; no check changed.

Measured: edgesWithoutALeaderDoNotSpendTheSlackEach (8 edges, 100 requests each, all turned away) fails without the change (over the 260 retries of the rule), and passes with it.

--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -19,11 +19,13 @@
   return account;
 }
 
+double RetryBudget::share_of_slack() const { return edges_ > 0 ? slack_factor * rules_.slack / edges_ : 0; }
+
 bool RetryBudget::spend(Time now, const std::string& service) {
   Account& found = account(now, service);
   double requests = 0, extra_calls = 0;
   for (const Bucket& bucket : found.buckets) requests += bucket.requests, extra_calls += bucket.extra_calls;
-  double limit = ratio_factor * rules_.ratio * requests + slack_factor * rules_.slack / edges_;
+  double limit = ratio_factor * rules_.ratio * requests + share_of_slack();
   if (limit - extra_calls - 1 < low_budget) request_tokens(found, service);
   if (extra_calls + 1 > limit) return spend_token(now, found);
   found.buckets[newest_bucket_].extra_calls += 1;
--- a/src/dispatch/retry_budget.h
+++ b/src/dispatch/retry_budget.h
@@ -24,7 +24,8 @@
 class RetryBudget {
  public:
   void set_rules(const RetryBudgetRules& rules) { rules_ = rules; }
-  void set_edges(std::uint32_t edges) { edges_ = edges > 0 ? edges : 1; }
+  // The number of edges that share the slack. Until it is known this edge has no share.
+  void set_edges(std::uint32_t edges) { edges_ = edges; }
 
   void record_request(Time now, const std::string& service) {
     account(now, service).buckets[newest_bucket_].requests += 1;
@@ -57,11 +58,12 @@
     bool tokens_requested = false;
   };
   Account& account(Time now, const std::string& service);
+  double share_of_slack() const;
   void request_tokens(Account& account, const std::string& service);
   static bool spend_token(Time now, Account& account);
 
   RetryBudgetRules rules_;
-  std::uint32_t edges_ = 1;
+  std::uint32_t edges_ = 0;                            // 0 = not known
   std::unordered_map<std::string, Account> accounts_;  // by service
   std::vector<std::string> token_requests_;            // services that run low
   std::size_t newest_bucket_ = 0;                      // index in the account that account() returned last
--- a/src/measure/system_bench.cpp
+++ b/src/measure/system_bench.cpp
@@ -49,6 +49,7 @@
   explicit Hall(int shards) {
     dispatcher.set_routes(std::make_shared<const dispatch::RouteTable>(configuration(1, shards, 0)));
     dispatcher.set_routes_confirmed_until(dispatch::Time::max());
+    dispatcher.set_edges(1);
     dispatcher.set_retry_budget({0.2, 56, std::chrono::seconds(10)});
     for (int shard = -1; shard < shards; ++shard)
       for (int i = 0; i < 8; ++i) {
--- a/tests/system/dispatcher_test.cpp
+++ b/tests/system/dispatcher_test.cpp
@@ -144,6 +144,7 @@
     dispatcher->set_retry_budget({0.2, 50, std::chrono::seconds(10)});
     dispatcher->set_routes(std::make_shared<const RouteTable>(configuration()));
     dispatcher->set_routes_confirmed_until(Time::max());
+    dispatcher->set_edges(1);
     for (const char* service : {"a", "b", "c", "d", "p", "q"})
       for (int i = 0; i < 2; ++i) add_node(service + std::to_string(i), service);
   }
@@ -474,6 +475,7 @@
     RetryBudget single_edge, one_of_four;
     single_edge.set_rules({0, 40, std::chrono::seconds(10)});
     one_of_four.set_rules({0, 40, std::chrono::seconds(10)});
+    single_edge.set_edges(1);
     one_of_four.set_edges(4);
     int spent_alone = 0, spent_shared = 0;
     for (int i = 0; i < 40; ++i)
--- a/tests/system/unconfirmed_configuration_test.cpp
+++ b/tests/system/unconfirmed_configuration_test.cpp
@@ -215,6 +215,7 @@
   CPPUNIT_TEST(unknownPathIsNot404);
   CPPUNIT_TEST(gatheredRequestWaitsForALeader);
   CPPUNIT_TEST(newerConfigurationOfALaterMemberIsUsed);
+  CPPUNIT_TEST(edgesWithoutALeaderDoNotSpendTheSlackEach);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -350,6 +351,28 @@
     CPPUNIT_ASSERT_EQUAL(catalog::Revision{2}, ask(former_leader));
     CPPUNIT_ASSERT(!edge.repeats("/s/7"));
   }
+
+  // Each edge took itself for the only one until a leader had told their number, so together they sent a
+  // service more retries than the budget allows.
+  void edgesWithoutALeaderDoNotSpendTheSlackEach() {
+    constexpr int edges = 8, requests = 100;
+    std::size_t calls = 0;
+    for (int number = 0; number < edges; ++number) {
+      TestedEdge edge;
+      edge.use_provisional(1);
+      for (int i = 0; i < requests; ++i) {
+        edge.submit("/s/7");
+        for (std::size_t call = edge.calls() - 1; call < edge.calls(); ++call)
+          edge.end(call, CallOutcome::not_run);
+        CPPUNIT_ASSERT_EQUAL(503, edge.status());
+      }
+      calls += edge.calls();
+    }
+    const double extra_calls = static_cast<double>(calls) - edges * requests;
+    CPPUNIT_ASSERT(extra_calls > 0);
+    CPPUNIT_ASSERT(extra_calls <=
+                   TestedEdge::retry_budget.ratio * edges * requests + TestedEdge::retry_budget.slack);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnconfirmedConfigurationTest);
