--- a/src/control_plane/controller.cpp
+++ b/src/control_plane/controller.cpp
@@ -146,8 +146,8 @@
     followers_.on_hello(now, link, *hello);
     link_frames_.push_back(
         {link, protocol::pack(protocol::Welcome{core_.term(), is_active(), core_.addresses()})});
-    // An edge that no leader has sent a state gets the one applied here, if its own is older, in case there is
-    // no leader.
+    // An edge that no leader has sent a state gets the one applied here, if its own is older, in case there
+    // is no leader.
     if (!is_active() && hello->kind == protocol::FollowerKind::edge &&
         hello->position == protocol::Position{} && state_.configuration() &&
         hello->revision < state_.configuration()->revision)
--- a/src/raft/membership.cpp
+++ b/src/raft/membership.cpp
@@ -81,8 +81,8 @@
 }
 
 // True once the entry that removes this member is committed: a majority of the voters that stay then holds it
-// and everything before it. Without a surplus voter the shutdown is a restart: it remains a voter and may stop
-// at once, unless the leader has told it to wait for a new voter.
+// and everything before it. Without a surplus voter the shutdown is a restart: it remains a voter and may
+// stop at once, unless the leader has told it to wait for a new voter.
 bool Core::may_shut_down() const {
   const Membership& membership = log_.membership();
   if (membership.has(self_)) return membership.voters.size() <= membership.target_size && !told_to_stay_;
