The log tells how many nodes a restarted member takes from its note

Change: `member_started` names `nodes` and `retired` of the list that was read back. No decision depends on it.

--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -87,6 +87,8 @@
        {"last", core.log().last()},
        {"committed", core.commit()},
        {"edition", member_.state().revision()},
+       {"nodes", member_.controller().view().nodes().all().size()},
+       {"retired", member_.controller().view().nodes().retired().size()},
        {"voter", core.log().membership().has(core.self())}});
 }
 
