A leave is acknowledged once a majority of the core has it on disk

Cause: a leave was answered when all followers had it in memory. Disks have it only with the note of the list, which followers write each 500 ms at most and a leader never; the next leader takes that note for the list that stood at the end and tells edges that start anew.

Change: `closing_out` and `DELETE` are entries of the log (control_plane/departure_proposals: one entry in flight, those that come meanwhile share the next). 200 is given when the entry is committed and the followers have the change, 503 where the disk refuses it or the call's time is over. Found beside it: a closing beat behind a `DELETE` that was on no disk yet was answered at once. Why it works: a leader has applied every committed entry before it serves.

Simulated index servers can leave with `DELETE` alone and serve on (Cluster::retire_node).

--- a/src/catalog/node_list.cpp
+++ b/src/catalog/node_list.cpp
@@ -40,8 +40,10 @@
   return XXH3_64bits(all.data(), all.size());
 }
 
-NodeList::PutResult NodeList::put(const Node& node, std::string* displaced) {
-  if (is_retired(node.id)) return PutResult::stale;
+NodeList::PutResult NodeList::put(const Node& update, std::string* displaced) {
+  if (is_retired(update.id)) return PutResult::stale;
+  Node node = update;
+  if (is_closing(node.id)) node.closing = true;
   auto found = nodes_.find(node.id);
   if (found != nodes_.end() && node.sequence < found->second.sequence) return PutResult::stale;
   if (found != nodes_.end() && found->second.closing && !node.closing) return PutResult::stale;
@@ -84,6 +86,24 @@
   retired_order_.pop_front();
 }
 
+void NodeList::remember_closing(const std::string& id) {
+  if (!closing_.insert(id).second) return;
+  closing_order_.push_back(id);
+  if (closing_order_.size() <= max_closing) return;
+  closing_.erase(closing_order_.front());
+  closing_order_.pop_front();
+}
+
+bool NodeList::close(std::string_view id) {
+  remember_closing(std::string(id));
+  auto found = nodes_.find(id);
+  if (found == nodes_.end() || found->second.closing) return false;
+  digest_ ^= digest_of(found->second);
+  found->second.closing = true;
+  digest_ ^= digest_of(found->second);
+  return true;
+}
+
 bool NodeList::retire(std::string_view id) {
   std::string name(id);
   bool fresh = !is_retired(name);
--- a/src/catalog/node_list.h
+++ b/src/catalog/node_list.h
@@ -57,9 +57,13 @@
   PutResult put(const Node& node, std::string* displaced = nullptr);
   // Removes a node permanently. Returns false where its id was retired already.
   bool retire(std::string_view id);
+  // Marks a node as closing, listed or not. Returns false where that changes nothing in the list.
+  bool close(std::string_view id);
   // Removes a node that may return with its next heartbeat. A closing node is retired instead.
   bool remove(std::string_view id);
   bool is_retired(const std::string& id) const { return retired_.count(id) != 0; }
+  // Whether the node was marked by close(): heartbeats that say otherwise are late.
+  bool is_closing(const std::string& id) const { return closing_.count(id) != 0; }
 
   const Node* find(std::string_view id) const;
   const std::map<std::string, Node, std::less<>>& all() const { return nodes_; }
@@ -70,13 +74,17 @@
 
  private:
   static constexpr std::size_t max_retired = 4096;  // retired ids that are remembered
+  static constexpr std::size_t max_closing = 4096;  // ids marked by close() that are remembered
   void remember_retired(const std::string& id);
+  void remember_closing(const std::string& id);
   std::uint64_t digest_ = 0;
 
   std::map<std::string, Node, std::less<>> nodes_;
   std::map<std::string, std::string, std::less<>> by_address_;
   std::unordered_set<std::string> retired_;
   std::deque<std::string> retired_order_;
+  std::unordered_set<std::string> closing_;
+  std::deque<std::string> closing_order_;
 };
 
 }  // namespace pearspar::catalog
--- a/src/control_plane/controller.cpp
+++ b/src/control_plane/controller.cpp
@@ -54,10 +54,13 @@
   quota_allocator_.close();
   finish_proposal(now);
   finish_pending_updates(now);
+  departures_.clear();
+  reject_lost_departures();
 }
 
 void Controller::advance(Time now) {
   reject_expired(now);
+  adopt_departures();
   node_list_changes_ += view_.take_changed_nodes().size();
   bool leads = core_.role() == raft::Core::Role::leader;
   // This program cannot parse the applied configuration: another member has to lead.
@@ -74,13 +77,14 @@
     expire_silent_nodes(now);
   }
   advance_quotas(now);
-  finish_pending_updates(now);
   for (std::size_t left = waiting_.size(); left > 0; --left) {
     Request request = std::move(waiting_.front());
     waiting_.pop_front();
     if (!try_handle(now, request)) waiting_.push_back(std::move(request));
   }
   redirect_forwarded(now);
+  propose_departures(now);
+  finish_pending_updates(now);
 }
 
 Time Controller::due() const {
@@ -90,7 +94,10 @@
   for (const Request& request : waiting_) due = std::min(due, request.deadline);
   if (proposal_)
     for (const Request& request : proposal_->callers) due = std::min(due, request.deadline);
-  for (const PendingUpdate& each : pending_updates_) due = std::min({due, each.until, each.request.deadline});
+  for (const PendingUpdate& each : pending_updates_) {
+    due = std::min(due, each.request.deadline);
+    if (departures_.is_committed(each.departure)) due = std::min(due, each.until);
+  }
   return due;
 }
 
--- a/src/control_plane/controller.h
+++ b/src/control_plane/controller.h
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "control_plane/departure_proposals.h"
 #include "control_plane/followers.h"
 #include "control_plane/pending_calls.h"
 #include "control_plane/replicated_state.h"
@@ -108,11 +109,13 @@
     catalog::Revision revision = 0;
     Digest digest;
   };
-  // A leaving node's call, answered when all followers have acknowledged the change or at `until`.
+  // A leaving node's call, answered when its departure is committed, and all followers have acknowledged the
+  // change or `until` has passed.
   struct PendingUpdate {
     Request request;
     protocol::Position at;
     Time until{};
+    DepartureProposals::Ticket departure = DepartureProposals::recorded;
   };
 
   // Leads with a valid lease, and can parse the configuration in force.
@@ -124,6 +127,10 @@
   void propose(Time now, Request& request);
   void handle_heartbeat(Time now, Request& request);
   void handle_leave(Time now, Request& request);
+  void answer_when_recorded(Time now, Request& request, catalog::Departure departure);
+  void propose_departures(Time now);
+  void reject_lost_departures();
+  void adopt_departures();
   void reply(const Request& request, int status, std::string body, bool requires_lease = true);
   void reply_error(const Request& request, int status, std::string_view what);
   void forward(Time now, Request& request);
@@ -152,6 +159,8 @@
   std::deque<Request> waiting_;  // for a leader, for the current proposal to end, or for their base
   std::optional<Proposal> proposal_;
   std::deque<PendingUpdate> pending_updates_;
+  DepartureProposals departures_;
+  std::uint64_t adopted_departures_ = 0;  // of the replicated state's, by their total
   ForwardedCalls forwarded_;
   std::size_t reply_bytes_ = 0;
   std::size_t forwarded_reply_bytes_ = 0;
--- a/src/control_plane/controller_nodes.cpp
+++ b/src/control_plane/controller_nodes.cpp
@@ -23,9 +23,14 @@
   if (!node) return reply_error(request, 400, fault.text());
   std::string answer = "{\"beatAddress\":" + quoted(options_.control_address) + "}";
   const catalog::Node* known = view_.nodes().find(node->id);
-  if (view_.nodes().is_retired(node->id)) return reply(request, 200, std::move(answer));
-  last_heartbeats_[node->id] = now;
   bool closing = node->closing;
+  catalog::Departure departure{node->id, false};
+  if (view_.nodes().is_retired(node->id)) {
+    if (closing) return answer_when_recorded(now, request, std::move(departure));
+    return reply(request, 200, std::move(answer));
+  }
+  last_heartbeats_[node->id] = now;
+  if (view_.nodes().is_closing(node->id)) node->closing = true;
   if (!known || (node->sequence >= known->sequence && !known->same_description(*node))) {
     protocol::Change change;
     change.kind = protocol::ChangeKind::node_updated;
@@ -36,8 +41,7 @@
     view_.nodes().put(*node);
   }
   if (!closing) return reply(request, 200, std::move(answer));
-  request.release_body();
-  pending_updates_.push_back({std::move(request), view_.at(), now + acknowledgement_timeout});
+  answer_when_recorded(now, request, std::move(departure));
 }
 
 void Controller::handle_leave(Time now, Request& request) {
@@ -49,14 +53,55 @@
     change.text = id;
     followers_.add(now, std::move(change));
   }
-  pending_updates_.push_back({std::move(request), view_.at(), now + acknowledgement_timeout});
+  answer_when_recorded(now, request, {std::move(id), true});
+}
+
+// A node that was told that it has left must stay so after a restart of all members: they restore lists of
+// nodes from before.
+void Controller::answer_when_recorded(Time now, Request& request, catalog::Departure departure) {
+  request.release_body();
+  auto ticket = state_.departures().has(departure) ? DepartureProposals::recorded
+                                                   : departures_.add(std::move(departure));
+  pending_updates_.push_back({std::move(request), view_.at(), now + acknowledgement_timeout, ticket});
+}
+
+void Controller::propose_departures(Time now) {
+  if (!is_active()) return;
+  departures_.on_applied(core_.applied());
+  if (!core_.holds_lease(now)) return;
+  auto batch = departures_.next_batch();
+  if (batch.empty()) return;
+  departures_.proposed(core_.propose(now, ReplicatedState::encode_departures(batch)));
+  reject_lost_departures();
+  departures_.on_applied(core_.applied());
+}
+
+void Controller::reject_lost_departures() {
+  std::erase_if(pending_updates_, [&](const PendingUpdate& each) {
+    if (!departures_.is_lost(each.departure)) return false;
+    reply_error(each.request, 503, "the departure could not be appended to the log");
+    return true;
+  });
+}
+
+// Applies the departures that were recorded since the last call, or all where some of those were dropped.
+void Controller::adopt_departures() {
+  const catalog::Departures& departures = state_.departures();
+  if (departures.total() == adopted_departures_) return;
+  const auto& records = departures.records();
+  std::uint64_t fresh = departures.total() - std::min(adopted_departures_, departures.total());
+  std::size_t first = records.size() - std::min<std::uint64_t>(records.size(), fresh);
+  for (std::size_t i = first; i < records.size(); ++i) view_.apply(records[i]);
+  adopted_departures_ = departures.total();
 }
 
-// Answers once all followers that hold a lease have acknowledged the change, or at the timeout.
+// Answers once the departure is committed, and all followers that hold a lease have acknowledged the change
+// or the timeout has passed.
 void Controller::finish_pending_updates(Time now) {
   while (!pending_updates_.empty()) {
     PendingUpdate& first = pending_updates_.front();
     bool still_leads = core_.holds_lease(now) && first.at.term == core_.term();
+    if (still_leads && !departures_.is_committed(first.departure)) return;
     if (still_leads && now < first.until && !followers_.acknowledged(now, first.at)) return;
     if (still_leads)
       reply(first.request, 200,
@@ -102,6 +147,7 @@
   auto message = protocol::unpack(encoded);
   if (message)
     if (const auto* standing = std::get_if<protocol::StateSnapshot>(&*message)) view_.apply(now, *standing);
+  adopt_departures();
 }
 
 }  // namespace pearspar::control_plane
--- a/src/control_plane/replicated_state.cpp
+++ b/src/control_plane/replicated_state.cpp
@@ -6,10 +6,26 @@
 namespace pearspar::control_plane {
 namespace {
 
-// Stands in the place of the base, where no configuration has it: older programs ignore such an entry.
+// These stand in the place of the base, where no configuration has them: older programs ignore such an entry.
 constexpr std::uint64_t quota_entry_mark = ~std::uint64_t{0};
+constexpr std::uint64_t departures_entry_mark = quota_entry_mark - 1;
 constexpr std::size_t max_unapplied_entries = 1 << 16;
 
+void pack_departure(protocol::Packer& packer, const catalog::Departure& departure) {
+  packer.array(2);
+  packer.text(departure.node_id);
+  packer.flag(departure.retired);
+}
+
+catalog::Departure unpack_departure(protocol::Unpacker& in) {
+  in.enter(16);
+  catalog::Departure departure;
+  departure.node_id = in.text();
+  departure.retired = in.flag();
+  in.leave();
+  return departure;
+}
+
 }  // namespace
 
 // Older programs read only the first two fields, and validate the text themselves.
@@ -33,6 +49,25 @@
   return std::string(packer.view());
 }
 
+// The second field is the text of other entries, which all programs read.
+std::string ReplicatedState::encode_departures(const std::vector<catalog::Departure>& departures) {
+  protocol::Packer packer;
+  packer.array(3);
+  packer.number(departures_entry_mark);
+  packer.text({});
+  packer.array(departures.size());
+  for (const catalog::Departure& departure : departures) pack_departure(packer, departure);
+  return std::string(packer.view());
+}
+
+void ReplicatedState::apply_departures(protocol::Unpacker& in) {
+  std::size_t count = in.enter(catalog::Departures::max_records);
+  for (std::size_t i = 0; i < count && in.good(); ++i) {
+    catalog::Departure departure = unpack_departure(in);
+    if (in.good()) departures_.add(departure);
+  }
+}
+
 void ReplicatedState::apply_quota_commands(const std::string& bytes) {
   auto commands = protocol::unpack_quota_commands(bytes);
   if (!commands) return;
@@ -95,6 +130,7 @@
     if (may_serve()) return apply_quota_commands(text);
     return defer({true, std::move(text)});
   }
+  if (base == departures_entry_mark) return apply_departures(in);
   if (base != revision()) return;
   ChangeHistory::Entry entry;
   if (in.more()) {
@@ -116,7 +152,8 @@
 // The first three fields are what older programs read and write; the fourth is added only where it is needed.
 std::string ReplicatedState::take_snapshot() const {
   std::size_t legacy = std::min(history_.size(), max_legacy_entries);
-  bool more = history_.size() > legacy || history_.truncated() || !unapplied_.empty() || incomplete_;
+  bool more = history_.size() > legacy || history_.truncated() || !unapplied_.empty() || incomplete_ ||
+              departures_.total() > 0;
   protocol::Packer packer;
   packer.array(more ? 4 : quota_ledger_.window() > 0 ? 3 : 2);
   packer.text(text_);
@@ -128,9 +165,14 @@
     packer.number(history_[i].digest.second);
   }
   if (more || quota_ledger_.window() > 0) quota_ledger_.save(packer);
-  if (!more) return std::string(packer.view());
-  packer.array(4);
-  packer.text(history_.pack_oldest(legacy));
+  if (more) save_extension(packer, legacy);
+  return std::string(packer.view());
+}
+
+// The last two fields are added only where they are needed.
+void ReplicatedState::save_extension(protocol::Packer& packer, std::size_t legacy_entries) const {
+  packer.array(departures_.total() > 0 ? 6 : 4);
+  packer.text(history_.pack_oldest(legacy_entries));
   packer.flag(history_.truncated());
   packer.flag(incomplete_);
   packer.array(unapplied_.size());
@@ -139,7 +181,10 @@
     packer.flag(entry.quota_commands);
     packer.text(entry.text);
   }
-  return std::string(packer.view());
+  if (departures_.total() == 0) return;
+  packer.number(departures_.total());
+  packer.array(departures_.records().size());
+  for (const catalog::Departure& departure : departures_.records()) pack_departure(packer, departure);
 }
 
 void ReplicatedState::restore(const std::string& state) {
@@ -193,8 +238,18 @@
     in.leave();
   }
   in.leave();
+  if (in.more()) restore_departures(in);
   in.leave();
   return in.good();
 }
 
+void ReplicatedState::restore_departures(protocol::Unpacker& in) {
+  std::uint64_t total = in.number();
+  std::size_t count = in.enter(catalog::Departures::max_records);
+  std::deque<catalog::Departure> records;
+  for (std::size_t i = 0; i < count && in.good(); ++i) records.push_back(unpack_departure(in));
+  in.leave();
+  departures_.restore(total, std::move(records));
+}
+
 }  // namespace pearspar::control_plane
--- a/src/control_plane/replicated_state.h
+++ b/src/control_plane/replicated_state.h
@@ -1,5 +1,5 @@
-// The state machine behind the raft log: the newest configuration, the history of configurations, and the
-// quota accounts.
+// The state machine behind the raft log: the newest configuration, the history of configurations, the quota
+// accounts, and the nodes that have left.
 //
 // Invariant: whether a change is applied depends only on the log entry and the current state, never on this
 // program's validation, which only the proposing leader runs. So members of different program versions reach
@@ -12,15 +12,18 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "catalog/configuration.h"
+#include "catalog/departures.h"
 #include "control_plane/change_history.h"
 #include "quota/quota_ledger.h"
 #include "raft/core.h"
 
 namespace pearspar::protocol {
+class Packer;
 class Unpacker;
-}
+}  // namespace pearspar::protocol
 
 namespace pearspar::control_plane {
 
@@ -35,8 +38,10 @@
   std::string take_snapshot() const override;
   void restore(const std::string& state) override;
 
-  // Data of a log entry: quota commands, or a configuration with the base that it was checked against.
+  // Data of a log entry: quota commands, departures, or a configuration with the base that it was checked
+  // against.
   static std::string encode_quota_commands(std::string_view commands);
+  static std::string encode_departures(const std::vector<catalog::Departure>& departures);
   static std::string encode_change(catalog::Revision base, catalog::Revision revision, const Digest& digest,
                                    std::string_view text);
 
@@ -58,6 +63,7 @@
   // Why it may not, for the operator.
   const std::string& fault() const { return fault_; }
   const ChangeHistory& history() const { return history_; }
+  const catalog::Departures& departures() const { return departures_; }
   // Whether the text with this digest was applied as this revision.
   bool has_applied(catalog::Revision revision, const Digest& digest) const {
     return history_.status(revision, digest) == ChangeHistory::Status::applied;
@@ -69,6 +75,7 @@
 
   void apply_configuration(const ChangeHistory::Entry& entry, std::string text);
   void apply_quota_commands(const std::string& bytes);
+  void apply_departures(protocol::Unpacker& in);
   // An entry that waits to be applied to the accounts.
   struct UnappliedEntry {
     bool quota_commands = false;  // false: a configuration
@@ -76,8 +83,10 @@
   };
   void defer(UnappliedEntry entry);
   void apply_deferred();
-  // Reads what only newer programs write to a snapshot. False where it is malformed.
-  bool restore_extension(protocol::Unpacker& in);
+  // What only newer programs write to a snapshot.
+  void save_extension(protocol::Packer& packer, std::size_t legacy_entries) const;
+  bool restore_extension(protocol::Unpacker& in);  // false where it is malformed
+  void restore_departures(protocol::Unpacker& in);
 
   ConfigurationParser parse_configuration_;
   std::string text_;
@@ -85,6 +94,7 @@
   std::string fault_;
   quota::QuotaLedger quota_ledger_;
   ChangeHistory history_;
+  catalog::Departures departures_;
   // The effect of quota commands depends on the rules of their configuration. From the first configuration on
   // that this program cannot parse, all entries wait here for a program that can. Beyond the limit they are
   // dropped, and the state is incomplete until another member's snapshot is installed.
--- a/src/simulation/checker.h
+++ b/src/simulation/checker.h
@@ -33,6 +33,8 @@
 
   // Nodes.
   void leaving_acknowledged(double at, const std::string& node);
+  // Number of nodes whose leaving was acknowledged.
+  std::size_t left() const { return left_.size(); }
   void request_reached(double at, const std::string& node, const std::string& service,
                        const std::string& request, bool edge_in_touch);
   void request_made(double at, const std::string& request, const std::vector<std::string>& services);
--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -134,6 +134,8 @@
   void crash_node(std::size_t node, double back_s, bool dark);
   void slow_node(std::size_t node, double factor, double for_s);
   void leave_node(std::size_t node, double back_s);
+  // Sends DELETE without being closing before, and serves for so long.
+  void retire_node(std::size_t node, double serves_s);
   // Its next call goes to that member.
   void send_node_to(std::size_t node, std::size_t core);
   std::string node_service(std::size_t node) const;
@@ -227,6 +229,7 @@
   void start_node(Node& node);
   Reach reach(const std::string& address);
   void beat(Node& node);
+  void send_delete(Node& node);
   void call(std::string from, std::size_t core, std::string method, std::string path, std::string if_match,
             std::string body, Answer answer);
   std::size_t member_to_ask();
--- a/src/simulation/cluster_nodes.cpp
+++ b/src/simulation/cluster_nodes.cpp
@@ -73,7 +73,7 @@
   ++node.starts;
   node.id = "n" + std::to_string(world_.number() % 1000000000);
   node.up = true;
-  node.dark = node.closing = node.acknowledged = false;
+  node.dark = node.closing = node.acknowledged = node.retired = false;
   node.calls = 0;
   node.busy = 0;
   node.queue.clear();
@@ -83,6 +83,7 @@
 }
 
 void Cluster::beat(Node& node) {
+  if (node.retired) return;
   std::uint64_t life = node.starts;
   std::string body =
       "{\"depot\":\"" + node.service + "\",\"address\":\"" + node.address +
@@ -152,6 +153,40 @@
   });
 }
 
+void Cluster::retire_node(std::size_t index, double serves_s) {
+  Node& node = *nodes_[index];
+  if (!node.up || node.retired) return;
+  node.retired = true;
+  std::uint64_t life = node.starts;
+  send_delete(node);
+  world_.in(Duration(serves_s), [this, &node, life] {
+    if (node.starts == life && node.up) end_node(node, false);
+  });
+}
+
+// Asks one member after another until one has answered with 200.
+void Cluster::send_delete(Node& node) {
+  std::uint64_t life = node.starts;
+  auto done = std::make_shared<bool>(false);
+  auto retry = [this, &node, life, done](double in) {
+    *done = true;
+    node.asks = (node.asks + 1) % cores_.size();
+    world_.in(Duration(in), [this, &node, life] {
+      if (node.starts == life && node.up) send_delete(node);
+    });
+  };
+  call(node.address, node.asks, "DELETE", "/pearspar/nodes/" + node.id, "", "",
+       [this, done, retry, id = node.id](int status, const std::string&) {
+         if (status == 200) checker_.leaving_acknowledged(seconds(), id);
+         if (*done) return;
+         if (status != 200) return retry(0.1);
+         *done = true;
+       });
+  world_.in(Duration(node_patience), [done, retry] {
+    if (!*done) retry(0.05);
+  });
+}
+
 void Cluster::send_node_to(std::size_t node, std::size_t core) { nodes_[node]->asks = core; }
 
 void Cluster::cut_index(int shards) {
--- a/src/simulation/cluster_parts.h
+++ b/src/simulation/cluster_parts.h
@@ -175,6 +175,7 @@
   bool dark = false;
   bool closing = false;
   bool acknowledged = false;
+  bool retired = false;  // sends no heartbeats any more, but serves
   std::uint64_t calls = 0;
   int busy = 0;
   double factor = 1;
--- a/src/subscription/cluster_view.cpp
+++ b/src/subscription/cluster_view.cpp
@@ -82,6 +82,11 @@
   at_ = at;
 }
 
+void ClusterView::apply(const catalog::Departure& departure) {
+  const std::string& id = departure.node_id;
+  if (departure.retired ? nodes_.retire(id) : nodes_.close(id)) changed_nodes_.push_back(id);
+}
+
 void ClusterView::apply(Time now, const protocol::Change& change) {
   announced_revision_ = std::max(announced_revision_, change.revision);
   switch (change.kind) {
--- a/src/subscription/cluster_view.h
+++ b/src/subscription/cluster_view.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "catalog/configuration.h"
+#include "catalog/departures.h"
 #include "catalog/node_list.h"
 #include "protocol/messages.h"
 
@@ -39,6 +40,8 @@
   catalog::Revision announced_revision() const { return announced_revision_; }
   // Replaces the configuration if the revision is newer.
   void adopt(catalog::ConfigurationPtr configuration);
+  // Applies a departure that is recorded, whatever an outdated list says.
+  void apply(const catalog::Departure& departure);
   const catalog::NodeList& nodes() const { return nodes_; }
   catalog::NodeList& nodes() { return nodes_; }
   std::uint32_t edge_count() const { return edge_count_; }
--- a/tests/system/cluster_test.cpp
+++ b/tests/system/cluster_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(twoOfFiveMayLoseTheirDisks);
   CPPUNIT_TEST(theLogStaysShort);
   CPPUNIT_TEST(aLeavingNodeIsAskedNoMore);
+  CPPUNIT_TEST(aLeaveOutlivesAKillOfAllMembers);
   CPPUNIT_TEST(aNewLeaderForgetsNoNode);
   CPPUNIT_TEST(anEdgeFindsTheCoreWithoutItsSeeds);
   CPPUNIT_TEST(anIndexIsCutAnewUnderTraffic);
@@ -441,6 +442,32 @@
     CPPUNIT_ASSERT(cluster.totals().served > cluster.totals().asked * 98 / 100);
   }
 
+  // Leaves that were acknowledged soon after each other were on no disk: after a kill of all members, edges
+  // that were killed too sent requests to nodes that had left.
+  void aLeaveOutlivesAKillOfAllMembers() {
+    constexpr std::size_t leaving = 3;
+    for (std::uint64_t seed = 1; seed <= 10 / thin; ++seed) {
+      ClusterOptions options = small(seed);
+      options.requests_per_s = 200;
+      Cluster cluster(options);
+      cluster.run(2);
+      changed(cluster);
+      cluster.run(5);
+      for (std::size_t node = 0; node < leaving; ++node) {
+        cluster.run(0.1);
+        cluster.retire_node(node, 20);
+      }
+      while (cluster.checker().left() < leaving) cluster.run(0.001);
+      std::size_t leader = led(cluster);
+      for (std::size_t core = 0; core < cluster.cores(); ++core)
+        cluster.kill_core(core, core == leader ? 0.9 : 0.2);
+      for (std::size_t edge = 0; edge < cluster.edges(); edge += 2) cluster.kill_edge(edge, 0.2);
+      cluster.run(12);
+      CPPUNIT_ASSERT_EQUAL(leaving, cluster.checker().left());
+      good(cluster);
+    }
+  }
+
   void aNewLeaderForgetsNoNode() {
     ClusterOptions options = small();
     Cluster cluster(options);
