A closing record of a node counts however late it comes

Cause: `drain` reads the node's record and sends it back as closing, with the callSeq that it has read. Where the node's own heartbeat comes between, the record has the lower number: the member took it for late news, changed nothing and answered 200.

Change: no node opens again, so a closing record is applied whatever its number; all else of the node's record stays the newest.

--- a/src/control_plane/controller_nodes.cpp
+++ b/src/control_plane/controller_nodes.cpp
@@ -31,6 +31,12 @@
   }
   last_heartbeats_[node->id] = now;
   if (view_.nodes().is_closing(node->id)) node->closing = true;
+  // No node opens again, so a closing record counts however late it comes. One of an operator has the
+  // sequence number that the operator has read.
+  if (closing && known && node->sequence < known->sequence) {
+    *node = *known;
+    node->closing = true;
+  }
   if (!known || (node->sequence >= known->sequence && !known->same_description(*node))) {
     protocol::Change change;
     change.kind = protocol::ChangeKind::node_updated;
--- a/tests/system/departures_test.cpp
+++ b/tests/system/departures_test.cpp
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(closingNodeStaysClosingAfterARestart);
   CPPUNIT_TEST(leaveThatIsOnNoDiskIsNotAcknowledged);
   CPPUNIT_TEST(closingBehindALeaveIsNotAcknowledgedEarlier);
+  CPPUNIT_TEST(lateClosingRecordCounts);
   CPPUNIT_TEST(snapshotHoldsDepartures);
   CPPUNIT_TEST(oldestRecordsAreDropped);
   CPPUNIT_TEST(batchesAreCommittedOneByOne);
@@ -148,6 +149,19 @@
     CPPUNIT_ASSERT(tested.heartbeat("n", 2, "closing_out") != 200);
   }
 
+  // A drain by an operator was acknowledged and not taken where a heartbeat came between reading and writing
+  // the record.
+  void lateClosingRecordCounts() {
+    OnlyMember tested;
+    CPPUNIT_ASSERT_EQUAL(200, tested.heartbeat("n", 6, "at_post"));
+    CPPUNIT_ASSERT_EQUAL(200, tested.heartbeat("n", 7, "at_post"));
+    CPPUNIT_ASSERT_EQUAL(200, tested.heartbeat("n", 6, "closing_out"));
+    CPPUNIT_ASSERT(tested.node("n")->closing);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, tested.node("n")->sequence);
+    CPPUNIT_ASSERT_EQUAL(200, tested.heartbeat("n", 8, "at_post"));
+    CPPUNIT_ASSERT(tested.node("n")->closing);
+  }
+
   void snapshotHoldsDepartures() {
     ReplicatedState state;
     const std::string before = state.take_snapshot();
