Limits of a newer configuration hold for open connections too

Cause: a connection's reader gets a copy of the limits when the connection is accepted, and renews itself with that copy. Connections accepted before an edge has any configuration had the built-in limits in the same way.

Change: HttpServer::set_limits hands the limits to the readers of open connections. They hold for requests that begin from then on; one that has begun may have the larger of both, as it may have been allowed as it began.

--- a/src/clients/http_server.cpp
+++ b/src/clients/http_server.cpp
@@ -98,6 +98,13 @@
   });
 }
 
+void HttpServer::set_limits(RequestTimeouts timeouts, http::MessageLimits limits) {
+  timeouts_ = timeouts;
+  limits_ = limits;
+  connections_.each(
+      [&](net::SlotId, Connection& connection) { connection.reader.set_limits(limits, connection.in); });
+}
+
 std::size_t HttpServer::busy() {
   std::size_t count = 0;
   connections_.each([&](net::SlotId, Connection& connection) {
--- a/src/clients/http_server.h
+++ b/src/clients/http_server.h
@@ -94,11 +94,9 @@
   void omit_body_for_head() { omit_body_for_head_ = true; }
   // From now on each connection is closed after its next answer.
   void start_draining() { draining_ = true; }
-  // The message limits apply to new connections, the timeouts to requests that begin from now on.
-  void set_limits(RequestTimeouts timeouts, http::MessageLimits limits) {
-    timeouts_ = timeouts;
-    limits_ = limits;
-  }
+  // Both apply to requests that begin from now on, on open connections too. Raised message limits also apply
+  // to requests that have begun.
+  void set_limits(RequestTimeouts timeouts, http::MessageLimits limits);
   // Closes idle connections that were last used before the given time.
   void close_idle_since(net::Time before);
   // Accepts the connections in the kernel's queue, then closes the listening socket.
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -95,10 +95,20 @@
   return finish(buffer);
 }
 
+void MessageReader::set_limits(MessageLimits limits, const net::Buffer& buffer) {
+  next_limits_ = limits;
+  if (begun(buffer)) {
+    limits.head = std::max(limits.head, limits_.head);
+    limits.body = std::max(limits.body, limits_.body);
+    limits.lines = std::max(limits.lines, limits_.lines);
+  }
+  limits_ = limits;
+}
+
 void MessageReader::next(net::Buffer& buffer) {
   buffer.consume(chunked_ ? at_ : head_size_ + body_size_);
   const bool no_body = no_body_, unframed_allowed = unframed_allowed_;
-  *this = MessageReader(kind_, limits_);
+  *this = MessageReader(kind_, next_limits_);
   no_body_ = no_body;
   unframed_allowed_ = unframed_allowed;
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -52,7 +52,12 @@
 // long as the buffer is not changed.
 class MessageReader {
  public:
-  explicit MessageReader(MessageKind kind, MessageLimits limits = {}) : kind_(kind), limits_(limits) {}
+  explicit MessageReader(MessageKind kind, MessageLimits limits = {})
+      : kind_(kind), limits_(limits), next_limits_(limits) {}
+
+  // Applies to messages that begin from now on. One that has begun in `buffer` may have the larger of both
+  // limits.
+  void set_limits(MessageLimits limits, const net::Buffer& buffer);
 
   // To be called whenever the buffer has grown. Resumes where the last call stopped.
   Progress advance(net::Buffer& buffer);
@@ -94,7 +99,8 @@
   Progress finish(net::Buffer& buffer);
 
   MessageKind kind_;
-  MessageLimits limits_;
+  MessageLimits limits_;       // on the current message
+  MessageLimits next_limits_;  // on later ones
   Stage stage_ = Stage::head;
   std::size_t scanned_ = 0;    // bytes already searched for the end of the head
   std::size_t head_size_ = 0;  // including the empty line
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,5 +1,6 @@
 #include "clients/http_server.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <map>
@@ -161,6 +162,46 @@
   EXPECT_EQ(requests[0].body.size(), 200u * 1024);
 }
 
+// A connection that was opened before kept its limits for good: what a newer configuration allows was
+// refused.
+TEST_F(HttpServerTest, RaisedLimitsApplyToOpenConnections) {
+  answer_immediately = true;
+  peers::Peer kept = client(), begun = client();
+  ASSERT_TRUE(until([&] { return server.connections() == 2; }));
+  ASSERT_TRUE(kept.write("GET /1 HTTP/1.1\r\n\r\n"));
+  ASSERT_TRUE(receives(kept, "ok /1"));
+  ASSERT_TRUE(begun.write("POST /2 HTTP/1.1\r\n"));
+  for (int i = 0; i < 3; ++i) loop.run_once(net::Duration(0));
+  constexpr std::size_t body_bytes = 100 * 1024;
+  const std::string rest = fmt::format("Content-Length: {}\r\n\r\n", body_bytes);
+  server.set_limits({net::Duration(60), net::Duration(60)}, {16 * 1024, body_bytes, 100});
+  ASSERT_TRUE(kept.write("POST /3 HTTP/1.1\r\n" + rest));
+  ASSERT_TRUE(begun.write(rest));
+  for (std::size_t written = 0; written < body_bytes; written += 10 * 1024) {
+    ASSERT_TRUE(kept.write(std::string(10 * 1024, 'x')));
+    ASSERT_TRUE(begun.write(std::string(10 * 1024, 'x')));
+    for (int i = 0; i < 3; ++i) loop.run_once(net::Duration(0));
+  }
+  EXPECT_TRUE(receives(kept, "ok /3"));
+  EXPECT_TRUE(receives(begun, "ok /2"));
+}
+
+// The request that has begun was allowed as it began.
+TEST_F(HttpServerTest, LoweredLimitsApplyToTheNextRequestOfAnOpenConnection) {
+  answer_immediately = true;
+  peers::Peer peer = client();
+  ASSERT_TRUE(until([&] { return server.connections() == 1; }));
+  ASSERT_TRUE(peer.write("POST /1 HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + std::string(1000, 'x')));
+  for (int i = 0; i < 3; ++i) loop.run_once(net::Duration(0));
+  server.set_limits({net::Duration(60), net::Duration(60)}, {16 * 1024, 100, 100});
+  ASSERT_TRUE(peer.write(std::string(1000, 'x')));
+  ASSERT_TRUE(receives(peer, "ok /1"));
+  ASSERT_TRUE(peer.write("POST /2 HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'x')));
+  ASSERT_TRUE(receives(peer, "ok /2"));
+  ASSERT_TRUE(peer.write("POST /3 HTTP/1.1\r\nContent-Length: 101\r\n\r\n"));
+  EXPECT_TRUE(receives(peer, "413"));
+}
+
 // A client that closed its side counts as disconnected.
 TEST_F(HttpServerTest, RequestOfADisconnectedClientIsDropped) {
   client().write("GET /1 HTTP/1.1\r\n\r\n");
