An update from before a pause of an edge confirms nothing new

After a pause an edge reads what a former leader had sent before it; until the next leader's state is read, requests on a route that has become unsafe meanwhile could be sent twice (TWICE).

Cause: an update confirmed the configuration for 2.5 s from the moment at which it was read. Found by looking for what else is handed on and taken for newer than it is.

Change: it counts from the last turn of the loop before, since it may have arrived at any time after that. In a loop that turns, that is milliseconds less; at rest a second at most, and updates come each second.

Measured: updateFromBeforeAPauseConfirmsNothing fails without the change and passes with it; the other 11 cases of UnconfirmedConfigurationTest pass both ways.

--- a/src/subscription/follower.cpp
+++ b/src/subscription/follower.cpp
@@ -23,7 +23,7 @@
     : transport_(transport), options_(std::move(options)), discovery_(options_.incarnation) {}
 
 void Follower::start(Time now) {
-  last_update_ = now;
+  last_update_ = last_tick_ = now;
   next_contact_ = now + contact_interval;
   transport_.set_targets(options_.seeds);
 }
@@ -169,8 +169,9 @@
     transport_.send(link, hello());
     return false;
   }
+  // Counts from before a pause of this process, in which another leader may have replaced the configuration.
   if (view_.configuration() && view_.revision() == view_.announced_revision())
-    confirmed_until_ = now + options_.confirmation_lifetime;
+    confirmed_until_ = last_tick_ + options_.confirmation_lifetime;
   if (!has_nodes_ && !view_.nodes().all().empty()) {
     has_nodes_ = true;
     first_nodes_ = now;
@@ -181,6 +182,7 @@
 
 // The periodic messages also make TCP detect dead links, on which nothing is acknowledged.
 bool Follower::tick(Time now) {
+  last_tick_ = now;
   bool changed = apply_provisional(now);
   bool silent = leader_is_silent(now);
   if (discovery_.tick(now, silent, !member_links_.empty())) update_targets();
--- a/src/subscription/follower.h
+++ b/src/subscription/follower.h
@@ -96,6 +96,7 @@
   Time first_nodes_{};
   Time last_update_{};  // from a leader
   Time confirmed_until_ = Time::min();
+  Time last_tick_{};  // what is received now may have arrived at any time since
   Time next_contact_{};
   transport::LinkId leader_link_ = 0;  // on which the last update arrived; 0 = none
   std::uint32_t coverage_ = 100;
--- a/tests/system/unconfirmed_configuration_test.cpp
+++ b/tests/system/unconfirmed_configuration_test.cpp
@@ -211,6 +211,7 @@
   CPPUNIT_TEST(refusedCallIsSentToAnotherNode);
   CPPUNIT_TEST(leaderConfirmsForLaterRequestsOnly);
   CPPUNIT_TEST(silentLeaderConfirmsNothing);
+  CPPUNIT_TEST(updateFromBeforeAPauseConfirmsNothing);
   CPPUNIT_TEST(unreadableConfigurationIsNotConfirmed);
   CPPUNIT_TEST(unknownPathIsNot404);
   CPPUNIT_TEST(gatheredRequestWaitsForALeader);
@@ -300,6 +301,18 @@
     CPPUNIT_ASSERT(edge.repeats("/s/7"));
   }
 
+  // What a former leader had sent before the edge stood still was taken for new when the edge went on.
+  void updateFromBeforeAPauseConfirmsNothing() {
+    TestedEdge edge;
+    edge.receive(state({4, 1}, 1));
+    edge.now += std::chrono::seconds(10);
+    edge.receive(protocol::Ping{{4, 1}, 1, 100});
+    CPPUNIT_ASSERT(!edge.repeats("/s/7"));
+    edge.run(10);
+    edge.receive(protocol::Ping{{4, 1}, 1, 100});
+    CPPUNIT_ASSERT(edge.repeats("/s/7"));
+  }
+
   // An edge that cannot read a newer configuration knows that its own has been replaced.
   void unreadableConfigurationIsNotConfirmed() {
     TestedEdge edge;
