A test in which a leave waits for the disks of a majority

Change: ClusterTest::aLeaveWaitsForAMajority: the other members hear of the leave and their disks refuse it, so it is not acknowledged until they take it.

Measured: with the wait taken out it fails (1 leave acknowledged for 0), with it it passes.

--- a/tests/system/cluster_test.cpp
+++ b/tests/system/cluster_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(theLogStaysShort);
   CPPUNIT_TEST(aLeavingNodeIsAskedNoMore);
   CPPUNIT_TEST(aLeaveOutlivesAKillOfAllMembers);
+  CPPUNIT_TEST(aLeaveWaitsForAMajority);
   CPPUNIT_TEST(aNewLeaderForgetsNoNode);
   CPPUNIT_TEST(anEdgeFindsTheCoreWithoutItsSeeds);
   CPPUNIT_TEST(anIndexIsCutAnewUnderTraffic);
@@ -468,6 +469,26 @@
     }
   }
 
+  // The other members hear of it, but their disks refuse the entry.
+  void aLeaveWaitsForAMajority() {
+    Cluster cluster(small());
+    cluster.run(2);
+    changed(cluster);
+    cluster.run(5);
+    std::size_t leader = led(cluster);
+    for (std::size_t core = 0; core < cluster.cores(); ++core)
+      if (core != leader) cluster.disk(core).set_full(true);
+    cluster.send_node_to(0, leader);
+    cluster.retire_node(0, 20);
+    cluster.run(0.2);
+    CPPUNIT_ASSERT_EQUAL(leader, led(cluster));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cluster.checker().left());
+    for (std::size_t core = 0; core < cluster.cores(); ++core) cluster.disk(core).set_full(false);
+    cluster.run(5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.checker().left());
+    good(cluster);
+  }
+
   void aNewLeaderForgetsNoNode() {
     ClusterOptions options = small();
     Cluster cluster(options);
