--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -127,7 +127,7 @@
 std::vector<metrics::Sample> Member::samples() const {
   const raft::Core& core = member_.core();
   auto number = [](auto value) { return static_cast<double>(value); };
-  return {
+  std::vector<metrics::Sample> samples = {
       {"altavia_leads", "whether this member leads, its lease holding",
        core.holds_lease(loop_.read_clock()) ? 1.0 : 0.0},
       {"altavia_voter", "whether it counts", core.log().membership().has(core.self()) ? 1.0 : 0.0},
@@ -190,6 +190,13 @@
       {"altavia_refused_for_memory_total", "calls answered 503 since callers' bytes had reached their bound",
        number(front_.counters().refused_for_memory)},
   };
+  for (const auto& count : member_.controller().call_log().counts())
+    samples.push_back({"altavia_calls_refused_total",
+                       "control calls answered 4xx or 5xx, by path and status",
+                       number(count.calls),
+                       {{"path", std::string(control_plane::name_of(count.path))},
+                        {"status", std::to_string(count.status)}}});
+  return samples;
 }
 
 void Member::log_role_changes() {
@@ -207,6 +214,12 @@
        {"nodes", member_.controller().view().nodes().all().size()}});
 }
 
+void Member::log_refused_calls() {
+  for (const control_plane::RefusedCall& call : member_.take_refused_calls())
+    log(Level::warning, "call_refused",
+        {{"method", call.method}, {"path", call.path}, {"status", call.status}, {"answer", call.body}});
+}
+
 void Member::log_store_changes() {
   const raft::Core& core = member_.core();
   if (core.store_failed() == store_failing_) return;
@@ -226,6 +239,7 @@
     if (reply.status == 503) answer.retry_after_s = control_plane::unavailable_retry_after_s;
     front_.answer(connection_of(reply.caller), answer);
   }
+  log_refused_calls();
   log_role_changes();
   log_store_changes();
   net::Time due = member_.started() ? member_.due() : restart_at_;
--- a/src/altavia/member.h
+++ b/src/altavia/member.h
@@ -48,6 +48,8 @@
   void start_core();
   // Logs that this member has become leader, or is leader no more, and whether it can read the configuration.
   void log_role_changes();
+  // Logs the calls that were refused.
+  void log_refused_calls();
   // Logs when the store begins to refuse writes and when it accepts them again.
   void log_store_changes();
   std::vector<metrics::Sample> samples() const;
--- a/src/control_plane/controller.h
+++ b/src/control_plane/controller.h
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "control_plane/call_log.h"
 #include "control_plane/departure_proposals.h"
 #include "control_plane/followers.h"
 #include "control_plane/pending_calls.h"
@@ -92,6 +93,9 @@
   // Whether this member serves as the leader of the current term.
   bool is_active() const { return followers_.is_open(); }
   const CallLimiter& call_limiter() const { return call_limiter_; }
+  // Calls that this member has refused, by its own answer or the leader's.
+  const CallLog& call_log() const { return call_log_; }
+  std::deque<RefusedCall> take_refused_calls() { return call_log_.take_refused(); }
 
  private:
   static constexpr std::size_t max_calls = 1024;
@@ -156,6 +160,7 @@
   retry_tokens::TokenPool pool_;
   quota::QuotaAllocator quota_allocator_;
   CallLimiter call_limiter_{max_calls, max_call_bytes};  // of all pending calls
+  CallLog call_log_;
   std::deque<Request> waiting_;  // for a leader, for the current proposal to end, or for their base
   std::optional<Proposal> proposal_;
   std::deque<PendingUpdate> pending_updates_;
--- a/src/control_plane/controller_calls.cpp
+++ b/src/control_plane/controller_calls.cpp
@@ -39,13 +39,33 @@
   return newest;
 }
 
+CallPath call_path_of(std::string_view path) {
+  if (path == config_path) return CallPath::configuration;
+  if (is_node_path(path)) return CallPath::node;
+  if (path == list_path) return CallPath::node_list;
+  if (path == status_path) return CallPath::status;
+  if (path == snapshot_path) return CallPath::snapshot;
+  if (path == allowance_path) return CallPath::allowance;
+  return requested_history_entries(path) ? CallPath::history : CallPath::unknown;
+}
+
 // Also used in error messages. Null: no such path.
 const char* allowed_methods(std::string_view path) {
-  if (path == config_path) return "GET or PUT";
-  if (is_node_path(path)) return "PUT or DELETE";
-  bool read = path == status_path || path == list_path || path == snapshot_path || path == allowance_path ||
-              requested_history_entries(path);
-  return read ? "GET" : nullptr;
+  switch (call_path_of(path)) {
+    case CallPath::configuration:
+      return "GET or PUT";
+    case CallPath::node:
+      return "PUT or DELETE";
+    case CallPath::node_list:
+    case CallPath::status:
+    case CallPath::history:
+    case CallPath::snapshot:
+    case CallPath::allowance:
+      return "GET";
+    case CallPath::unknown:
+      break;
+  }
+  return nullptr;
 }
 
 bool is_allowed(std::string_view method, std::string_view allowed) {
@@ -65,13 +85,15 @@
   }
   reply_bytes_ += body.size();
   if (forwarded) forwarded_reply_bytes_ += body.size();
-  if (request.forwarded_by.empty())
+  if (!forwarded) {
+    call_log_.record(call_path_of(request.path), request.method, request.path, status, body);
     replies_.push_back({request.caller, status, std::move(body), requires_lease});
-  else
+  } else {
     messages_.push_back(
         {request.forwarded_by,
          protocol::ControlReply{request.number, static_cast<std::uint32_t>(status), std::move(body)},
          requires_lease});
+  }
 }
 
 void Controller::reply_error(const Request& request, int status, std::string_view what) {
--- a/src/control_plane/member.h
+++ b/src/control_plane/member.h
@@ -44,6 +44,7 @@
   const raft::Core& core() const { return core_; }
   const ReplicatedState& state() const { return state_; }
   const Controller& controller() const { return controller_; }
+  std::deque<RefusedCall> take_refused_calls() { return controller_.take_refused_calls(); }
   std::uint64_t unreadable_frames() const { return unreadable_frames_; }
 
  private:
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -16,8 +16,9 @@
 
 std::string as_text(const std::vector<Sample>& samples, const std::string& node, const std::string& zone) {
   prometheus::Registry registry;
-  const prometheus::Labels labels = {{"node", node}, {"zone", zone}};
   for (const Sample& sample : samples) {
+    prometheus::Labels labels = {{"node", node}, {"zone", zone}};
+    labels.insert(sample.labels.begin(), sample.labels.end());
     if (std::string_view(sample.name).ends_with(counter_suffix))
       prometheus::BuildCounter()
           .Name(sample.name)
@@ -42,7 +43,9 @@
     std::string_view name = sample.name;
     if (name.starts_with(name_prefix)) name.remove_prefix(name_prefix.size());
     if (name.ends_with(counter_suffix)) name.remove_suffix(counter_suffix.size());
-    out += fmt::format("{}\"{}\":{}", out.size() > 1 ? "," : "", name, sample.value);
+    std::string key(name);
+    for (const auto& [label, value] : sample.labels) key += "_" + value;
+    out += fmt::format("{}\"{}\":{}", out.size() > 1 ? "," : "", key, sample.value);
   }
   return out + "}";
 }
--- a/tests/system/controller_test.cpp
+++ b/tests/system/controller_test.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(historyLengthIsBounded);
   CPPUNIT_TEST(replyBytesPerTurnAreBounded);
   CPPUNIT_TEST(unknownForwardedCallChangesNothing);
+  CPPUNIT_TEST(refusedCallsAreCountedByPathAndStatus);
   CPPUNIT_TEST(openApiFileMatchesTheCalls);
   CPPUNIT_TEST_SUITE_END();
 
@@ -276,6 +277,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.member.controller().view().nodes().all().size());
   }
 
+  // Issue 66: neither counters nor log told which calls a member had refused.
+  void refusedCallsAreCountedByPathAndStatus() {
+    SingleMember f;
+    f.run(2);
+    f.call("POST", "/pearspar/other", "", "{}");
+    f.call("POST", "/pearspar/other", "", "{}");
+    f.put(0, "no configuration");
+    f.put(0, config(3));
+    std::map<std::pair<CallPath, int>, std::uint64_t> counted;
+    for (const CallLog::Count& count : f.member.controller().call_log().counts())
+      counted[{count.path, count.status}] = count.calls;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, counted.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, (counted[{CallPath::unknown, 404}]));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, (counted[{CallPath::configuration, 400}]));
+    auto refused = f.member.take_refused_calls();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, refused.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("POST"), refused[0].method);
+    CPPUNIT_ASSERT_EQUAL(std::string("/pearspar/other"), refused[0].path);
+    CPPUNIT_ASSERT_EQUAL(404, refused[0].status);
+    CPPUNIT_ASSERT_EQUAL(400, refused[2].status);
+    CPPUNIT_ASSERT(f.member.take_refused_calls().empty());
+  }
+
   // api/altavia.json lists exactly the calls that the controller serves, with their statuses.
   void openApiFileMatchesTheCalls() {
     std::ifstream file(PEARSPAR_ROOT "/api/altavia.json");
