Orders of roll-outs are entries of the log, answered 200 once a majority has them

POST /pearspar/rollouts got 404 at every member; the operator ended the order at the third try.

Change: rollout::RolloutLedger, replicated: of each service the versions that serve it, recorded once the list of nodes is complete, and its newest roll-out. An order is an entry; 200 when it is applied; the same again 200, another one under way 409, a bad one 400 with its key, an unknown depot 422, a version that serves alone delivered at once. A version is not known before its order, so none is refused for that. GET tells the state through any member, 404 without an order. Without a verdict an order is returned at 0.9 of its term; members count the term by their own steady clocks from what the log has.

--- a/src/control_plane/call_log.cpp
+++ b/src/control_plane/call_log.cpp
@@ -10,6 +10,10 @@
       return "node";
     case CallPath::node_list:
       return "nodes";
+    case CallPath::rollout_order:
+      return "rollouts";
+    case CallPath::rollout:
+      return "rollout";
     case CallPath::status:
       return "status";
     case CallPath::history:
--- a/src/control_plane/call_log.h
+++ b/src/control_plane/call_log.h
@@ -17,6 +17,8 @@
   configuration,
   node,
   node_list,
+  rollout_order,
+  rollout,
   status,
   history,
   snapshot,
--- a/src/control_plane/controller.cpp
+++ b/src/control_plane/controller.cpp
@@ -38,6 +38,10 @@
 void Controller::activate(Time now) {
   published_members_.clear();
   view_.adopt(state_.configuration());
+  for (const auto& [service, record] : state_.rollouts().services())
+    view_.adopt(rollout::versions_of(service, record));
+  published_versions_ = state_.rollouts().changed_at();
+  rollout_entry_.reset();
   last_heartbeats_.clear();
   for (const auto& [id, node] : view_.nodes().all()) last_heartbeats_[id] = now;
   list_complete_at_ = now + options_.heartbeat_interval * list_gathering_heartbeats;
@@ -56,11 +60,13 @@
   finish_pending_updates(now);
   departures_.clear();
   reject_lost_departures();
+  reject_pending_rollouts("the leader changed meanwhile");
 }
 
 void Controller::advance(Time now) {
   reject_expired(now);
   adopt_departures();
+  rollouts_.observe(now, state_.rollouts());
   node_list_changes_ += view_.take_changed_nodes().size();
   bool leads = core_.role() == raft::Core::Role::leader;
   // This program cannot parse the applied configuration: another member has to lead.
@@ -73,6 +79,7 @@
   finish_proposal(now);
   if (is_active() && may_serve(now)) {
     publish_configuration(now);
+    publish_rollouts(now);
     publish_members();
     expire_silent_nodes(now);
   }
@@ -84,16 +91,20 @@
   }
   redirect_forwarded(now);
   propose_departures(now);
+  propose_rollouts(now);
+  finish_rollout_orders();
   finish_pending_updates(now);
 }
 
 Time Controller::due() const {
   Time due = forwarded_.due();
   if (is_active())
-    due = std::min({due, followers_.due(), next_expiry_, quota_allocator_.due(state_.quota_rules())});
+    due = std::min({due, followers_.due(), next_expiry_, quota_allocator_.due(state_.quota_rules()),
+                    rollout_entry_ ? Time::max() : rollouts_.due(state_.rollouts())});
   for (const Request& request : waiting_) due = std::min(due, request.deadline);
   if (proposal_)
     for (const Request& request : proposal_->callers) due = std::min(due, request.deadline);
+  for (const PendingRollout& pending : pending_rollouts_) due = std::min(due, pending.request.deadline);
   for (const PendingUpdate& each : pending_updates_) {
     due = std::min(due, each.request.deadline);
     if (departures_.is_committed(each.departure)) due = std::min(due, each.until);
@@ -158,7 +169,8 @@
     if (!is_active() && hello->kind == protocol::FollowerKind::edge &&
         hello->position == protocol::Position{} && state_.configuration() &&
         hello->revision < state_.configuration()->revision)
-      link_frames_.push_back({link, followers_.encode_provisional_state(now, state_.configuration())});
+      link_frames_.push_back(
+          {link, followers_.encode_provisional_state(now, state_.configuration(), provisional_versions())});
   } else if (const auto* ack = std::get_if<protocol::Ack>(&message)) {
     followers_.on_ack(now, link, *ack);
   } else if (std::get_if<protocol::Goodbye>(&message)) {
--- a/src/control_plane/controller.h
+++ b/src/control_plane/controller.h
@@ -22,10 +22,13 @@
 #include "control_plane/replicated_state.h"
 #include "quota/quota_allocator.h"
 #include "retry_tokens/token_pool.h"
+#include "rollout/rollout_coordinator.h"
+#include "rollout/rollout_order.h"
 
 namespace pearspar::control_plane {
 
 inline constexpr std::string_view nodes_path = "/pearspar/nodes/";
+inline constexpr std::string_view rollouts_path = "/pearspar/rollouts";
 
 // From a call's arrival at the first member on, forwarding included; callers give up after a second.
 inline constexpr Duration call_timeout = std::chrono::milliseconds(850);
@@ -40,6 +43,8 @@
   std::string zone;
   Duration heartbeat_interval = std::chrono::milliseconds(1200);
   retry_tokens::TokenPoolRules pool;  // the retry budget shared by all edges
+  // An operator may repeat an order of a roll-out for this long.
+  Duration acknowledged_within = std::chrono::seconds(5);
   ReplicatedState::ConfigurationParser parse_configuration = catalog::parse_configuration;
 };
 
@@ -122,6 +127,14 @@
     DepartureProposals::Ticket departure = DepartureProposals::recorded;
   };
 
+  // An operator's order of a roll-out, answered when its entry is applied.
+  struct PendingRollout {
+    Request request;
+    rollout::RolloutOrder order;
+    std::optional<raft::Index> index;  // of the entry, once it was proposed
+    bool repeated = false;             // another pending request has the same order
+  };
+
   // Leads with a valid lease, and can parse the configuration in force.
   bool may_serve(Time now) const { return state_.may_serve() && core_.holds_lease(now); }
   void accept(Time now, Request request);
@@ -135,6 +148,16 @@
   void propose_departures(Time now);
   void reject_lost_departures();
   void adopt_departures();
+  bool handle_rollout_order(Time now, Request& request);
+  void handle_rollout_read(Request& request);
+  bool knows_service(const std::string& service) const;
+  std::vector<std::string> listed_versions(const std::string& service) const;
+  void add_version_records(std::vector<rollout::RolloutCommand>& commands) const;
+  void propose_rollouts(Time now);
+  void finish_rollout_orders();
+  void reject_pending_rollouts(std::string_view reason);
+  void publish_rollouts(Time now);
+  std::vector<catalog::ServiceVersions> provisional_versions() const;
   void reply(const Request& request, int status, std::string body, bool requires_lease = true);
   void reply_error(const Request& request, int status, std::string_view what);
   void forward(Time now, Request& request);
@@ -166,6 +189,10 @@
   std::deque<PendingUpdate> pending_updates_;
   DepartureProposals departures_;
   std::uint64_t adopted_departures_ = 0;  // of the replicated state's, by their total
+  rollout::RolloutCoordinator rollouts_;
+  std::deque<PendingRollout> pending_rollouts_;
+  std::optional<raft::Index> rollout_entry_;  // in flight
+  rollout::LogIndex published_versions_ = 0;  // followers have been sent all changes up to this entry
   ForwardedCalls forwarded_;
   std::size_t reply_bytes_ = 0;
   std::size_t forwarded_reply_bytes_ = 0;
--- a/src/control_plane/controller_calls.cpp
+++ b/src/control_plane/controller_calls.cpp
@@ -20,6 +20,12 @@
 constexpr std::string_view snapshot_path = "/pearspar/snapshot";
 constexpr std::string_view allowance_path = "/pearspar/allowance";
 
+bool is_rollout_path(std::string_view path) {
+  std::size_t service = rollouts_path.size() + 1;
+  return path.size() > service && path.starts_with(rollouts_path) && path[service - 1] == '/' &&
+         path.find('/', service) == path.npos;
+}
+
 bool is_node_path(std::string_view path) {
   return path.starts_with(nodes_path) && path.size() > nodes_path.size() &&
          path.find('/', nodes_path.size()) == path.npos && path.size() < nodes_path.size() + 128;
@@ -42,6 +48,8 @@
 CallPath call_path_of(std::string_view path) {
   if (path == config_path) return CallPath::configuration;
   if (is_node_path(path)) return CallPath::node;
+  if (path == rollouts_path) return CallPath::rollout_order;
+  if (is_rollout_path(path)) return CallPath::rollout;
   if (path == list_path) return CallPath::node_list;
   if (path == status_path) return CallPath::status;
   if (path == snapshot_path) return CallPath::snapshot;
@@ -56,6 +64,9 @@
       return "GET or PUT";
     case CallPath::node:
       return "PUT or DELETE";
+    case CallPath::rollout_order:
+      return "POST";
+    case CallPath::rollout:
     case CallPath::node_list:
     case CallPath::status:
     case CallPath::history:
@@ -150,6 +161,10 @@
       reply(request, 200, allowance_json(core_, state_));
     } else if (request.path == snapshot_path) {
       reply(request, 200, snapshot_json(state_));
+    } else if (request.path == rollouts_path) {
+      return handle_rollout_order(now, request);
+    } else if (is_rollout_path(request.path)) {
+      handle_rollout_read(request);
     } else if (request.method == "PUT") {
       handle_heartbeat(now, request);
     } else {
@@ -242,6 +257,11 @@
       reply_error(request, 503, "not replicated to a majority yet");
       return true;
     });
+  std::erase_if(pending_rollouts_, [&](const PendingRollout& pending) {
+    if (now < pending.request.deadline) return false;
+    reply_error(pending.request, 503, "not replicated to a majority yet");
+    return true;
+  });
   std::erase_if(pending_updates_, [&](const PendingUpdate& each) {
     if (now < each.request.deadline) return false;
     reply_error(each.request, 503, "not acknowledged by all edges yet");
--- a/src/control_plane/followers.cpp
+++ b/src/control_plane/followers.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "protocol/delta.h"
+#include "protocol/rollout_codec.h"
 
 namespace pearspar::control_plane {
 namespace {
@@ -85,6 +86,15 @@
   encoded_states_.clear();
 }
 
+void Followers::add_service_versions(Time now, const catalog::ServiceVersions& versions) {
+  auto known = view_.service_versions().find(versions.service);
+  if (known != view_.service_versions().end() && known->second.changed_at >= versions.changed_at) return;
+  protocol::Change change;
+  change.kind = protocol::ChangeKind::service_versions;
+  change.text = protocol::pack_service_versions(versions);
+  add(now, std::move(change));
+}
+
 void Followers::complete_list(Time now) {
   if (list_complete_) return;
   list_complete_ = true;
@@ -185,13 +195,15 @@
   standing.retired.assign(view_.nodes().retired().begin(), view_.nodes().retired().end());
 }
 
-std::string Followers::encode_provisional_state(Time now,
-                                                const catalog::ConfigurationPtr& configuration) const {
+std::string Followers::encode_provisional_state(
+    Time now, const catalog::ConfigurationPtr& configuration,
+    std::vector<catalog::ServiceVersions> service_versions) const {
   protocol::StateSnapshot standing;
   standing.complete = false;
   standing.edges = view_.edge_count();
   standing.revision = configuration->revision;
   standing.configuration = configuration->text;
+  standing.service_versions = std::move(service_versions);
   append_nodes(now, standing);
   return protocol::pack(std::move(standing));
 }
@@ -206,6 +218,8 @@
   standing.coverage = coverage(now);
   standing.revision = view_.revision();
   if (view_.revision() > known) standing.configuration = view_.configuration()->text;
+  for (const auto& [service, versions] : view_.service_versions())
+    standing.service_versions.push_back(versions);
   append_nodes(now, standing);
   if (has_list) {
     std::erase_if(standing.nodes, [](const protocol::NodeUpdate& news) { return !news.node.closing; });
--- a/src/control_plane/followers.h
+++ b/src/control_plane/followers.h
@@ -40,9 +40,13 @@
   // Stops leading; links and follower records stay.
   void close() { open_ = false; }
   bool is_open() const { return open_; }
+  // Whether the list of nodes is known to be complete.
+  bool list_complete() const { return open_ && list_complete_; }
 
   // Appends a newly applied configuration, as a delta to the previous one where that is shorter.
   void add_configuration(Time now, const catalog::ConfigurationPtr& configuration);
+  // Appends the versions of a service, where they are newer than what the local view has.
+  void add_service_versions(Time now, const catalog::ServiceVersions& versions);
   // Appends a change and applies it to the local view at once. Returns its position.
   protocol::Position add(Time now, protocol::Change change);
   // Marks the list of nodes as complete; followers whose list may differ are sent the full state again.
@@ -58,7 +62,8 @@
   Time due() const { return open_ ? std::min(ping_due_, changes_due_) : Time::max(); }
 
   // State for an edge that has none while no leader is known; its position precedes all others.
-  std::string encode_provisional_state(Time now, const catalog::ConfigurationPtr& configuration) const;
+  std::string encode_provisional_state(Time now, const catalog::ConfigurationPtr& configuration,
+                                       std::vector<catalog::ServiceVersions> service_versions) const;
 
   // Adds the list of nodes to a state that is to be sent or stored.
   void append_nodes(Time now, protocol::StateSnapshot& standing) const;
--- a/src/control_plane/replicated_state.cpp
+++ b/src/control_plane/replicated_state.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/pack.h"
 #include "protocol/quota_codec.h"
+#include "protocol/rollout_codec.h"
 
 namespace pearspar::control_plane {
 namespace {
@@ -9,6 +10,7 @@
 // These stand in the place of the base, where no configuration has them: older programs ignore such an entry.
 constexpr std::uint64_t quota_entry_mark = ~std::uint64_t{0};
 constexpr std::uint64_t departures_entry_mark = quota_entry_mark - 1;
+constexpr std::uint64_t rollouts_entry_mark = quota_entry_mark - 2;
 constexpr std::size_t max_unapplied_entries = 1 << 16;
 
 void pack_departure(protocol::Packer& packer, const catalog::Departure& departure) {
@@ -60,6 +62,20 @@
   return std::string(packer.view());
 }
 
+std::string ReplicatedState::encode_rollout_commands(const std::vector<rollout::RolloutCommand>& commands) {
+  protocol::Packer packer;
+  packer.array(3);
+  packer.number(rollouts_entry_mark);
+  packer.text({});
+  protocol::pack(packer, commands);
+  return std::string(packer.view());
+}
+
+void ReplicatedState::apply_rollout_commands(protocol::Unpacker& in, raft::Index index) {
+  for (const rollout::RolloutCommand& command : protocol::unpack_rollout_commands(in))
+    rollouts_.apply(command, index);
+}
+
 void ReplicatedState::apply_departures(protocol::Unpacker& in) {
   std::size_t count = in.enter(catalog::Departures::max_records);
   for (std::size_t i = 0; i < count && in.good(); ++i) {
@@ -131,6 +147,7 @@
     return defer({true, std::move(text)});
   }
   if (base == departures_entry_mark) return apply_departures(in);
+  if (base == rollouts_entry_mark) return apply_rollout_commands(in, change.index);
   if (base != revision()) return;
   ChangeHistory::Entry entry;
   if (in.more()) {
@@ -153,7 +170,7 @@
 std::string ReplicatedState::take_snapshot() const {
   std::size_t legacy = std::min(history_.size(), max_legacy_entries);
   bool more = history_.size() > legacy || history_.truncated() || !unapplied_.empty() || incomplete_ ||
-              departures_.total() > 0;
+              departures_.total() > 0 || !rollouts_.empty();
   protocol::Packer packer;
   packer.array(more ? 4 : quota_ledger_.window() > 0 ? 3 : 2);
   packer.text(text_);
@@ -169,9 +186,9 @@
   return std::string(packer.view());
 }
 
-// The last two fields are added only where they are needed.
+// The last three fields are added only where they are needed.
 void ReplicatedState::save_extension(protocol::Packer& packer, std::size_t legacy_entries) const {
-  packer.array(departures_.total() > 0 ? 6 : 4);
+  packer.array(!rollouts_.empty() ? 7 : departures_.total() > 0 ? 6 : 4);
   packer.text(history_.pack_oldest(legacy_entries));
   packer.flag(history_.truncated());
   packer.flag(incomplete_);
@@ -181,10 +198,11 @@
     packer.flag(entry.quota_commands);
     packer.text(entry.text);
   }
-  if (departures_.total() == 0) return;
+  if (departures_.total() == 0 && rollouts_.empty()) return;
   packer.number(departures_.total());
   packer.array(departures_.records().size());
   for (const catalog::Departure& departure : departures_.records()) pack_departure(packer, departure);
+  if (!rollouts_.empty()) protocol::pack(packer, rollouts_);
 }
 
 void ReplicatedState::restore(const std::string& state) {
@@ -239,6 +257,7 @@
   }
   in.leave();
   if (in.more()) restore_departures(in);
+  if (in.more()) rollouts_ = protocol::unpack_rollout_ledger(in);
   in.leave();
   return in.good();
 }
--- a/src/control_plane/replicated_state.h
+++ b/src/control_plane/replicated_state.h
@@ -1,5 +1,5 @@
 // The state machine behind the raft log: the newest configuration, the history of configurations, the quota
-// accounts, and the nodes that have left.
+// accounts, the nodes that have left, and the versions and roll-outs of services.
 //
 // Invariant: whether a change is applied depends only on the log entry and the current state, never on this
 // program's validation, which only the proposing leader runs. So members of different program versions reach
@@ -19,6 +19,7 @@
 #include "control_plane/change_history.h"
 #include "quota/quota_ledger.h"
 #include "raft/core.h"
+#include "rollout/rollout_ledger.h"
 
 namespace pearspar::protocol {
 class Packer;
@@ -38,10 +39,11 @@
   std::string take_snapshot() const override;
   void restore(const std::string& state) override;
 
-  // Data of a log entry: quota commands, departures, or a configuration with the base that it was checked
-  // against.
+  // Data of a log entry: quota commands, departures, commands of roll-outs, or a configuration with the base
+  // that it was checked against.
   static std::string encode_quota_commands(std::string_view commands);
   static std::string encode_departures(const std::vector<catalog::Departure>& departures);
+  static std::string encode_rollout_commands(const std::vector<rollout::RolloutCommand>& commands);
   static std::string encode_change(catalog::Revision base, catalog::Revision revision, const Digest& digest,
                                    std::string_view text);
 
@@ -64,6 +66,7 @@
   const std::string& fault() const { return fault_; }
   const ChangeHistory& history() const { return history_; }
   const catalog::Departures& departures() const { return departures_; }
+  const rollout::RolloutLedger& rollouts() const { return rollouts_; }
   // Whether the text with this digest was applied as this revision.
   bool has_applied(catalog::Revision revision, const Digest& digest) const {
     return history_.status(revision, digest) == ChangeHistory::Status::applied;
@@ -76,6 +79,7 @@
   void apply_configuration(const ChangeHistory::Entry& entry, std::string text);
   void apply_quota_commands(const std::string& bytes);
   void apply_departures(protocol::Unpacker& in);
+  void apply_rollout_commands(protocol::Unpacker& in, raft::Index index);
   // An entry that waits to be applied to the accounts.
   struct UnappliedEntry {
     bool quota_commands = false;  // false: a configuration
@@ -95,6 +99,7 @@
   quota::QuotaLedger quota_ledger_;
   ChangeHistory history_;
   catalog::Departures departures_;
+  rollout::RolloutLedger rollouts_;
   // The effect of quota commands depends on the rules of their configuration. From the first configuration on
   // that this program cannot parse, all entries wait here for a program that can. Beyond the limit they are
   // dropped, and the state is incomplete until another member's snapshot is installed.
--- a/src/control_plane/report.cpp
+++ b/src/control_plane/report.cpp
@@ -84,6 +84,12 @@
                      core.applied(), state.quota_ledger().window(), lines.text());
 }
 
+std::string rollout_json(const rollout::Rollout& rollout) {
+  return fmt::format(R"({{"nodeState":"{}","targetEdition":{},"overS":{},"why":{}}})",
+                     rollout::name_of(rollout.state), quoted(rollout.target),
+                     static_cast<double>(rollout.over_ms) / 1000, quoted(rollout.reason));
+}
+
 std::string snapshot_json(const ReplicatedState& state) {
   const std::string& text = state.text();
   return fmt::format(R"({{"format":1,"edition":{},"digest":"{}","history":{},"configuration":{}}})",
--- a/src/control_plane/report.h
+++ b/src/control_plane/report.h
@@ -19,6 +19,8 @@
 std::string history_json(const ReplicatedState& state, std::size_t newest);
 // Quota counts by window, holder and kind, with the log position at which they hold.
 std::string allowance_json(const raft::Core& core, const ReplicatedState& state);
+// The state of a service's newest roll-out.
+std::string rollout_json(const rollout::Rollout& rollout);
 // The configuration and its history as a backup that can be verified and restored; format 1.
 std::string snapshot_json(const ReplicatedState& state);
 
--- a/src/process_settings/settings.cpp
+++ b/src/process_settings/settings.cpp
@@ -164,6 +164,7 @@
     bounds.read("retryRatio", settings.retry_ratio);
     bounds.read("retryWindowS", settings.retry_window_s);
     bounds.read("retrySlack", settings.retry_slack);
+    bounds.read("ackWithinMs", settings.acknowledge_within_ms);
   });
   return result;
 }
--- a/src/process_settings/settings.h
+++ b/src/process_settings/settings.h
@@ -40,6 +40,7 @@
   double retry_ratio = 0;
   double retry_window_s = 10;
   double retry_slack = 0;
+  double acknowledge_within_ms = 5000;
 
   std::string inner_address() const { return ip_address + ":" + std::to_string(first_inner_port); }
   // Where an edge answers other edges; a member on the same machine uses the first port. Empty if the range
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -5,6 +5,7 @@
 #include "protocol/pack.h"
 #include "protocol/quota_codec.h"
 #include "protocol/raft_codec.h"
+#include "protocol/rollout_codec.h"
 
 namespace pearspar::protocol {
 namespace {
@@ -27,12 +28,15 @@
   quota_reply,
   neighbours,
   core_query,
-  core_addresses
+  core_addresses,
+  rollout_report,
+  rollout_grant
 };
 
 constexpr std::size_t max_fields = 32;
 constexpr std::size_t max_nodes = 65536;
 constexpr std::size_t max_changes = 65536;
+constexpr std::size_t max_services = 4096;
 constexpr std::size_t max_tokens = 4096;
 constexpr std::size_t max_core_addresses = 64;
 constexpr std::size_t max_neighbours = 16;
@@ -145,7 +149,7 @@
     put(packer, welcome.core_addresses);
   }
   void operator()(const StateSnapshot& snapshot) const {
-    begin(packer, Tag::snapshot, 9);
+    begin(packer, Tag::snapshot, 10);
     put(packer, snapshot.at);
     packer.flag(snapshot.complete);
     packer.number(snapshot.edges);
@@ -155,6 +159,8 @@
     for (const NodeUpdate& update : snapshot.nodes) put(packer, update);
     put(packer, snapshot.retired);
     packer.number(snapshot.coverage);
+    packer.array(snapshot.service_versions.size());
+    for (const catalog::ServiceVersions& versions : snapshot.service_versions) pack(packer, versions);
   }
   void operator()(const Changes& changes) const {
     begin(packer, Tag::changes, 3);
@@ -225,6 +231,14 @@
     packer.text(call.body);
     packer.number(call.timeout_ms);
   }
+  void operator()(const rollout::RolloutReport& report) const {
+    begin(packer, Tag::rollout_report, 1);
+    pack(packer, report);
+  }
+  void operator()(const rollout::RolloutGrant& grant) const {
+    begin(packer, Tag::rollout_grant, 1);
+    pack(packer, grant);
+  }
   void operator()(const ControlReply& reply) const {
     begin(packer, Tag::control_reply, 3);
     packer.number(reply.number);
@@ -257,6 +271,11 @@
   in.leave();
   snapshot.retired = get_texts(in, max_nodes);
   snapshot.coverage = get_coverage(in);
+  if (!in.more()) return snapshot;
+  std::size_t services = in.enter(max_services);
+  for (std::size_t i = 0; i < services && in.good(); ++i)
+    snapshot.service_versions.push_back(unpack_service_versions(in));
+  in.leave();
   return snapshot;
 }
 
@@ -275,7 +294,7 @@
     in.leave();
     // A kind that only a newer program knows becomes a change without effect, so that the changes after it
     // keep their numbers.
-    if (kind > static_cast<std::uint64_t>(ChangeKind::configuration_delta)) change = {};
+    if (kind > static_cast<std::uint64_t>(ChangeKind::service_versions)) change = {};
     changes.changes.push_back(std::move(change));
   }
   in.leave();
@@ -361,6 +380,10 @@
       core.addresses = get_texts(in, max_core_addresses);
       return core;
     }
+    case Tag::rollout_report:
+      return unpack_rollout_report(in);
+    case Tag::rollout_grant:
+      return unpack_rollout_grant(in);
     case Tag::control_reply: {
       ControlReply reply;
       reply.number = in.number();
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -1,6 +1,6 @@
 // The messages between the system's processes apart from Raft's: the stream of updates from the leader to its
 // followers (edges, and the other members of the core), control calls that a member forwards, quota requests,
-// and the search for the core by edges that have lost it.
+// reports on roll-outs, and the search for the core by edges that have lost it.
 //
 // Updates are numbered within a term. A follower that has missed some gets a StateSnapshot, then Changes.
 #pragma once
@@ -14,8 +14,10 @@
 
 #include "catalog/configuration.h"
 #include "catalog/node_list.h"
+#include "catalog/service_versions.h"
 #include "quota/messages.h"
 #include "raft/types.h"
+#include "rollout/messages.h"
 
 namespace pearspar::protocol {
 
@@ -65,6 +67,7 @@
   std::vector<NodeUpdate> nodes;
   std::vector<std::string> retired;  // ids of nodes that never return
   std::uint32_t coverage = 100;      // percent: mean coverage of the edges, by shard weight
+  std::vector<catalog::ServiceVersions> service_versions = {};
 };
 
 // A `configuration_delta` applies to the configuration before it (delta.h). A follower that cannot apply it
@@ -75,13 +78,14 @@
   node_retired,
   node_removed,
   list_complete,
-  configuration_delta
+  configuration_delta,
+  service_versions
 };
 
 struct Change {
   ChangeKind kind = ChangeKind::list_complete;
   catalog::Revision revision = 0;
-  std::string text;  // the configuration, its delta, or a node's id
+  std::string text;  // the configuration, its delta, a node's id, or the encoded versions of a service
   NodeUpdate update;
 };
 
@@ -158,9 +162,10 @@
   std::string body;
 };
 
-using Message = std::variant<raft::Message, Hello, Welcome, StateSnapshot, Changes, Ping, Ack, Goodbye,
-                             ControlCall, ControlReply, TokenRequest, TokenGrant, quota::QuotaRequest,
-                             quota::QuotaReply, Neighbours, CoreQuery, CoreAddresses>;
+using Message =
+    std::variant<raft::Message, Hello, Welcome, StateSnapshot, Changes, Ping, Ack, Goodbye, ControlCall,
+                 ControlReply, TokenRequest, TokenGrant, quota::QuotaRequest, quota::QuotaReply, Neighbours,
+                 CoreQuery, CoreAddresses, rollout::RolloutReport, rollout::RolloutGrant>;
 
 std::string pack(const Message& message);
 // Returns nothing where the bytes are not a message that this program knows.
--- /dev/null
+++ b/src/rollout/rollout_clock.cpp
@@ -0,0 +1,30 @@
+#include "rollout/rollout_clock.h"
+
+#include <algorithm>
+
+namespace pearspar::rollout {
+
+void RolloutClock::observe(Time now, const RolloutLedger& ledger) {
+  Seen newest{ledger.applied_commands(), ledger.last_number(), ledger.changed_at()};
+  if (newest == seen_) return;
+  seen_ = newest;
+  in_transit_.clear();
+  std::erase_if(starts_, [&](const auto& each) { return !ledger.find(each.first); });
+  for (const auto& [service, record] : ledger.services()) {
+    if (!record.rollout) continue;
+    if (record.in_transit()) in_transit_.push_back(service);
+    Time ordered_at = now - std::chrono::milliseconds(record.rollout->elapsed_ms);
+    Start& start = starts_[service];
+    if (start.number != record.rollout->number)
+      start = {record.rollout->number, ordered_at};
+    else
+      start.ordered_at = std::min(start.ordered_at, ordered_at);
+  }
+}
+
+Time RolloutClock::ordered_at(const std::string& service) const {
+  auto start = starts_.find(service);
+  return start == starts_.end() ? Time::max() : start->second.ordered_at;
+}
+
+}  // namespace pearspar::rollout
--- /dev/null
+++ b/src/rollout/rollout_clock.h
@@ -0,0 +1,45 @@
+// For how long the roll-outs of a ledger have been under way. Only steady clocks are read, which members do
+// not share: each entry about a roll-out carries the time that its leader measured, and every member counts
+// on from there. Free of I/O.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "rollout/rollout_ledger.h"
+
+namespace pearspar::rollout {
+
+using Duration = std::chrono::duration<double>;
+using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+class RolloutClock {
+ public:
+  // To be called whenever the ledger may have changed.
+  void observe(Time now, const RolloutLedger& ledger);
+  // Time since the order of the service's newest roll-out. Too low by the time in which no member was up.
+  Duration elapsed(Time now, const std::string& service) const { return now - ordered_at(service); }
+  // By this process's clock; the far future where the service has no roll-out.
+  Time ordered_at(const std::string& service) const;
+  // Services whose roll-out is in transit.
+  const std::vector<std::string>& in_transit() const { return in_transit_; }
+
+ private:
+  struct Start {
+    RolloutNumber number = 0;
+    Time ordered_at{};  // by this process's clock
+  };
+  struct Seen {
+    std::uint64_t applied_commands = 0;
+    RolloutNumber last_number = 0;
+    LogIndex changed_at = 0;
+    bool operator==(const Seen&) const = default;
+  };
+  Seen seen_;                            // of the ledger that was observed last
+  std::map<std::string, Start> starts_;  // by service
+  std::vector<std::string> in_transit_;
+};
+
+}  // namespace pearspar::rollout
--- a/src/simulation/cluster.cpp
+++ b/src/simulation/cluster.cpp
@@ -36,6 +36,7 @@
     start_edge(*edges_.back());
   }
   for (const std::string& service : services_) {
+    rollout_judge_.serves(service, "v1");
     int count = service == "plain" ? options.plain_nodes : options.nodes_per_shard;
     for (int i = 0; i < count; ++i) {
       Node* node = &add_node(service);
@@ -89,6 +90,8 @@
   return edges_[edge]->process ? &edges_[edge]->process->gateway : nullptr;
 }
 std::string Cluster::node_address(std::size_t node) const { return nodes_[node]->address; }
+std::string Cluster::node_version(std::size_t node) const { return nodes_[node]->version; }
+bool Cluster::node_up(std::size_t node) const { return nodes_[node]->up; }
 std::string Cluster::node_service(std::size_t node) const { return nodes_[node]->service; }
 
 void Cluster::check_settled() {
@@ -103,6 +106,7 @@
     if (known > nodes_.size()) checker_.broken("LIST", edge->name + " knows too many nodes");
   }
   checker_.finish();
+  rollout_judge_.finish(seconds());
 }
 
 }  // namespace pearspar::simulation
--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -3,6 +3,7 @@
 // one that runs in service; only sockets, disks and clocks are the rig's.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,6 +22,7 @@
 #include "simulation/rollout_judge.h"
 #include "simulation/streams.h"
 #include "simulation/strikes.h"
+#include "simulation/version_fault.h"
 #include "subscription/follower.h"
 
 namespace pearspar::altavia {
@@ -45,6 +47,7 @@
   double retry_slack = 56;
   bool shared_budget = true;    // the leader hands out tokens of the slack
   int more_routes = 0;          // in each configuration, beside the two that are asked
+  bool lookups = false;         // two gathered requests in seven are on a route of their own
   bool ask_the_living = false;  // operators call members that are up; else any
   // Retrievals under an allowance: the configuration's "allowances", as JSON; empty = none.
   std::string allowances;
@@ -179,10 +182,16 @@
   // Told of the time in which an order had no clear answer although the members that it was sent to could
   // have given one.
   std::function<void(double began, double waited)> order_waited = [](double, double) {};
-  // An operator orders that a service is moved to servers of another version. Returns the order's number.
-  std::size_t order_rollout(const RolloutOrder& order);
+  // An operator orders that a service is moved to servers of another version, which start when the order is
+  // acknowledged, as many as serve it, and reads its state until it has ended. Returns the order's number.
+  std::size_t order_rollout(const RolloutOrder& order, const VersionFault& fault = {});
   void read_rollout(const std::string& service);
-  const RolloutJudge& rollout_judge() const { return rollout_judge_; }
+  // Servers of a version start, ordered or not. Returns the place of the first.
+  std::size_t start_version(const std::string& service, const std::string& version, int count,
+                            const VersionFault& fault = {});
+  RolloutJudge& rollout_judge() { return rollout_judge_; }
+  std::string node_version(std::size_t node) const;
+  bool node_up(std::size_t node) const;
   // The index is cut into other shards, by a change.
   void cut_index(int shards);
 
@@ -245,6 +254,14 @@
   void answered(const std::shared_ptr<Sent>& sent, int member, int status);
   void count_wait(const std::shared_ptr<Sent>& sent, std::size_t member, bool served);
   void push_rollout(const std::shared_ptr<SentRollout>& sent);
+  void follow_rollout(const std::shared_ptr<SentRollout>& sent);
+  void stop_servers(const std::string& service, const std::string& kept);
+  void drain_servers(const std::string& service, const std::string& version);
+  // A request reaches a node.
+  void arrived(Node& node, const std::string& id);
+  // Whether this answer of the node's version is a failure.
+  bool answers_badly(Node& node, const std::string& target);
+  void note_decisions(const Node& node);
   double calm_seconds(double since) const;
   void touched(const std::string& address);
   void cut(const std::string& address, const std::string& other);
@@ -262,7 +279,8 @@
              const std::string& body);
   // One of the node's slots works, or will: `begins`, then `done`, unless the node ends before. False where
   // too many wait.
-  bool work(Node& node, std::function<void()> begins, std::function<void()> done, std::function<void()> lost);
+  bool work(Node& node, std::function<void()> begins, std::function<void()> done, std::function<void()> lost,
+            double factor = 1);
   // A node's whole answer to `id`, as the judges are told of it.
   struct Made {
     std::string stamp, body;
@@ -295,8 +313,9 @@
   bool retrieving_ = true;
   std::uint64_t next_key_ = 0;
   std::unordered_map<std::string, std::function<void(int status)>> ended_;  // by request
-  Time calm_since_{};       // nothing was done to edges or the core since
-  Time core_calm_since_{};  // nor to the core
+  Time calm_since_{};                                     // nothing was done to edges or the core since
+  Time core_calm_since_{};                                // nor to the core
+  std::map<std::string, std::deque<Time>> service_load_;  // arrivals of the last second
   double lost_answers_ = 0;
   std::size_t orders_open_ = 0;
   struct CutOff {
--- a/src/simulation/cluster_core.cpp
+++ b/src/simulation/cluster_core.cpp
@@ -127,6 +127,7 @@
 
 void Cluster::disturbed(double until_s) {
   core_calm_since_ = std::max(core_calm_since_, Time(Duration(until_s)));
+  rollout_judge_.unsettled(core_calm_since_.time_since_epoch().count());
   edges_disturbed(until_s);
 }
 
--- a/src/simulation/cluster_edges.cpp
+++ b/src/simulation/cluster_edges.cpp
@@ -153,17 +153,21 @@
       world.in(all.net_.delay(address, here), std::move(what));
     };
     if (node.id != addressee) return later([back] { back(dispatch::CallOutcome::misdirected, 421, {}, {}); });
-    all.checker_.request_reached(all.seconds(), node.id, node.service, id, all.edge_in_touch());
+    all.arrived(node, id);
+    bool bad = all.answers_badly(node, target);
+    bool slow = bad && node.fault.kind == VersionFault::Kind::slow;
     auto begins = [&all, &node, id, holder, key, method, target] {
       if (!key.empty()) all.auditor_.ran(holder, id[0] == 'g' ? "sweep" : "pull", key);
       all.calls_.ran(node.id, id, method, target, "");
     };
-    auto done = [&all, &node, id, back, later] {
-      Made made = all.make_answer(node, id, true);
-      later([back, made] { back(dispatch::CallOutcome::answered, 200, made.stamp, made.body); });
+    auto done = [&all, &node, id, back, later, fails = bad && !slow] {
+      Made made = all.make_answer(node, id, !fails);
+      later([back, made, fails] {
+        back(dispatch::CallOutcome::answered, fails ? 500 : 200, made.stamp, made.body);
+      });
     };
     auto lost = [back, later] { later([back] { back(dispatch::CallOutcome::broken, 0, {}, {}); }); };
-    if (!all.work(node, begins, done, lost))
+    if (!all.work(node, begins, done, lost, slow ? node.fault.slow_factor : 1))
       later([back] { back(dispatch::CallOutcome::not_run, 503, {}, {}); });
   });
   return true;
@@ -217,7 +221,8 @@
   std::string kind = drawn < 0.5 ? "g" : drawn < 0.75 ? "s" : "u";
   if (clients_) return clients_->ask(edge, kind);
   ++totals_.asked;
-  request(edge, kind + std::to_string(++next_request_), "/" + kind + "/x", "", {});
+  bool lookup = options_.lookups && kind == "g" && world_.chance(2.0 / 7);
+  request(edge, kind + std::to_string(++next_request_), lookup ? "/k/x" : "/" + kind + "/x", "", {});
 }
 
 void Cluster::request(Edge& edge, const std::string& id, const std::string& target, const std::string& lines,
--- a/src/simulation/cluster_nodes.cpp
+++ b/src/simulation/cluster_nodes.cpp
@@ -27,14 +27,15 @@
 
 // One slot's work; what waits when the node ends goes with it.
 bool Cluster::work(Node& node, std::function<void()> begins, std::function<void()> done,
-                   std::function<void()> lost) {
+                   std::function<void()> lost, double factor) {
   if (node.queue.size() >= most_queued) return false;
   std::uint64_t life = node.starts;
-  auto run = [this, &node, life, begins = std::move(begins), done = std::move(done), lost = std::move(lost)] {
+  auto run = [this, &node, life, factor, begins = std::move(begins), done = std::move(done),
+              lost = std::move(lost)] {
     if (node.starts != life) return;
     ++node.busy;
     begins();
-    double took = 0.02 * node.factor * world_.uniform(0.5, 1.5);
+    double took = 0.02 * node.factor * factor * world_.uniform(0.5, 1.5);
     world_.in(Duration(took), [&node, life, done, lost] {
       if (node.starts != life || !node.up) return lost();
       --node.busy;
@@ -70,7 +71,9 @@
 }
 
 void Cluster::start_node(Node& node) {
+  if (node.stopped) return;
   ++node.starts;
+  node.started = world_.now();
   node.id = "n" + std::to_string(world_.number() % 1000000000);
   node.up = true;
   node.dark = node.closing = node.acknowledged = node.retired = false;
@@ -85,11 +88,11 @@
 void Cluster::beat(Node& node) {
   if (node.retired) return;
   std::uint64_t life = node.starts;
-  std::string body =
-      "{\"depot\":\"" + node.service + "\",\"address\":\"" + node.address +
-      "\",\"zoneName\":\"z\",\"edition\":\"v1\",\"slotCount\":" + std::to_string(options_.slots) +
-      ",\"nodeState\":\"" + (node.closing ? "closing_out" : "at_post") +
-      "\",\"coldLeftMs\":0,\"callSeq\":" + std::to_string(++node.calls) + "}";
+  std::string body = "{\"depot\":\"" + node.service + "\",\"address\":\"" + node.address +
+                     "\",\"zoneName\":\"z\",\"edition\":\"" + node.version +
+                     "\",\"slotCount\":" + std::to_string(options_.slots) + ",\"nodeState\":\"" +
+                     (node.closing ? "closing_out" : "at_post") +
+                     "\",\"coldLeftMs\":0,\"callSeq\":" + std::to_string(++node.calls) + "}";
   auto done = std::make_shared<bool>(false);
   bool closing = node.closing;
   auto next = [this, &node, life](double in) {
@@ -196,6 +199,7 @@
     std::string service = "shard" + std::to_string(from + i);
     next.push_back(service);
     services_.push_back(service);
+    rollout_judge_.serves(service, "v1");
     for (int n = 0; n < options_.nodes_per_shard; ++n) {
       start_node(add_node(service));
     }
--- a/src/simulation/cluster_operators.cpp
+++ b/src/simulation/cluster_operators.cpp
@@ -49,11 +49,16 @@
   for (int i = 0; i < options_.more_routes; ++i)
     more += ",{\"name\":\"m" + std::to_string(i) + "\",\"hostName\":\"more.example\",\"pathPrefix\":\"/" +
             std::to_string(i) + "/\",\"lineKind\":\"safe\",\"deadlineMs\":1500,\"depot\":\"plain\"}";
+  std::string lookups =
+      "{\"name\":\"k\",\"hostName\":\"h\",\"pathPrefix\":\"/k/\",\"lineKind\":\"safe\","
+      "\"deadlineMs\":1500,\"targetMs\":150,\"precedence\":2,\"tries\":2,\"topN\":" +
+      std::to_string(top_records) + ",\"minShare\":0.5,\"gatherFrom\":[";
   auto kind = [&](const std::string& name) {
     return options_.allowances.empty() || options_.holders.empty() ? std::string()
                                                                    : ",\"allowanceKind\":\"" + name + "\"";
   };
   for (const std::string& shard : shards_) shards += (shards.empty() ? "\"" : ",\"") + shard + "\"";
+  if (options_.lookups) more += "," + lookups + shards + "]}";
   for (const std::string& service : services_)
     services += (services.empty() ? "" : ",") +
                 ("{\"name\":\"" + service + "\",\"healthPath\":\"/health\",\"connLimit\":400}");
--- a/src/simulation/cluster_parts.h
+++ b/src/simulation/cluster_parts.h
@@ -170,7 +170,11 @@
   std::string service;
   std::string address;
   std::string id;
+  std::string version = "v1";
+  VersionFault fault;
+  bool stopped = false;  // for good
   std::uint64_t starts = 0;
+  Time started{};
   bool up = false;
   bool dark = false;
   bool closing = false;
@@ -206,6 +210,7 @@
 // An order of a roll-out on its way.
 struct Cluster::SentRollout {
   RolloutOrder order;
+  VersionFault fault;
   std::size_t number = 0;  // at the judge
   double sent_at = 0;      // first
   bool over = false;
--- a/src/simulation/http_nodes.cpp
+++ b/src/simulation/http_nodes.cpp
@@ -121,7 +121,7 @@
     return turn_away(number, id, 421, "");
   }
   check_lines(request);
-  all.checker_.request_reached(all.seconds(), node.id, node.service, id, all.edge_in_touch());
+  all.arrived(node, id);
   if (strikes("node_turns_away"))
     return turn_away(number, id, all.world_.chance(0.5) ? 503 : 429, "Not-Run: 1\r\n");
   if (strikes("node_silent")) {
--- a/src/subscription/cluster_view.cpp
+++ b/src/subscription/cluster_view.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "protocol/delta.h"
+#include "protocol/rollout_codec.h"
 
 namespace pearspar::subscription {
 
@@ -25,6 +26,13 @@
   if (auto text = protocol::apply_delta(configuration_->text, delta)) adopt_text(*text, received_revision);
 }
 
+void ClusterView::adopt(const catalog::ServiceVersions& versions) {
+  catalog::ServiceVersions& known = service_versions_[versions.service];
+  if (!known.service.empty() && versions.changed_at <= known.changed_at) return;
+  known = versions;
+  changed_services_.push_back(versions.service);
+}
+
 void ClusterView::put(Time now, const protocol::NodeUpdate& update) {
   catalog::Node node = update.node;
   node.cold_until = now + std::chrono::milliseconds(update.cold_ms);
@@ -41,6 +49,7 @@
   coverage_ = snapshot.coverage / 100.0;
   announced_revision_ = std::max(announced_revision_, snapshot.revision);
   adopt_text(snapshot.configuration, snapshot.revision);
+  for (const catalog::ServiceVersions& versions : snapshot.service_versions) adopt(versions);
   for (const std::string& id : snapshot.retired)
     if (nodes_.retire(id)) changed_nodes_.push_back(id);
   std::set<std::string_view> listed;
@@ -104,6 +113,9 @@
       return;
     case ChangeKind::list_complete:
       return;
+    case ChangeKind::service_versions:
+      if (auto versions = protocol::unpack_service_versions(change.text)) adopt(*versions);
+      return;
   }
 }
 
--- a/src/subscription/cluster_view.h
+++ b/src/subscription/cluster_view.h
@@ -1,10 +1,11 @@
-// The state of the cluster as learned from the leader's updates: the newest configuration and the list of
-// nodes. Free of I/O.
+// The state of the cluster as learned from the leader's updates: the newest configuration, the list of nodes,
+// and the versions of services. Free of I/O.
 //
 // Invariant: within one run of a process the view never goes back to an older revision of the configuration,
-// to updates of an older term, or from a closing node to an open one.
+// to updates of an older term, from a closing node to an open one, or to an older record of versions.
 #pragma once
 
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "catalog/configuration.h"
 #include "catalog/departures.h"
 #include "catalog/node_list.h"
+#include "catalog/service_versions.h"
 #include "protocol/messages.h"
 
 namespace pearspar::subscription {
@@ -42,6 +44,14 @@
   void adopt(catalog::ConfigurationPtr configuration);
   // Applies a departure that is recorded, whatever an outdated list says.
   void apply(const catalog::Departure& departure);
+  // Takes over the versions of a service if they are newer than what is known.
+  void adopt(const catalog::ServiceVersions& versions);
+  // By service. One without a record may be served by nodes of any version.
+  const std::map<std::string, catalog::ServiceVersions, std::less<>>& service_versions() const {
+    return service_versions_;
+  }
+  // Services whose versions were changed since the last call.
+  std::vector<std::string> take_changed_services() { return std::exchange(changed_services_, {}); }
   const catalog::NodeList& nodes() const { return nodes_; }
   catalog::NodeList& nodes() { return nodes_; }
   std::uint32_t edge_count() const { return edge_count_; }
@@ -65,6 +75,8 @@
   std::uint32_t edge_count_ = 0;
   double coverage_ = 1;
   std::vector<std::string> changed_nodes_;
+  std::map<std::string, catalog::ServiceVersions, std::less<>> service_versions_;
+  std::vector<std::string> changed_services_;
 };
 
 }  // namespace pearspar::subscription
--- a/tests/system/rollouts_test.cpp
+++ b/tests/system/rollouts_test.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(RolloutsTest);
   CPPUNIT_TEST(orderIsAcknowledgedInACalmStretch);
   CPPUNIT_TEST(acknowledgedOrderOutlivesAPowerLossOfAll);
+  CPPUNIT_TEST(orderIsAcknowledgedAfterItsLeaderDied);
   CPPUNIT_TEST_SUITE_END();
 
   static ClusterOptions small(std::uint64_t seed = 1) {
@@ -22,12 +23,21 @@
   static void check(Cluster& cluster) {
     for (const std::string& fault : cluster.checker().faults()) CPPUNIT_FAIL(fault);
   }
+  // Until the first configuration is everywhere and all versions are recorded.
   static void start(Cluster& cluster) {
     cluster.run(2);
     cluster.change(0);
-    cluster.run(3);
+    cluster.run(4);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.checker().acknowledged());
   }
+  static std::size_t led(const Cluster& cluster) {
+    CPPUNIT_ASSERT_MESSAGE("somebody leads", cluster.leader() >= 0);
+    return static_cast<std::size_t>(cluster.leader());
+  }
+  static void wait_for_acknowledgement(Cluster& cluster, std::size_t order) {
+    for (int i = 0; i < 20000 && !cluster.rollout_judge().acknowledged(order); ++i) cluster.run(0.0005);
+    CPPUNIT_ASSERT(cluster.rollout_judge().acknowledged(order));
+  }
 
  public:
   // Issue 66, SHORT: an order of a roll-out had no acknowledgement after 6 s of calm.
@@ -46,8 +56,7 @@
       Cluster cluster(small(seed));
       start(cluster);
       std::size_t order = cluster.order_rollout({"shard0", "v2"});
-      for (int i = 0; i < 20000 && !cluster.rollout_judge().acknowledged(order); ++i) cluster.run(0.0005);
-      CPPUNIT_ASSERT(cluster.rollout_judge().acknowledged(order));
+      wait_for_acknowledgement(cluster, order);
       for (std::size_t core = 0; core < cluster.cores(); ++core) cluster.kill_core(core, 0.5, true);
       cluster.run(4);
       cluster.read_rollout("shard0");
@@ -55,6 +64,22 @@
       check(cluster);
     }
   }
+
+  // Issue 66, SHORT: the leader dies while it holds the order; the operator sends the same again.
+  void orderIsAcknowledgedAfterItsLeaderDied() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      Cluster cluster(small(seed));
+      start(cluster);
+      std::size_t order = cluster.order_rollout({"shard0", "v2"});
+      cluster.run(0.0005 * static_cast<double>(seed));
+      cluster.kill_core(led(cluster), 5, seed % 2 == 0);
+      cluster.run(8);
+      cluster.read_rollout("shard0");
+      cluster.run(1);
+      check(cluster);
+      CPPUNIT_ASSERT(cluster.rollout_judge().acknowledged(order));
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutsTest);
 
