Servers of a version that no roll-out lets in get no requests

Cause: edges took every listed server of a service for equal; the edition of a heartbeat was kept and never looked at.

The load balancer sends nothing to a node of another version, in touch or not.

--- a/src/dispatch/load_balancer.cpp
+++ b/src/dispatch/load_balancer.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using catalog::NodeGroup;
 
 // How long a node is avoided after its first failure; doubles with each further failure in a row.
 constexpr Duration base_backoff = 100ms;
@@ -29,17 +30,27 @@
     found = nodes_.emplace(id, std::make_shared<NodeState>()).first;
     services_[node->service].nodes.push_back(found->second);
   }
+  const Service& service = services_[node->service];
   NodeState& known = *found->second;
   known.id = id;
   known.service = node->service;
   known.address = node->address;
   known.zone = node->zone;
+  known.software_version = node->software_version;
+  known.group =
+      service.versions ? service.versions->group_of(node->software_version) : catalog::NodeGroup::current;
   known.slots = std::max(1, node->slots);
   known.closing = node->closing;
   known.cold_until = node->cold_until;
   known.listed = true;
 }
 
+void LoadBalancer::set_versions(const catalog::ServiceVersions& versions) {
+  Service& service = services_[versions.service];
+  service.versions = versions;
+  for (const NodePtr& node : service.nodes) node->group = versions.group_of(node->software_version);
+}
+
 void LoadBalancer::remove(const std::string& id) {
   auto found = nodes_.find(id);
   auto& nodes = services_[found->second->service].nodes;
@@ -52,7 +63,7 @@
   if (service == services_.end()) return 0;
   return static_cast<std::size_t>(
       std::count_if(service->second.nodes.begin(), service->second.nodes.end(),
-                    [](const NodePtr& node) { return node->listed && !node->closing; }));
+                    [](const NodePtr& node) { return node->available(NodeGroup::current); }));
 }
 
 bool LoadBalancer::has_alternative(Time now, const std::string& service_name,
@@ -60,7 +71,7 @@
   auto service = services_.find(service_name);
   if (service == services_.end()) return false;
   return std::any_of(service->second.nodes.begin(), service->second.nodes.end(), [&](const NodePtr& node) {
-    return node->listed && !node->closing && now >= node->avoid_until &&
+    return node->available(NodeGroup::current) && now >= node->avoid_until &&
            std::find(excluded.begin(), excluded.end(), node) == excluded.end();
   });
 }
@@ -69,7 +80,7 @@
   auto service = services_.find(service_name);
   if (service == services_.end()) return false;
   return std::any_of(service->second.nodes.begin(), service->second.nodes.end(), [](const NodePtr& node) {
-    return node->listed && !node->closing && node->unanswered_calls < unresponsive_after_calls;
+    return node->available(NodeGroup::current) && node->unanswered_calls < unresponsive_after_calls;
   });
 }
 
@@ -89,14 +100,16 @@
   double latency_sum = 0;
   int with_latency = 0;
   for (const NodePtr& node : nodes)
-    if (node->listed && node->has_latency) latency_sum += node->latency_ms, ++with_latency;
+    if (node->listed && node->group == NodeGroup::current && node->has_latency)
+      latency_sum += node->latency_ms, ++with_latency;
   double average_latency = with_latency > 0 ? latency_sum / with_latency : 1;
   NodePtr best;
   double best_cost = 0;
   bool best_is_avoided = false;
   for (std::size_t i = 0; i < nodes.size(); ++i) {
     const NodePtr& node = nodes[(i + rotation) % nodes.size()];
-    if (!node->listed || node->closing || std::find(excluded.begin(), excluded.end(), node) != excluded.end())
+    if (!node->available(NodeGroup::current) ||
+        std::find(excluded.begin(), excluded.end(), node) != excluded.end())
       continue;
     bool avoided = now < node->avoid_until;
     double cost = (node->has_latency ? node->latency_ms : average_latency) * (1 + node->open_calls);
--- a/src/dispatch/load_balancer.h
+++ b/src/dispatch/load_balancer.h
@@ -5,12 +5,14 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "catalog/node_list.h"
+#include "catalog/service_versions.h"
 #include "dispatch/types.h"
 
 namespace pearspar::dispatch {
@@ -20,6 +22,8 @@
   std::string service;
   std::string address;
   std::string zone;
+  std::string software_version;
+  catalog::NodeGroup group = catalog::NodeGroup::current;  // by its version
   int slots = 1;
   bool closing = false;
   bool listed = true;  // false: removed from the node list; kept until its last call ends
@@ -30,6 +34,9 @@
   bool has_latency = false;
   int unanswered_calls = 0;  // in a row
   Time avoid_until{};        // chosen before this time only if no other node is available
+
+  // Whether it takes new calls that are sent to nodes of `wanted`.
+  bool available(catalog::NodeGroup wanted) const { return listed && !closing && group == wanted; }
 };
 
 using NodePtr = std::shared_ptr<NodeState>;  // calls and requests may outlive the node's entry
@@ -38,6 +45,8 @@
  public:
   // Takes over a change of the node list; `node` is null if the node was removed.
   void update(const std::string& id, const catalog::Node* node);
+  // Takes over the versions that serve a service. Without them nodes of all versions do.
+  void set_versions(const catalog::ServiceVersions& versions);
   void set_home_zone(std::string zone) { home_zone_ = std::move(zone); }
 
   // The best node of the service that is not in `excluded`, or null. Ties are broken by `rotation`. Latencies
@@ -72,6 +81,7 @@
   struct Service {
     std::vector<NodePtr> nodes;
     Time next_probe{};
+    std::optional<catalog::ServiceVersions> versions;
   };
   void remove(const std::string& id);
 
--- a/src/edge_gateway/edge_gateway.cpp
+++ b/src/edge_gateway/edge_gateway.cpp
@@ -43,6 +43,8 @@
   subscription::ClusterView& view = follower_.view();
   for (const std::string& id : view.take_changed_nodes())
     dispatcher_.load_balancer().update(id, view.nodes().find(id));
+  for (const std::string& service : view.take_changed_services())
+    dispatcher_.load_balancer().set_versions(view.service_versions().at(service));
   // Only a leader counts the edges; a member that does not lead may know of none.
   if (view.at() != protocol::Position{}) dispatcher_.set_edges(view.edge_count());
   if (!has_initial_coverage_ && view.at() != protocol::Position{}) {
--- a/tests/system/rollouts_test.cpp
+++ b/tests/system/rollouts_test.cpp
@@ -10,6 +10,9 @@
   CPPUNIT_TEST(orderIsAcknowledgedInACalmStretch);
   CPPUNIT_TEST(acknowledgedOrderOutlivesAPowerLossOfAll);
   CPPUNIT_TEST(orderIsAcknowledgedAfterItsLeaderDied);
+  CPPUNIT_TEST(versionWithoutARolloutGetsNothing);
+  CPPUNIT_TEST(oldVersionIsKnownToACoreWithAnEmptyList);
+  CPPUNIT_TEST(edgeThatStartsWithoutALeaderKnowsTheOldVersion);
   CPPUNIT_TEST_SUITE_END();
 
   static ClusterOptions small(std::uint64_t seed = 1) {
@@ -20,6 +23,11 @@
     options.nodes_per_shard = 3;
     return options;
   }
+  static ClusterOptions busy(std::uint64_t seed = 1) {
+    ClusterOptions options = small(seed);
+    options.requests_per_s = 200;
+    return options;
+  }
   static void check(Cluster& cluster) {
     for (const std::string& fault : cluster.checker().faults()) CPPUNIT_FAIL(fault);
   }
@@ -80,6 +88,62 @@
       CPPUNIT_ASSERT(cluster.rollout_judge().acknowledged(order));
     }
   }
+
+  // Issue 66, EXPOSURE: servers of a version that nobody ordered got requests from their first heartbeat on.
+  void versionWithoutARolloutGetsNothing() {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      Cluster cluster(busy(seed));
+      start(cluster);
+      cluster.start_version("shard0", "v2", 3);
+      cluster.start_version("plain", "v0", 3);
+      cluster.run(3);
+      cluster.kill_edge(0, 0.5);
+      cluster.kill_core(led(cluster), 3, true);
+      cluster.run(3);
+      for (std::size_t core = 0; core < cluster.cores(); ++core) cluster.kill_core(core, 0.5, true);
+      cluster.kill_edge(1, 0.1);
+      cluster.run(6);
+      check(cluster);
+      CPPUNIT_ASSERT(cluster.totals().served > 1000);
+    }
+  }
+
+  // Issue 66, EXPOSURE: the note of the list is gone, and servers of the new version are the first to report.
+  void oldVersionIsKnownToACoreWithAnEmptyList() {
+    Cluster cluster(busy());
+    start(cluster);
+    std::size_t first = cluster.start_version("shard0", "v2", 3);
+    cluster.run(2);
+    for (std::size_t core = 0; core < cluster.cores(); ++core) cluster.kill_core(core, 1, true);
+    for (std::size_t node = 0; node < first; ++node)
+      if (cluster.node_service(node) == "shard0") cluster.crash_node(node, 8, false);
+    for (std::size_t core = 0; core < cluster.cores(); ++core) {
+      raft::PersistentState kept = cluster.disk(core).kept();
+      kept.note.clear();
+      cluster.disk(core).put_back(std::move(kept));
+    }
+    for (std::size_t edge = 0; edge < cluster.edges(); ++edge) cluster.kill_edge(edge, 1);
+    cluster.run(14);
+    check(cluster);
+    for (std::size_t edge = 0; edge < cluster.edges(); ++edge)
+      CPPUNIT_ASSERT(cluster.follower(edge)->view().nodes().all().size() > first);
+  }
+
+  // Issue 66, EXPOSURE: an edge that a member hands its state to, while nobody leads.
+  void edgeThatStartsWithoutALeaderKnowsTheOldVersion() {
+    Cluster cluster(busy());
+    start(cluster);
+    cluster.start_version("plain", "v2", 3);
+    cluster.run(2);
+    for (std::size_t core = 1; core < cluster.cores(); ++core) cluster.kill_core(core, 1000, false);
+    cluster.run(0.5);
+    for (std::size_t edge = 0; edge < cluster.edges(); ++edge) cluster.kill_edge(edge, 0.1);
+    std::uint64_t served = cluster.totals().served;
+    cluster.run(5);
+    check(cluster);
+    CPPUNIT_ASSERT(cluster.leader() < 0);
+    CPPUNIT_ASSERT(cluster.totals().served > served);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutsTest);
 
