A new version gets calls by leases, half of what a bad one may get

What callers saw: with the bound alone, every order ends returned; nobody could see how the new version answers.

Change: the leader grants leases of calls, each for a second by the edge's own clock from its report on. Over all edges calls that were or may be made stay within exposureShare / 2 of the requests that edges have reported so far and 0.8 of the slack, the slack spread over the time of the observation; a lease counts until a later report shows that it was not spent, those of an edge that is gone for good. Leaders reserve in the log, 32 calls ahead, and the next one takes all of it as spent. Busy edges of each zone in turn watch and hold leases; edges report old and new version by route and node, in numbered votes that are sent until the leader has them. Retries and hedged calls go to the old version. A rare route is waited for. Statistics of a route do not learn from the new version.

--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -36,6 +36,7 @@
                                                     std::uint64_t seed) {
   control_plane::ControllerOptions options;
   options.pool = {settings.retry_slack, net::Duration(settings.retry_window_s)};
+  options.exposure = {settings.exposure_share, settings.exposure_slack};
   options.acknowledged_within = control_plane::Duration(settings.acknowledge_within_ms / 1000);
   options.inner_address = settings.inner_address();
   options.control_address = settings.control_listen_address;
--- a/src/control_plane/controller.cpp
+++ b/src/control_plane/controller.cpp
@@ -42,6 +42,7 @@
     view_.adopt(rollout::versions_of(service, record));
   published_versions_ = state_.rollouts().changed_at();
   rollout_entry_.reset();
+  rollouts_.reset();
   last_heartbeats_.clear();
   for (const auto& [id, node] : view_.nodes().all()) last_heartbeats_[id] = now;
   list_complete_at_ = now + options_.heartbeat_interval * list_gathering_heartbeats;
@@ -177,6 +178,8 @@
     followers_.on_closed(link);
   } else if (const auto* want = std::get_if<protocol::TokenRequest>(&message)) {
     grant_tokens(now, link, *want);
+  } else if (const auto* report = std::get_if<rollout::RolloutReport>(&message)) {
+    report_rollout(now, link, *report);
   } else if (const auto* ask = std::get_if<quota::QuotaRequest>(&message)) {
     quota_allocator_.on_request(now, link, *ask);
   } else if (const auto* call = std::get_if<protocol::ControlCall>(&message)) {
--- a/src/control_plane/controller.h
+++ b/src/control_plane/controller.h
@@ -43,6 +43,7 @@
   std::string zone;
   Duration heartbeat_interval = std::chrono::milliseconds(1200);
   retry_tokens::TokenPoolRules pool;  // the retry budget shared by all edges
+  rollout::ExposureRules exposure;    // of new versions that are being rolled out
   // An operator may repeat an order of a roll-out for this long.
   Duration acknowledged_within = std::chrono::seconds(5);
   ReplicatedState::ConfigurationParser parse_configuration = catalog::parse_configuration;
@@ -172,6 +173,7 @@
   void publish_configuration(Time now);
   void publish_members();
   void advance_quotas(Time now);
+  void report_rollout(Time now, LinkId link, const rollout::RolloutReport& report);
   void grant_tokens(Time now, LinkId link, const protocol::TokenRequest& want);
   void acknowledge_update(LinkId link, subscription::ClusterView::ApplyResult result);
 
@@ -189,7 +191,7 @@
   std::deque<PendingUpdate> pending_updates_;
   DepartureProposals departures_;
   std::uint64_t adopted_departures_ = 0;  // of the replicated state's, by their total
-  rollout::RolloutCoordinator rollouts_;
+  rollout::RolloutCoordinator rollouts_{options_.exposure};
   std::deque<PendingRollout> pending_rollouts_;
   std::optional<raft::Index> rollout_entry_;  // in flight
   rollout::LogIndex published_versions_ = 0;  // followers have been sent all changes up to this entry
--- a/src/control_plane/controller_rollouts.cpp
+++ b/src/control_plane/controller_rollouts.cpp
@@ -126,6 +126,14 @@
     reply_error(pending.request, 503, reason);
 }
 
+// Leases are granted only by a leader.
+void Controller::report_rollout(Time now, LinkId link, const rollout::RolloutReport& report) {
+  auto follower = followers_.all().find(link);
+  if (!is_active() || !core_.holds_lease(now) || follower == followers_.all().end()) return;
+  rollouts_.on_report(now, link, follower->second.zone, report, state_.rollouts());
+  for (auto& [to, grant] : rollouts_.take_grants()) link_frames_.push_back({to, protocol::pack(grant)});
+}
+
 // Tells followers of the versions that have changed.
 void Controller::publish_rollouts(Time now) {
   if (!is_active() || published_versions_ >= state_.rollouts().changed_at()) return;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -153,7 +153,7 @@
   double coverage = route.min_shard_ratio >= 1 ? 1 : coverage_.share();
   std::vector<double> weights = weights_.of(route.shards);
   for (std::size_t i = 0; i < weights.size(); ++i)
-    if (!load_balancer_.is_responsive(request.parts[i].service)) {
+    if (!is_responsive(now, request.parts[i].service)) {
       // An unresponsive shard contributes nothing; it is only probed now and then.
       weights[i] = 0;
       request.parts[i].is_probe = true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -17,6 +17,7 @@
 #include "dispatch/retry_budget.h"
 #include "dispatch/route_statistics.h"
 #include "dispatch/shard_weights.h"
+#include "dispatch/version_selector.h"
 
 namespace pearspar::dispatch {
 
@@ -82,6 +83,8 @@
   void set_edges(std::uint32_t edges);
   void set_retry_budget(const RetryBudgetRules& rules) { retry_budget_.set_rules(rules); }
   LoadBalancer& load_balancer() { return load_balancer_; }
+  // Without one, calls go to nodes of the versions that serve.
+  void set_version_selector(VersionSelector& selector) { version_selector_ = &selector; }
 
   // The route of a request, or null.
   const catalog::Route* route_of(const ClientRequest& request) const {
@@ -124,6 +127,10 @@
   bool admit(Time now, const catalog::Route& route, const std::vector<std::string>& services,
              std::size_t min_parts, ClientResponse& response, const Request& request);
   bool send_call(Time now, RequestId id, std::size_t part);
+  bool send_call(Time now, RequestId id, std::size_t part, catalog::NodeGroup group, bool first_call);
+  catalog::NodeGroup main_group(Time now, const std::string& service) const;
+  bool is_responsive(Time now, const std::string& service) const;
+  void report_version(Time now, const OpenCall& call, const CallResult& result);
   void count_second_call(const Request& request);
   void cancel_calls(Part& part, bool even_if_sent);
   void settle_part(Time now, RequestId id, std::size_t part, const CallResult& result);
@@ -142,6 +149,7 @@
   int max_connections(const Request& request, const std::string& service) const;
 
   NodeClient& node_client_;
+  VersionSelector* version_selector_ = nullptr;
   std::shared_ptr<const RouteTable> routes_;
   Time routes_confirmed_until_ = Time::min();
   LoadBalancer load_balancer_;
--- a/src/dispatch/dispatcher_calls.cpp
+++ b/src/dispatch/dispatcher_calls.cpp
@@ -56,15 +56,43 @@
   return std::max(1, static_cast<int>(known->max_connections * usable_connection_share / edges_));
 }
 
+catalog::NodeGroup Dispatcher::main_group(Time now, const std::string& service) const {
+  return version_selector_ ? version_selector_->main_group(now, service) : catalog::NodeGroup::current;
+}
+
+// While a new version takes all calls, the old one still stands behind it.
+bool Dispatcher::is_responsive(Time now, const std::string& service) const {
+  return load_balancer_.is_responsive(service) ||
+         (main_group(now, service) == catalog::NodeGroup::candidate &&
+          load_balancer_.is_responsive(service, catalog::NodeGroup::candidate));
+}
+
 // Sends one more call for the part. False if no node has a free connection.
 bool Dispatcher::send_call(Time now, RequestId id, std::size_t index) {
+  const Request& request = *requests_.find(id);
+  const Part& part = request.parts[index];
+  bool first_call = part.tries == 0;
+  catalog::NodeGroup group = catalog::NodeGroup::current;
+  if (version_selector_) group = version_selector_->select(now, part.service, *request.route, first_call);
+  if (group == catalog::NodeGroup::candidate) {
+    bool fit = load_balancer_.has_alternative(now, part.service, part.tried_nodes, group) ||
+               !load_balancer_.has_alternative(now, part.service, part.tried_nodes);
+    if (fit && send_call(now, id, index, group, first_call)) return true;
+  }
+  if (send_call(now, id, index, catalog::NodeGroup::current, first_call)) return true;
+  if (part.calls.empty()) requests_.find(id)->parts[index].closed = true;
+  return false;
+}
+
+bool Dispatcher::send_call(Time now, RequestId id, std::size_t index, catalog::NodeGroup group,
+                           bool first_call) {
   Request& request = *requests_.find(id);
   Part& part = request.parts[index];
   int connection_limit = max_connections(request, part.service);
   std::vector<NodePtr> excluded = part.tried_nodes;
   for (int attempt = 0; attempt < max_connection_attempts; ++attempt) {
     NodePtr node = load_balancer_.choose(now, part.service, excluded, ++sequence_,
-                                         route_statistics_.other_zone_factor(*request.route));
+                                         route_statistics_.other_zone_factor(*request.route), group);
     if (!node) break;
     CallId call_id = open_calls_.add();
     const std::size_t size = request.head.size() + request.body.size();
@@ -85,15 +113,38 @@
     part.calls.push_back(call_id);
     ++part.tries;
     ++counters_.calls;
+    if (version_selector_) version_selector_->call_started(now, part.service, group, first_call);
     invariants::check(Invariant::tries_within_route, part.tries <= request.route->max_attempts, request.id);
     invariants::check(Invariant::unsafe_is_not_repeated, request.repeatable || !part.may_have_run,
                       request.id);
     return true;
   }
-  if (part.calls.empty()) part.closed = true;
   return false;
 }
 
+// What the call tells about its node's version. One without a connection tells nothing.
+void Dispatcher::report_version(Time now, const OpenCall& call, const CallResult& result) {
+  const Request* request = requests_.find(call.request);
+  if (!version_selector_ || !request) return;
+  VersionOutcome outcome = VersionOutcome::failure;
+  switch (result.outcome) {
+    case CallOutcome::answered:
+      if (result.status >= 200 && result.status < 300 && !result.postmark.empty())
+        outcome = VersionOutcome::success;
+      break;
+    case CallOutcome::not_run:
+      outcome = VersionOutcome::refused;
+      break;
+    case CallOutcome::broken:
+      break;
+    case CallOutcome::misdirected:
+    case CallOutcome::no_connection:
+      return;
+  }
+  version_selector_->call_ended(now, call.node->service, *request->route, call.node->id,
+                                call.node->software_version, outcome, now - call.started);
+}
+
 // Cancelled calls do not change the node's latency or failure state.
 void Dispatcher::cancel_calls(Part& part, bool even_if_sent) {
   for (const CallId call : std::vector<CallId>(part.calls)) {
@@ -152,7 +203,8 @@
       break;
   }
   record_outcome(now, *found, result.outcome == CallOutcome::not_run);
-  if (success && !result.postmark.empty())
+  report_version(now, *found, result);
+  if (success && !result.postmark.empty() && node.group == catalog::NodeGroup::current)
     if (const Request* request = requests_.find(found->request))
       route_statistics_.record_answer(*request->route, now - found->started,
                                       found->sent_bytes + result.body.size());
@@ -228,7 +280,8 @@
     part.hedge_at = Time::max();
     if (!request.repeatable || part.tries >= request.route->max_attempts || part.calls.empty()) continue;
     if (now + route_statistics_.mean_duration(*request.route) > request.target_time) continue;
-    if (!load_balancer_.has_alternative(now, part.service, part.tried_nodes)) continue;
+    if (!load_balancer_.has_alternative(now, part.service, part.tried_nodes, main_group(now, part.service)))
+      continue;
     if (!retry_budget_.spend(now, part.service)) {
       ++counters_.withheld;
       continue;
--- a/src/dispatch/load_balancer.cpp
+++ b/src/dispatch/load_balancer.cpp
@@ -67,20 +67,20 @@
 }
 
 bool LoadBalancer::has_alternative(Time now, const std::string& service_name,
-                                   const std::vector<NodePtr>& excluded) const {
+                                   const std::vector<NodePtr>& excluded, NodeGroup group) const {
   auto service = services_.find(service_name);
   if (service == services_.end()) return false;
   return std::any_of(service->second.nodes.begin(), service->second.nodes.end(), [&](const NodePtr& node) {
-    return node->available(NodeGroup::current) && now >= node->avoid_until &&
+    return node->available(group) && now >= node->avoid_until &&
            std::find(excluded.begin(), excluded.end(), node) == excluded.end();
   });
 }
 
-bool LoadBalancer::is_responsive(const std::string& service_name) const {
+bool LoadBalancer::is_responsive(const std::string& service_name, NodeGroup group) const {
   auto service = services_.find(service_name);
   if (service == services_.end()) return false;
-  return std::any_of(service->second.nodes.begin(), service->second.nodes.end(), [](const NodePtr& node) {
-    return node->available(NodeGroup::current) && node->unanswered_calls < unresponsive_after_calls;
+  return std::any_of(service->second.nodes.begin(), service->second.nodes.end(), [&](const NodePtr& node) {
+    return node->available(group) && node->unanswered_calls < unresponsive_after_calls;
   });
 }
 
@@ -93,14 +93,14 @@
 }
 
 NodePtr LoadBalancer::choose(Time now, const std::string& service_name, const std::vector<NodePtr>& excluded,
-                             std::uint64_t rotation, double other_zone_factor) const {
+                             std::uint64_t rotation, double other_zone_factor, NodeGroup group) const {
   auto service = services_.find(service_name);
   if (service == services_.end()) return nullptr;
   const auto& nodes = service->second.nodes;
   double latency_sum = 0;
   int with_latency = 0;
   for (const NodePtr& node : nodes)
-    if (node->listed && node->group == NodeGroup::current && node->has_latency)
+    if (node->listed && node->group == group && node->has_latency)
       latency_sum += node->latency_ms, ++with_latency;
   double average_latency = with_latency > 0 ? latency_sum / with_latency : 1;
   NodePtr best;
@@ -108,8 +108,7 @@
   bool best_is_avoided = false;
   for (std::size_t i = 0; i < nodes.size(); ++i) {
     const NodePtr& node = nodes[(i + rotation) % nodes.size()];
-    if (!node->available(NodeGroup::current) ||
-        std::find(excluded.begin(), excluded.end(), node) != excluded.end())
+    if (!node->available(group) || std::find(excluded.begin(), excluded.end(), node) != excluded.end())
       continue;
     bool avoided = now < node->avoid_until;
     double cost = (node->has_latency ? node->latency_ms : average_latency) * (1 + node->open_calls);
--- a/src/dispatch/load_balancer.h
+++ b/src/dispatch/load_balancer.h
@@ -49,14 +49,17 @@
   void set_versions(const catalog::ServiceVersions& versions);
   void set_home_zone(std::string zone) { home_zone_ = std::move(zone); }
 
-  // The best node of the service that is not in `excluded`, or null. Ties are broken by `rotation`. Latencies
-  // of nodes in other zones are multiplied by `other_zone_factor`.
+  // The best node of the service and group that is not in `excluded`, or null. Ties are broken by `rotation`.
+  // Latencies of nodes in other zones are multiplied by `other_zone_factor`.
   NodePtr choose(Time now, const std::string& service, const std::vector<NodePtr>& excluded,
-                 std::uint64_t rotation, double other_zone_factor = 1) const;
-  // Whether there is a node outside `excluded` that is not being avoided.
-  bool has_alternative(Time now, const std::string& service, const std::vector<NodePtr>& excluded) const;
-  // False if every node of the service has left several calls in a row unanswered.
-  bool is_responsive(const std::string& service) const;
+                 std::uint64_t rotation, double other_zone_factor = 1,
+                 catalog::NodeGroup group = catalog::NodeGroup::current) const;
+  // Whether there is a node of the group outside `excluded` that is not being avoided.
+  bool has_alternative(Time now, const std::string& service, const std::vector<NodePtr>& excluded,
+                       catalog::NodeGroup group = catalog::NodeGroup::current) const;
+  // False if every node of the service and group has left several calls in a row unanswered.
+  bool is_responsive(const std::string& service,
+                     catalog::NodeGroup group = catalog::NodeGroup::current) const;
   // Whether an unresponsive service may be probed now; true starts the next probe interval.
   bool take_probe(Time now, const std::string& service);
   // The number of nodes of a service that can be chosen.
--- a/src/edge_gateway/edge_gateway.cpp
+++ b/src/edge_gateway/edge_gateway.cpp
@@ -26,25 +26,49 @@
 
 EdgeGateway::EdgeGateway(transport::Transport& wire, subscription::FollowerOptions options,
                          dispatch::NodeClient& node_client, const dispatch::RetryBudgetRules& rules)
-    : follower_(wire, options), dispatcher_(node_client), edge_quota_(options.incarnation) {
+    : follower_(wire, options),
+      dispatcher_(node_client),
+      edge_quota_(options.incarnation),
+      edge_rollouts_(options.incarnation) {
   dispatcher_.set_retry_budget(rules);
+  dispatcher_.set_version_selector(edge_rollouts_);
 }
 
 void EdgeGateway::link_frame(Time now, transport::LinkId link, std::string_view frame) {
   follower_.set_coverage(static_cast<std::uint32_t>(std::lround(dispatcher_.coverage() * 100)));
-  if (follower_.link_frame(now, link, frame)) apply_updates();
+  if (follower_.link_frame(now, link, frame)) apply_updates(now);
+  take_rollout_grants(now);
   dispatcher_.set_routes_confirmed_until(follower_.configuration_confirmed_until());
   for (const auto& [valid_until, tokens] : follower_.take_granted_tokens())
     dispatcher_.retry_budget().add_tokens(valid_until, tokens.service, tokens.count);
   for (const quota::QuotaReply& tell : follower_.take_quota_replies()) edge_quota_.on_reply(now, tell);
 }
 
-void EdgeGateway::apply_updates() {
+void EdgeGateway::take_rollout_grants(Time now) {
+  edge_rollouts_.set_leader_heard(follower_.leader_heard_at());
+  if (follower_.leader_link() != leader_link_) {
+    leader_link_ = follower_.leader_link();
+    edge_rollouts_.on_leader_changed();
+  }
+  for (const rollout::RolloutGrant& grant : follower_.take_rollout_grants())
+    edge_rollouts_.on_grant(now, grant);
+}
+
+void EdgeGateway::report_rollouts(Time now) {
+  if (now < edge_rollouts_.due()) return;
+  for (const rollout::RolloutReport& report : edge_rollouts_.take_reports(now))
+    follower_.send_rollout_report(report);
+}
+
+void EdgeGateway::apply_updates(Time now) {
   subscription::ClusterView& view = follower_.view();
   for (const std::string& id : view.take_changed_nodes())
     dispatcher_.load_balancer().update(id, view.nodes().find(id));
-  for (const std::string& service : view.take_changed_services())
-    dispatcher_.load_balancer().set_versions(view.service_versions().at(service));
+  for (const std::string& service : view.take_changed_services()) {
+    const catalog::ServiceVersions& versions = view.service_versions().at(service);
+    dispatcher_.load_balancer().set_versions(versions);
+    edge_rollouts_.set_versions(now, versions);
+  }
   // Only a leader counts the edges; a member that does not lead may know of none.
   if (view.at() != protocol::Position{}) dispatcher_.set_edges(view.edge_count());
   if (!has_initial_coverage_ && view.at() != protocol::Position{}) {
@@ -68,16 +92,17 @@
 }
 
 void EdgeGateway::advance(Time now) {
-  if (follower_.tick(now)) apply_updates();
+  if (follower_.tick(now)) apply_updates(now);
   dispatcher_.advance(now);
   request_retry_tokens(now);
+  report_rollouts(now);
   if (!edge_quota_.on() && waiting_.empty()) return;
   retry_waiting(now);
   if (auto ask = edge_quota_.take_request(now)) follower_.send_quota_request(*ask);
 }
 
 Time EdgeGateway::due(Time now) const {
-  Time due = std::min({dispatcher_.due(), follower_.due(), edge_quota_.due(now)});
+  Time due = std::min({dispatcher_.due(), follower_.due(), edge_quota_.due(now), edge_rollouts_.due()});
   for (const WaitingRequest& waiting : waiting_) due = std::min(due, waiting.wait_until);
   for (const HeldResponse& held : held_) due = std::min(due, held.hold_until);
   return due;
--- a/src/edge_gateway/edge_gateway.h
+++ b/src/edge_gateway/edge_gateway.h
@@ -1,8 +1,8 @@
 // Everything of an edge except its sockets: connects the request dispatcher with the subscription to the
-// core. Updates from the core (nodes, configuration, token grants) reach the dispatcher; its coverage and
-// token requests reach the core. Where the configuration has quotas, a request draws on them before it is
-// dispatched, and its response is held briefly until the draw is durable. Does no I/O; callers pass the
-// current time.
+// core. Updates from the core (nodes, configuration, versions, grants) reach the dispatcher; its coverage,
+// token requests and reports on roll-outs reach the core. Where the configuration has quotas, a request draws
+// on them before it is dispatched, and its response is held briefly until the draw is durable. Does no I/O;
+// callers pass the current time.
 #pragma once
 
 #include <deque>
@@ -13,6 +13,7 @@
 
 #include "dispatch/dispatcher.h"
 #include "quota/edge_quota.h"
+#include "rollout/edge_rollouts.h"
 #include "subscription/follower.h"
 
 namespace pearspar::edge_gateway {
@@ -60,6 +61,7 @@
   subscription::Follower& follower() { return follower_; }
   const subscription::Follower& follower() const { return follower_; }
   const quota::EdgeQuota& edge_quota() const { return edge_quota_; }
+  const rollout::EdgeRollouts& edge_rollouts() const { return edge_rollouts_; }
   // Answers every open request at shutdown.
   void finish_open_requests(Time now);
 
@@ -84,7 +86,9 @@
     Time hold_until{};
   };
 
-  void apply_updates();
+  void apply_updates(Time now);
+  void take_rollout_grants(Time now);
+  void report_rollouts(Time now);
   void request_retry_tokens(Time now);
   void retry_waiting(Time now);
   void request_ended(Time now, RequestId request, dispatch::ClientResponse response);
@@ -96,6 +100,8 @@
   catalog::Revision routed_revision_ = 0;
   bool has_initial_coverage_ = false;
   quota::EdgeQuota edge_quota_;
+  rollout::EdgeRollouts edge_rollouts_;
+  transport::LinkId leader_link_ = 0;  // that roll-outs were reported on last
   std::deque<WaitingRequest> waiting_;
   std::size_t waiting_bytes_ = 0;
   std::uint32_t last_waiting_id_ = 0;
--- a/src/process_settings/settings.cpp
+++ b/src/process_settings/settings.cpp
@@ -165,6 +165,8 @@
     bounds.read("retryWindowS", settings.retry_window_s);
     bounds.read("retrySlack", settings.retry_slack);
     bounds.read("ackWithinMs", settings.acknowledge_within_ms);
+    bounds.read("exposureShare", settings.exposure_share);
+    bounds.read("exposureSlack", settings.exposure_slack);
   });
   return result;
 }
--- a/src/process_settings/settings.h
+++ b/src/process_settings/settings.h
@@ -41,6 +41,8 @@
   double retry_window_s = 10;
   double retry_slack = 0;
   double acknowledge_within_ms = 5000;
+  double exposure_share = 0.1;  // of a service's requests that a bad version may get while it is rolled out
+  double exposure_slack = 50;   // requests beside that share
 
   std::string inner_address() const { return ip_address + ":" + std::to_string(first_inner_port); }
   // Where an edge answers other edges; a member on the same machine uses the first port. Empty if the range
--- a/src/protocol/rollout_codec.cpp
+++ b/src/protocol/rollout_codec.cpp
@@ -281,13 +281,14 @@
 }
 
 void pack(Packer& packer, const rollout::RolloutReport& report) {
-  packer.array(7);
+  packer.array(8);
   packer.number(report.incarnation);
   packer.number(report.rollout);
   packer.number(report.number);
   packer.number(report.requests);
   packer.number(report.spent);
   packer.number(report.held);
+  packer.number(report.last_grant);
   packer.array(report.votes.size());
   for (const rollout::Vote& vote : report.votes) {
     packer.array(3);
@@ -307,6 +308,7 @@
   report.requests = in.number();
   report.spent = in.number();
   report.held = get_count(in);
+  report.last_grant = in.number();
   std::size_t votes = in.enter(max_votes);
   for (std::size_t i = 0; i < votes && in.good(); ++i) {
     rollout::Vote& vote = report.votes.emplace_back();
--- a/src/subscription/follower.cpp
+++ b/src/subscription/follower.cpp
@@ -87,6 +87,10 @@
   return leader_link_ != 0 && transport_.send(leader_link_, protocol::pack(request));
 }
 
+bool Follower::send_rollout_report(const rollout::RolloutReport& report) {
+  return leader_link_ != 0 && transport_.send(leader_link_, protocol::pack(report));
+}
+
 bool Follower::link_frame(Time now, transport::LinkId link, std::string_view bytes) {
   auto message = protocol::unpack(bytes);
   if (!message) {
@@ -124,6 +128,10 @@
     quota_replies_.push_back(*reply);
     return false;
   }
+  if (const auto* grant = std::get_if<rollout::RolloutGrant>(&*message)) {
+    rollout_grants_.push_back(*grant);
+    return false;
+  }
   if (const auto* neighbours = std::get_if<protocol::Neighbours>(&*message))
     if (link == leader_link_) discovery_.set_neighbours(neighbours->edges);
   if (const auto* welcome = std::get_if<protocol::Welcome>(&*message)) handle_welcome(*welcome);
@@ -170,6 +178,7 @@
     return false;
   }
   // Counts from before a pause of this process, in which another leader may have replaced the configuration.
+  leader_heard_at_ = last_tick_;
   if (view_.configuration() && view_.revision() == view_.announced_revision())
     confirmed_until_ = last_tick_ + options_.confirmation_lifetime;
   if (!has_nodes_ && !view_.nodes().all().empty()) {
--- a/src/subscription/follower.h
+++ b/src/subscription/follower.h
@@ -58,6 +58,13 @@
   bool can_request_tokens(Time now) const { return leader_link_ != 0 && now >= token_request_due_; }
   // Returns false where no leader is known.
   bool send_quota_request(const quota::QuotaRequest& request);
+  // Returns false where no leader is known.
+  bool send_rollout_report(const rollout::RolloutReport& report);
+  std::vector<rollout::RolloutGrant> take_rollout_grants() { return std::exchange(rollout_grants_, {}); }
+  // The link on which the leader's last update arrived; 0 = none.
+  transport::LinkId leader_link() const { return leader_link_; }
+  // A time before which the leader's last update had not been sent yet. Time::min() if none has come.
+  Time leader_heard_at() const { return leader_heard_at_; }
   std::vector<quota::QuotaReply> take_quota_replies() { return std::exchange(quota_replies_, {}); }
   // The tokens granted since the last call, each with the time at which it expires.
   std::vector<std::pair<Time, protocol::Tokens>> take_granted_tokens() {
@@ -105,6 +112,8 @@
   Time token_request_due_{};
   std::vector<std::pair<Time, protocol::Tokens>> granted_tokens_;
   std::vector<quota::QuotaReply> quota_replies_;
+  std::vector<rollout::RolloutGrant> rollout_grants_;
+  Time leader_heard_at_ = Time::min();
   std::uint64_t unreadable_frames_ = 0;
 };
 
--- a/tests/system/rollouts_test.cpp
+++ b/tests/system/rollouts_test.cpp
@@ -13,6 +13,9 @@
   CPPUNIT_TEST(versionWithoutARolloutGetsNothing);
   CPPUNIT_TEST(oldVersionIsKnownToACoreWithAnEmptyList);
   CPPUNIT_TEST(edgeThatStartsWithoutALeaderKnowsTheOldVersion);
+  CPPUNIT_TEST(leasesKeepANewVersionUnderHalfOfItsShare);
+  CPPUNIT_TEST(leasesHoldBesideLossesOfEdgesAndLeaders);
+  CPPUNIT_TEST(leasesHoldAtThinTraffic);
   CPPUNIT_TEST_SUITE_END();
 
   static ClusterOptions small(std::uint64_t seed = 1) {
@@ -38,6 +41,12 @@
     cluster.run(4);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.checker().acknowledged());
   }
+  static VersionFault errors(double share = 0.5) {
+    VersionFault fault;
+    fault.kind = VersionFault::Kind::errors;
+    fault.share = share;
+    return fault;
+  }
   static std::size_t led(const Cluster& cluster) {
     CPPUNIT_ASSERT_MESSAGE("somebody leads", cluster.leader() >= 0);
     return static_cast<std::size_t>(cluster.leader());
@@ -144,6 +153,62 @@
     CPPUNIT_ASSERT(cluster.leader() < 0);
     CPPUNIT_ASSERT(cluster.totals().served > served);
   }
+
+  // Issue 66, EXPOSURE: before a verdict all edges together send a new version half of its share at most, and
+  // they do send it something.
+  void leasesKeepANewVersionUnderHalfOfItsShare() {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      Cluster cluster(busy(seed));
+      start(cluster);
+      std::size_t order = cluster.order_rollout({"shard0", "v2", 15, true, true}, errors());
+      cluster.run(18);
+      cluster.check_settled();
+      check(cluster);
+      CPPUNIT_ASSERT_EQUAL(std::string("returned"), cluster.rollout_judge().state(order));
+      CPPUNIT_ASSERT(cluster.rollout_judge().exposed(order) > 20);
+    }
+  }
+
+  // Issue 66, EXPOSURE: the same with edges that are frozen, cut off or killed, and leaders that die, so that
+  // leases and reports are lost.
+  void leasesHoldBesideLossesOfEdgesAndLeaders() {
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+      ClusterOptions options = busy(seed);
+      options.edges = 8;
+      Cluster cluster(options);
+      start(cluster);
+      cluster.order_rollout({"shard0", "v2", 15, true, true}, errors());
+      for (int i = 0; i < 6; ++i) {
+        cluster.run(0.7);
+        auto edge = cluster.world().below(cluster.edges());
+        cluster.freeze_edge(edge, 2);
+        cluster.kill_edge((edge + 1) % cluster.edges(), 0.3);
+        std::string cut = cluster.edge_address((edge + 2) % cluster.edges());
+        cluster.cut_off(cut, true, i % 2 == 0);
+        if (i % 3 == 1 && cluster.leader() >= 0) cluster.kill_core(led(cluster), 1, i % 2 == 0);
+        cluster.run(1.5);
+        cluster.heal(cut);
+      }
+      cluster.run(6);
+      cluster.check_settled();
+      check(cluster);
+    }
+  }
+
+  // Issue 66, EXPOSURE: few requests, or none.
+  void leasesHoldAtThinTraffic() {
+    for (double requests_per_s : {0.0, 0.5, 4.0}) {
+      ClusterOptions options = small();
+      options.requests_per_s = requests_per_s;
+      Cluster cluster(options);
+      start(cluster);
+      std::size_t order = cluster.order_rollout({"shard0", "v2", 15, true, true}, errors());
+      cluster.run(18);
+      cluster.check_settled();
+      check(cluster);
+      CPPUNIT_ASSERT_EQUAL(std::string("returned"), cluster.rollout_judge().state(order));
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutsTest);
 
