Votes of watching edges decide a roll-out: delivered step by step, or returned

What callers saw: every order ended returned, good versions as well (a missed duty each).

Observed for 0.35 of the term, then 250, 500 and 1,000 of 1,000 calls go to the version under leases of time (2 s from the leader's last update), each step an entry of the log; delivered once all followers with a lease have acknowledged the last one and no edge has a call open to the old version. Convicted at any step: returned. Without a route to the service, what was seen decides.

--- a/src/control_plane/controller.cpp
+++ b/src/control_plane/controller.cpp
@@ -41,6 +41,7 @@
   for (const auto& [service, record] : state_.rollouts().services())
     view_.adopt(rollout::versions_of(service, record));
   published_versions_ = state_.rollouts().changed_at();
+  version_positions_.clear();
   rollout_entry_.reset();
   rollouts_.reset();
   last_heartbeats_.clear();
@@ -51,7 +52,8 @@
   pool_.open(now);
   quota_allocator_.open(now, state_.quota_ledger());
   // The empty first change moves this member's own position to the new term.
-  followers_.add(now, {});
+  protocol::Position first = followers_.add(now, {});
+  for (const auto& [service, record] : state_.rollouts().services()) version_positions_[service] = first;
 }
 
 void Controller::deactivate(Time now) {
@@ -101,7 +103,7 @@
   Time due = forwarded_.due();
   if (is_active())
     due = std::min({due, followers_.due(), next_expiry_, quota_allocator_.due(state_.quota_rules()),
-                    rollout_entry_ ? Time::max() : rollouts_.due(state_.rollouts())});
+                    rollout_entry_ ? Time::max() : rollouts_.due()});
   for (const Request& request : waiting_) due = std::min(due, request.deadline);
   if (proposal_)
     for (const Request& request : proposal_->callers) due = std::min(due, request.deadline);
--- a/src/control_plane/controller.h
+++ b/src/control_plane/controller.h
@@ -154,6 +154,7 @@
   bool knows_service(const std::string& service) const;
   std::vector<std::string> listed_versions(const std::string& service) const;
   void add_version_records(std::vector<rollout::RolloutCommand>& commands) const;
+  rollout::ServiceStatus rollout_status(Time now, const std::string& service) const;
   void propose_rollouts(Time now);
   void finish_rollout_orders();
   void reject_pending_rollouts(std::string_view reason);
@@ -195,6 +196,7 @@
   std::deque<PendingRollout> pending_rollouts_;
   std::optional<raft::Index> rollout_entry_;  // in flight
   rollout::LogIndex published_versions_ = 0;  // followers have been sent all changes up to this entry
+  std::map<std::string, protocol::Position> version_positions_;  // of the newest versions of a service
   ForwardedCalls forwarded_;
   std::size_t reply_bytes_ = 0;
   std::size_t forwarded_reply_bytes_ = 0;
--- a/src/control_plane/controller_rollouts.cpp
+++ b/src/control_plane/controller_rollouts.cpp
@@ -86,12 +86,30 @@
     commands.push_back(rollout::RecordVersions{service, {versions.begin(), versions.end()}});
 }
 
+rollout::ServiceStatus Controller::rollout_status(Time now, const std::string& service) const {
+  rollout::ServiceStatus status;
+  status.routed = false;
+  if (const auto& configuration = state_.configuration())
+    for (const catalog::Route& route : configuration->routes) {
+      bool gathers = std::find(route.shards.begin(), route.shards.end(), service) != route.shards.end();
+      bool serves = std::any_of(route.services.begin(), route.services.end(),
+                                [&](const auto& each) { return each.service == service && each.weight > 0; });
+      status.routed = status.routed || gathers || serves;
+    }
+  auto published = version_positions_.find(service);
+  status.acknowledged =
+      published != version_positions_.end() && followers_.acknowledged(now, published->second);
+  status.edges = followers_.edges(now);
+  return status;
+}
+
 // One entry is in flight at a time; what comes meanwhile goes into the next one.
 void Controller::propose_rollouts(Time now) {
   if (!is_active()) return;
   if (rollout_entry_ && core_.applied() >= *rollout_entry_) rollout_entry_.reset();
   if (rollout_entry_ || !core_.holds_lease(now)) return;
-  std::vector<rollout::RolloutCommand> commands = rollouts_.next_commands(now, state_.rollouts());
+  std::vector<rollout::RolloutCommand> commands = rollouts_.next_commands(
+      now, state_.rollouts(), [&](const std::string& service) { return rollout_status(now, service); });
   add_version_records(commands);
   for (const PendingRollout& pending : pending_rollouts_)
     if (!pending.index && !pending.repeated)
@@ -139,7 +157,8 @@
   if (!is_active() || published_versions_ >= state_.rollouts().changed_at()) return;
   for (const auto& [service, record] : state_.rollouts().services())
     if (record.changed_at > published_versions_)
-      followers_.add_service_versions(now, rollout::versions_of(service, record));
+      version_positions_[service] =
+          followers_.add_service_versions(now, rollout::versions_of(service, record));
   published_versions_ = state_.rollouts().changed_at();
 }
 
--- a/src/control_plane/followers.cpp
+++ b/src/control_plane/followers.cpp
@@ -86,13 +86,11 @@
   encoded_states_.clear();
 }
 
-void Followers::add_service_versions(Time now, const catalog::ServiceVersions& versions) {
-  auto known = view_.service_versions().find(versions.service);
-  if (known != view_.service_versions().end() && known->second.changed_at >= versions.changed_at) return;
+protocol::Position Followers::add_service_versions(Time now, const catalog::ServiceVersions& versions) {
   protocol::Change change;
   change.kind = protocol::ChangeKind::service_versions;
   change.text = protocol::pack_service_versions(versions);
-  add(now, std::move(change));
+  return add(now, std::move(change));
 }
 
 void Followers::complete_list(Time now) {
--- a/src/control_plane/followers.h
+++ b/src/control_plane/followers.h
@@ -45,8 +45,8 @@
 
   // Appends a newly applied configuration, as a delta to the previous one where that is shorter.
   void add_configuration(Time now, const catalog::ConfigurationPtr& configuration);
-  // Appends the versions of a service, where they are newer than what the local view has.
-  void add_service_versions(Time now, const catalog::ServiceVersions& versions);
+  // Appends the versions of a service. Returns their position.
+  protocol::Position add_service_versions(Time now, const catalog::ServiceVersions& versions);
   // Appends a change and applies it to the local view at once. Returns its position.
   protocol::Position add(Time now, protocol::Change change);
   // Marks the list of nodes as complete; followers whose list may differ are sent the full state again.
--- a/src/dispatch/dispatcher_calls.cpp
+++ b/src/dispatch/dispatcher_calls.cpp
@@ -125,7 +125,8 @@
 // What the call tells about its node's version. One without a connection tells nothing.
 void Dispatcher::report_version(Time now, const OpenCall& call, const CallResult& result) {
   const Request* request = requests_.find(call.request);
-  if (!version_selector_ || !request) return;
+  if (!version_selector_) return;
+  if (!request) return version_selector_->call_dropped(call.node->service, call.node->software_version);
   VersionOutcome outcome = VersionOutcome::failure;
   switch (result.outcome) {
     case CallOutcome::answered:
@@ -139,7 +140,7 @@
       break;
     case CallOutcome::misdirected:
     case CallOutcome::no_connection:
-      return;
+      return version_selector_->call_dropped(call.node->service, call.node->software_version);
   }
   version_selector_->call_ended(now, call.node->service, *request->route, call.node->id,
                                 call.node->software_version, outcome, now - call.started);
@@ -150,7 +151,9 @@
   for (const CallId call : std::vector<CallId>(part.calls)) {
     if (!node_client_.cancel(call, even_if_sent)) continue;
     ++counters_.cancelled;
-    load_balancer_.call_ended(*open_calls_.find(call)->node);
+    const NodePtr& node = open_calls_.find(call)->node;
+    if (version_selector_) version_selector_->call_dropped(node->service, node->software_version);
+    load_balancer_.call_ended(*node);
     open_calls_.release(call);
     std::erase(part.calls, call);
   }
--- a/src/dispatch/version_selector.h
+++ b/src/dispatch/version_selector.h
@@ -30,6 +30,8 @@
   virtual void call_ended(Time now, const std::string& service, const catalog::Route& route,
                           const std::string& node, const std::string& version, VersionOutcome outcome,
                           Duration took) = 0;
+  // A call to a node ended without telling anything of its version.
+  virtual void call_dropped(const std::string& service, const std::string& version) = 0;
 };
 
 }  // namespace pearspar::dispatch
--- a/src/protocol/rollout_codec.cpp
+++ b/src/protocol/rollout_codec.cpp
@@ -281,7 +281,7 @@
 }
 
 void pack(Packer& packer, const rollout::RolloutReport& report) {
-  packer.array(8);
+  packer.array(9);
   packer.number(report.incarnation);
   packer.number(report.rollout);
   packer.number(report.number);
@@ -289,6 +289,7 @@
   packer.number(report.spent);
   packer.number(report.held);
   packer.number(report.last_grant);
+  packer.number(report.old_calls_open);
   packer.array(report.votes.size());
   for (const rollout::Vote& vote : report.votes) {
     packer.array(3);
@@ -309,6 +310,7 @@
   report.spent = in.number();
   report.held = get_count(in);
   report.last_grant = in.number();
+  report.old_calls_open = get_count(in);
   std::size_t votes = in.enter(max_votes);
   for (std::size_t i = 0; i < votes && in.good(); ++i) {
     rollout::Vote& vote = report.votes.emplace_back();
--- a/src/rollout/edge_rollouts.cpp
+++ b/src/rollout/edge_rollouts.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t max_reported = 16;    // reports without a grant that are remembered
 constexpr double balance_decay = 0.98;      // of the counts behind Balance, with each request
 constexpr double rare_route_share = 0.05;   // routes with less of the requests are not waited for
-constexpr double balance_factor = 2;        // by which a route may be ahead of the rarest one
+constexpr double balance_factor = 1.25;     // by which a route may be ahead of the rarest one
 constexpr double balance_slack = 2;         // calls
 constexpr double whole_permille = 1000;
 
@@ -133,18 +133,31 @@
   Rollout* rollout = find(service);
   if (!rollout) return;
   rollout->requests += first_call;
-  if (group != NodeGroup::candidate) return;
+  if (group != NodeGroup::candidate) {
+    ++rollout->old_calls_open;
+    return;
+  }
   ++rollout->spent;
   ++counters_.candidate_calls;
   if (rollout->versions.candidate_permille > 0) return;
   if (held(now, *rollout) > 0) --rollout->leases.front().calls;
 }
 
+// Calls that were open before the roll-out was known are not counted as open, but end all the same.
+void EdgeRollouts::end_call(Rollout& rollout, const std::string& version) {
+  if (version != rollout.versions.candidate && rollout.old_calls_open > 0) --rollout.old_calls_open;
+}
+
+void EdgeRollouts::call_dropped(const std::string& service, const std::string& version) {
+  if (Rollout* rollout = find(service)) end_call(*rollout, version);
+}
+
 void EdgeRollouts::call_ended(Time, const std::string& service, const catalog::Route& route,
                               const std::string& node, const std::string& version,
                               dispatch::VersionOutcome outcome, Duration took) {
   Rollout* rollout = find(service);
   if (!rollout) return;
+  end_call(*rollout, version);
   bool candidate = version == rollout->versions.candidate;
   std::pair<std::string, std::string> key{route.host + route.path_prefix, candidate ? node : std::string()};
   if (rollout->epoch.size() >= max_counted_nodes && !rollout->epoch.count(key)) return;
@@ -186,6 +199,7 @@
   report.spent = rollout.spent;
   report.held = held(now, rollout);
   report.last_grant = rollout.last_grant;
+  report.old_calls_open = static_cast<std::uint32_t>(rollout.old_calls_open);
   for (const ClosedVote& closed : rollout.votes) {
     if (closed.vote.number <= rollout.votes_received) continue;
     report.votes.push_back(closed.vote);
--- a/src/rollout/edge_rollouts.h
+++ b/src/rollout/edge_rollouts.h
@@ -56,6 +56,7 @@
   void call_started(Time now, const std::string& service, catalog::NodeGroup group, bool first_call) override;
   void call_ended(Time now, const std::string& service, const catalog::Route& route, const std::string& node,
                   const std::string& version, dispatch::VersionOutcome outcome, Duration took) override;
+  void call_dropped(const std::string& service, const std::string& version) override;
 
   const EdgeRolloutCounters& counters() const { return counters_; }
   std::size_t in_transit() const { return rollouts_.size(); }
@@ -87,6 +88,7 @@
     catalog::ServiceVersions versions;
     std::uint64_t requests = 0;
     std::uint64_t spent = 0;
+    std::uint64_t old_calls_open = 0;
     std::deque<Lease> leases;
     std::uint64_t report = 0;                             // number of the newest one
     std::deque<std::pair<std::uint64_t, Time>> reported;  // number, when; those without a grant yet
@@ -104,6 +106,7 @@
   Rollout* find(const std::string& service);
   const Rollout* find(const std::string& service) const;
   std::uint32_t held(Time now, Rollout& rollout);
+  static void end_call(Rollout& rollout, const std::string& version);
   static bool is_balanced(Rollout& rollout, const std::string& route);
   void close_epoch(Time now, Rollout& rollout);
   RolloutReport make_report(Time now, Rollout& rollout);
--- a/src/rollout/messages.h
+++ b/src/rollout/messages.h
@@ -35,11 +35,12 @@
 struct RolloutReport {
   std::uint64_t incarnation = 0;
   std::uint64_t rollout = 0;
-  std::uint64_t number = 0;      // repeated in the grant; rises
-  std::uint64_t requests = 0;    // for the service since the edge has known of the roll-out
-  std::uint64_t spent = 0;       // calls to the new version since then
-  std::uint32_t held = 0;        // leases that are not spent and not expired
-  std::uint64_t last_grant = 0;  // number of the newest grant that the edge has received
+  std::uint64_t number = 0;          // repeated in the grant; rises
+  std::uint64_t requests = 0;        // for the service since the edge has known of the roll-out
+  std::uint64_t spent = 0;           // calls to the new version since then
+  std::uint32_t held = 0;            // leases that are not spent and not expired
+  std::uint32_t old_calls_open = 0;  // calls to the old version that have not ended
+  std::uint64_t last_grant = 0;      // number of the newest grant that the edge has received
   std::vector<Vote> votes;
   bool operator==(const RolloutReport&) const = default;
 };
--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -136,6 +136,8 @@
 
   std::size_t nodes() const { return nodes_.size(); }
   void crash_node(std::size_t node, double back_s, bool dark);
+  // It never starts again.
+  void forbid_node(std::size_t node);
   void slow_node(std::size_t node, double factor, double for_s);
   void leave_node(std::size_t node, double back_s);
   // Sends DELETE without being closing before, and serves for so long.
--- a/src/simulation/cluster_nodes.cpp
+++ b/src/simulation/cluster_nodes.cpp
@@ -132,6 +132,12 @@
   });
 }
 
+void Cluster::forbid_node(std::size_t index) {
+  Node& node = *nodes_[index];
+  node.stopped = true;
+  if (node.up) end_node(node, false);
+}
+
 void Cluster::slow_node(std::size_t index, double factor, double for_s) {
   Node& node = *nodes_[index];
   node.factor = factor;
