An operator's view of roll-outs: commands, log lines, counters; real processes

Edges without requests do not watch: with two edges of which one had none, a good version found no majority (seen in that test).

--- a/src/admin_client/commands.h
+++ b/src/admin_client/commands.h
@@ -33,8 +33,9 @@
 
 // Runs one command and returns its exit status. `words` is the command and its operands: status | members |
 // leader | nodes | drain ID | config get | config check FILE | config put FILE | config diff FILE | config
-// watch | config history [N] | allowance show [HOLDER] | allowance export FILE | snapshot save FILE |
-// snapshot verify FILE | snapshot restore FILE.
+// watch | config history [N] | rollout start DEPOT EDITION SECONDS | rollout status [DEPOT] | rollout why
+// DEPOT | allowance show [HOLDER] | allowance export FILE | snapshot save FILE | snapshot verify FILE |
+// snapshot restore FILE.
 int run(const std::vector<std::string>& words, const Options& options, std::FILE* out, std::FILE* err);
 // Whether `command` is the first word of a command that run() handles.
 bool is_admin_command(const std::string& command);
--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -172,6 +172,7 @@
   const quota::EdgeQuotaCounters& edge_quota = proxy_.gateway().edge_quota().counters();
   const upstream::LinkCounters& links = proxy_.nodes().counters();
   const clients::HttpServerCounters& front = proxy_.front().counters();
+  const rollout::EdgeRolloutCounters& rollouts = proxy_.gateway().edge_rollouts().counters();
   auto number = [](auto value) { return static_cast<double>(value); };
   return {
       {"altavia_requests_total", "requests of clients", number(dispatcher.requests)},
@@ -207,6 +208,12 @@
       {"altavia_broken_total", "calls whose connection broke or carried no answer",
        number(dispatcher.broken)},
       {"altavia_late_total", "calls out at their request's aim", number(dispatcher.late)},
+      {"altavia_rollout_calls_total", "calls to editions that were being rolled out",
+       number(rollouts.candidate_calls)},
+      {"altavia_rollout_leases_total", "leases granted for such calls", number(rollouts.leases)},
+      {"altavia_rollout_leases_expired_total", "of those, not spent in their time",
+       number(rollouts.leases_expired)},
+      {"altavia_rollout_votes_total", "votes on them", number(rollouts.votes)},
       {"altavia_opened_total", "connections opened to nodes", number(links.opened)},
       {"altavia_reused_total", "calls on a connection that stood", number(links.reused)},
       {"altavia_spoilt_total", "answers to something else, or none", number(links.spoilt)},
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -1,6 +1,7 @@
 #include "altavia/member.h"
 
 #include <algorithm>
+#include <map>
 
 #include "allocation/allocation.h"
 #include "altavia/memory_shares.h"
@@ -92,6 +93,7 @@
        {"nodes", member_.controller().view().nodes().all().size()},
        {"retired", member_.controller().view().nodes().retired().size()},
        {"voter", core.log().membership().has(core.self())}});
+  logged_rollouts_ = member_.state().rollouts().changed_at();
 }
 
 void Member::settings_changed(const process_settings::Settings& settings) {
@@ -192,6 +194,14 @@
       {"altavia_refused_for_memory_total", "calls answered 503 since callers' bytes had reached their bound",
        number(front_.counters().refused_for_memory)},
   };
+  std::map<rollout::RolloutState, int> rollouts;
+  for (const auto& [service, record] : member_.state().rollouts().services())
+    if (record.rollout) ++rollouts[record.rollout->state];
+  for (const auto& [state, count] : rollouts)
+    samples.push_back({"altavia_rollouts",
+                       "depots by the state of their newest roll-out",
+                       number(count),
+                       {{"state", std::string(rollout::name_of(state))}}});
   for (const auto& count : member_.controller().call_log().counts())
     samples.push_back({"altavia_calls_refused_total",
                        "control calls answered 4xx or 5xx, by path and status",
@@ -216,6 +226,23 @@
        {"nodes", member_.controller().view().nodes().all().size()}});
 }
 
+void Member::log_rollouts() {
+  const rollout::RolloutLedger& ledger = member_.state().rollouts();
+  if (ledger.changed_at() <= logged_rollouts_) return;
+  for (const auto& [service, record] : ledger.services()) {
+    if (record.changed_at <= logged_rollouts_ || !record.rollout) continue;
+    const rollout::Rollout& rollout = *record.rollout;
+    log(Level::info, "rollout",
+        {{"depot", service},
+         {"edition", rollout.target},
+         {"state", rollout::name_of(rollout.state)},
+         {"share", rollout.share_permille / 1000.0},
+         {"elapsed_s", static_cast<double>(rollout.elapsed_ms) / 1000},
+         {"why", rollout.reason}});
+  }
+  logged_rollouts_ = ledger.changed_at();
+}
+
 void Member::log_refused_calls() {
   for (const control_plane::RefusedCall& call : member_.take_refused_calls())
     log(Level::warning, "call_refused",
@@ -242,6 +269,7 @@
     front_.answer(connection_of(reply.caller), answer);
   }
   log_refused_calls();
+  log_rollouts();
   log_role_changes();
   log_store_changes();
   net::Time due = member_.started() ? member_.due() : restart_at_;
--- a/src/altavia/member.h
+++ b/src/altavia/member.h
@@ -48,6 +48,8 @@
   void start_core();
   // Logs that this member has become leader, or is leader no more, and whether it can read the configuration.
   void log_role_changes();
+  // Logs the steps of roll-outs as the log has them.
+  void log_rollouts();
   // Logs the calls that were refused.
   void log_refused_calls();
   // Logs when the store begins to refuse writes and when it accepts them again.
@@ -65,6 +67,7 @@
   bool was_leader_ = false;
   bool configuration_unreadable_ = false;
   bool store_failing_ = false;
+  rollout::LogIndex logged_rollouts_ = 0;  // of the newest change of versions that was logged
   bool stopping_ = false;
   net::Time stop_earliest_at_{};
   net::Time stop_latest_at_{};
--- a/src/control_plane/controller_calls.cpp
+++ b/src/control_plane/controller_calls.cpp
@@ -65,7 +65,7 @@
     case CallPath::node:
       return "PUT or DELETE";
     case CallPath::rollout_order:
-      return "POST";
+      return "GET or POST";
     case CallPath::rollout:
     case CallPath::node_list:
     case CallPath::status:
@@ -162,7 +162,8 @@
     } else if (request.path == snapshot_path) {
       reply(request, 200, snapshot_json(state_));
     } else if (request.path == rollouts_path) {
-      return handle_rollout_order(now, request);
+      if (request.method == "POST") return handle_rollout_order(now, request);
+      reply(request, 200, rollouts_json(now, state_.rollouts(), rollouts_));
     } else if (is_rollout_path(request.path)) {
       handle_rollout_read(request);
     } else if (request.method == "PUT") {
--- a/src/control_plane/report.cpp
+++ b/src/control_plane/report.cpp
@@ -90,6 +90,30 @@
                      static_cast<double>(rollout.over_ms) / 1000, quoted(rollout.reason));
 }
 
+std::string rollouts_json(Time now, const rollout::RolloutLedger& ledger,
+                          const rollout::RolloutCoordinator& coordinator) {
+  JsonArray rollouts;
+  for (const auto& [service, record] : ledger.services()) {
+    if (!record.rollout) continue;
+    const rollout::Rollout& rollout = *record.rollout;
+    JsonArray allowed, votes;
+    for (const std::string& version : record.allowed) allowed.add(quoted(version));
+    rollout::RolloutProgress progress = coordinator.progress(service);
+    for (const rollout::EdgeVote& vote : progress.votes)
+      votes.add(fmt::format(R"({{"edge":"{:016x}","zoneName":{},"calls":{},"bad":{},"evidence":{:.1f}}})",
+                            vote.incarnation, quoted(vote.zone), vote.calls, vote.bad, vote.evidence));
+    double elapsed_s = record.in_transit() ? coordinator.elapsed(now, service).count()
+                                           : static_cast<double>(rollout.elapsed_ms) / 1000;
+    rollouts.add(fmt::format(
+        R"({{"depot":{},"nodeState":"{}","targetEdition":{},"serving":{},"overS":{},"elapsedS":{:.1f},)"
+        R"("share":{},"requests":{},"exposed":{},"watchers":{},"why":{},"votes":{}}})",
+        quoted(service), rollout::name_of(rollout.state), quoted(rollout.target), allowed.text(),
+        static_cast<double>(rollout.over_ms) / 1000, elapsed_s, rollout.share_permille / 1000.0,
+        progress.requests, progress.exposed, progress.watchers, quoted(rollout.reason), votes.text()));
+  }
+  return "{\"rollouts\":" + rollouts.text() + "}";
+}
+
 std::string snapshot_json(const ReplicatedState& state) {
   const std::string& text = state.text();
   return fmt::format(R"({{"format":1,"edition":{},"digest":"{}","history":{},"configuration":{}}})",
--- a/src/control_plane/report.h
+++ b/src/control_plane/report.h
@@ -6,6 +6,7 @@
 
 #include "control_plane/followers.h"
 #include "control_plane/replicated_state.h"
+#include "rollout/rollout_coordinator.h"
 
 namespace pearspar::control_plane {
 
@@ -21,6 +22,9 @@
 std::string allowance_json(const raft::Core& core, const ReplicatedState& state);
 // The state of a service's newest roll-out.
 std::string rollout_json(const rollout::Rollout& rollout);
+// The newest roll-out of each service, with the votes of those in transit.
+std::string rollouts_json(Time now, const rollout::RolloutLedger& ledger,
+                          const rollout::RolloutCoordinator& coordinator);
 // The configuration and its history as a backup that can be verified and restored; format 1.
 std::string snapshot_json(const ReplicatedState& state);
 
--- a/src/rollout/evidence.cpp
+++ b/src/rollout/evidence.cpp
@@ -152,8 +152,12 @@
         sum.bad += bad;
       }
       if (normal > max_normal) continue;
-      for (const auto& [watcher, cell] : cells.watchers)
-        sum.watchers[watcher] += evidence_of(cell.calls, cell.bad(baseline.slow_from), normal);
+      for (const auto& [watcher, cell] : cells.watchers) {
+        std::uint64_t bad = cell.bad(baseline.slow_from);
+        sum.watchers[watcher] += evidence_of(cell.calls, bad, normal);
+        sum.watcher_calls[watcher].first += cell.calls;
+        sum.watcher_calls[watcher].second += bad;
+      }
     }
   return sums;
 }
@@ -222,12 +226,23 @@
   return findings;
 }
 
-std::uint64_t Evidence::calls(Time since) const {
-  std::uint64_t calls = 0;
-  for (auto slot = slots_.lower_bound(slot_of(since)); slot != slots_.end(); ++slot)
-    for (const auto& [route, cells] : slot->second)
-      for (const auto& [node, cell] : cells.nodes) calls += cell.calls;
-  return calls;
+std::vector<EdgeVote> Evidence::votes() const {
+  std::map<Watcher, EdgeVote> votes;
+  if (slots_.empty()) return {};
+  for (const auto& [route, sums] : sums(slots_.begin()->first, baselines())) {
+    for (const auto& [watcher, part] : sums.watchers) votes[watcher].evidence += part;
+    for (const auto& [watcher, calls] : sums.watcher_calls) {
+      votes[watcher].calls += calls.first;
+      votes[watcher].bad += calls.second;
+    }
+  }
+  std::vector<EdgeVote> list;
+  for (auto& [watcher, vote] : votes) {
+    vote.incarnation = watcher;
+    vote.zone = zones_.at(watcher);
+    list.push_back(std::move(vote));
+  }
+  return list;
 }
 
 }  // namespace pearspar::rollout
--- a/src/rollout/evidence.h
+++ b/src/rollout/evidence.h
@@ -34,9 +34,18 @@
   std::string worst_route;
 };
 
+// What one edge's calls to the new version say.
+struct EdgeVote {
+  std::uint64_t incarnation = 0;
+  std::string zone;
+  std::uint64_t calls = 0;
+  std::uint64_t bad = 0;
+  double evidence = 0;  // negative: for the version
+};
+
 class Evidence {
  public:
-  using Watcher = std::uint64_t;
+  using Watcher = std::uint64_t;  // an edge's incarnation
   // Calls are counted in slots of that length; the oldest slots are dropped.
   explicit Evidence(Duration slot_length) : slot_length_(slot_length) {}
 
@@ -49,8 +58,8 @@
   Findings findings() const { return findings_since(slots_.empty() ? 0 : slots_.begin()->first); }
   // What calls since then say.
   Findings findings(Time since) const { return findings_since(slot_of(since)); }
-  // Calls to the new version since then.
-  std::uint64_t calls(Time since) const;
+  // By edge, of all calls.
+  std::vector<EdgeVote> votes() const;
 
  private:
   // Counts of calls, by latency.
@@ -78,6 +87,7 @@
   struct Sums {
     std::map<std::string, double> nodes;
     std::map<Watcher, double> watchers;
+    std::map<Watcher, std::pair<std::uint64_t, std::uint64_t>> watcher_calls;  // calls, bad ones
     double all = 0;
     std::uint64_t calls = 0;
     std::uint64_t bad = 0;
--- a/src/rollout/rollout_coordinator.cpp
+++ b/src/rollout/rollout_coordinator.cpp
@@ -105,8 +105,8 @@
   return session.budget.limit(clock_.elapsed(now, service) / (from_ms(rollout.over_ms) * spread_slack));
 }
 
-// The busiest edges of each zone in turn, as many as the leases need. Those that watch go on as long as they
-// are heard of.
+// The busiest edges of each zone in turn, as many as the leases need; not those without requests. Those that
+// watch go on as long as they are heard of.
 void RolloutCoordinator::choose_watchers(Time now, Session& session, const Rollout& rollout) const {
   if (session.next_choice == Time{}) session.next_choice = now + first_choice_after;
   if (now < session.next_choice) return;
@@ -117,7 +117,7 @@
   double requests_s = 0, watched_s = 0;
   std::map<std::string, std::vector<std::pair<double, std::uint64_t>>> by_zone;
   for (const auto& [incarnation, edge] : session.edges) {
-    if (now - edge.last_heard > edge_silence) continue;
+    if (now - edge.last_heard > edge_silence || edge.requests == 0) continue;
     requests_s += edge.rate();
     if (session.watchers.count(incarnation))
       watched_s += edge.rate();
@@ -295,6 +295,14 @@
   return commands;
 }
 
+RolloutProgress RolloutCoordinator::progress(const std::string& service) const {
+  auto found = sessions_.find(service);
+  if (found == sessions_.end()) return {};
+  const Session& session = found->second;
+  return {session.budget.requests(), session.budget.exposed(), session.watchers.size(),
+          session.evidence.votes()};
+}
+
 Time RolloutCoordinator::due() const {
   Time due = Time::max();
   for (const std::string& service : clock_.in_transit()) {
--- a/src/rollout/rollout_coordinator.h
+++ b/src/rollout/rollout_coordinator.h
@@ -32,6 +32,14 @@
   std::size_t edges = 0;      // that hold a lease
 };
 
+// How a roll-out in transit stands at the leader.
+struct RolloutProgress {
+  std::uint64_t requests = 0;  // for the service, that edges have reported
+  std::uint64_t exposed = 0;   // calls that were or may be made to the version under leases
+  std::size_t watchers = 0;
+  std::vector<EdgeVote> votes;
+};
+
 class RolloutCoordinator {
  public:
   using LinkId = ExposureBudget::LinkId;
@@ -50,6 +58,8 @@
   std::vector<RolloutCommand> next_commands(Time now, const RolloutLedger& ledger, const StatusOf& status_of);
   // When next_commands() has to be asked again.
   Time due() const;
+  // Empty where no edge has reported.
+  RolloutProgress progress(const std::string& service) const;
   Duration elapsed(Time now, const std::string& service) const { return clock_.elapsed(now, service); }
 
  private:
--- a/src/standins/hall.cpp
+++ b/src/standins/hall.cpp
@@ -29,6 +29,8 @@
   std::string service = "shard0";
   std::string address = "127.0.0.1:0";
   std::string zone = "a";
+  std::string edition = "v1";
+  double fail_share = 0;  // of the answers
   std::string host = "hall.example";
   std::string path = "/g/x";
   std::string holder;
@@ -86,6 +88,7 @@
           --busy_;
           ++served;
           clients::Answer done;
+          if (std::uniform_real_distribution<>(0, 1)(random_) < options_.fail_share) done.status = 500;
           done.type = "application/octet-stream";
           done.headers =
               fmt::format("Request-Id: {}\r\nPostmark: {}.{}.{}\r\n", request, id_, request, served);
@@ -116,9 +119,9 @@
   auto say = [&](const std::string& state) {
     return caller.call(
         {"PUT", "/pearspar/nodes/" + node.id(), "",
-         fmt::format(R"({{"depot":"{}","address":"{}","zoneName":"{}","edition":"v1","slotCount":{},)"
+         fmt::format(R"({{"depot":"{}","address":"{}","zoneName":"{}","edition":"{}","slotCount":{},)"
                      R"("nodeState":"{}","coldLeftMs":0,"callSeq":{}}})",
-                     options.service, address, options.zone, options.slots, state, ++call),
+                     options.service, address, options.zone, options.edition, options.slots, state, ++call),
          ""},
         net::Duration(3));
   };
@@ -181,14 +184,16 @@
 
 int main(int argc, const char** argv) {
   Options to;
-  char *members = nullptr, *service = nullptr, *address = nullptr, *zone = nullptr, *host = nullptr,
-       *path = nullptr, *holder = nullptr;
+  char *members = nullptr, *service = nullptr, *address = nullptr, *zone = nullptr, *edition = nullptr,
+       *host = nullptr, *path = nullptr, *holder = nullptr;
   const poptOption options[] = {
       {"at", 'a', POPT_ARG_STRING, &members, 0, "node: members' control addresses; ask: edges",
        "ADDRESS,..."},
       {"depot", 0, POPT_ARG_STRING, &service, 0, "node: the service", "NAME"},
       {"listen", 0, POPT_ARG_STRING, &address, 0, "node: where", "ADDRESS"},
       {"zone", 0, POPT_ARG_STRING, &zone, 0, "node: its zone", "NAME"},
+      {"edition", 0, POPT_ARG_STRING, &edition, 0, "node: of its software", "NAME"},
+      {"fail-share", 0, POPT_ARG_DOUBLE, &to.fail_share, 0, "node: so many of its answers are 500", "SHARE"},
       {"host", 0, POPT_ARG_STRING, &host, 0, "ask: the Host header", "NAME"},
       {"path", 0, POPT_ARG_STRING, &path, 0, "ask: the path", "PATH"},
       {"holder", 0, POPT_ARG_STRING, &holder, 0, "ask: the Holder header", "FIRM[/BRANCH]"},
@@ -214,6 +219,7 @@
   for (auto [text, into] : {std::pair{service, &to.service},
                             {address, &to.address},
                             {zone, &to.zone},
+                            {edition, &to.edition},
                             {host, &to.host},
                             {path, &to.path},
                             {holder, &to.holder}})
--- a/tests/system/controller_test.cpp
+++ b/tests/system/controller_test.cpp
@@ -337,7 +337,7 @@
                                cJSON_GetObjectItem(responses, std::to_string(status).c_str()));
       }
     }
-    CPPUNIT_ASSERT_EQUAL(11, calls);
+    CPPUNIT_ASSERT_EQUAL(12, calls);
     CPPUNIT_ASSERT_EQUAL(404, f.status(f.call("GET", "/pearspar/other")));
     CPPUNIT_ASSERT_EQUAL(404, f.status(f.call("PUT", "/pearspar/nodes/a/b")));
   }
--- a/tools/hall.sh
+++ b/tools/hall.sh
@@ -37,8 +37,8 @@
   pid_of[$1]=$!
   pids+=($!)
 }
-start_node() { # name depot
-  $standin node --at "$members" --depot "$2" --for 120 >"$dir/$1.log" &
+start_node() { # name depot options...
+  $standin node --at "$members" --depot "$2" --for 120 "${@:3}" >"$dir/$1.log" &
   pid_of[$1]=$!
   pids+=($!)
 }
