Edges that started while nobody led take part in roll-outs again

Cause: a member without a lead hands versions on without the candidate, under the number of the entry that made them. The leader's record of the same entry, with the candidate, then counted as nothing new. The class: two texts under one number.

Change: what is handed on counts as one entry older.

Measured: goodVersionIsDeliveredAfterAKillOfAll fails before (returned) and passes.

--- a/src/control_plane/controller_rollouts.cpp
+++ b/src/control_plane/controller_rollouts.cpp
@@ -162,11 +162,13 @@
   published_versions_ = state_.rollouts().changed_at();
 }
 
-// What a member that does not lead hands on: no lease goes with it, so there is no candidate.
+// What a member that does not lead hands on: no lease goes with it, so there is no candidate. It counts as older
+// than what the leader has, which is then taken over.
 std::vector<catalog::ServiceVersions> Controller::provisional_versions() const {
   std::vector<catalog::ServiceVersions> all;
   for (const auto& [service, record] : state_.rollouts().services()) {
     catalog::ServiceVersions versions = rollout::versions_of(service, record);
+    if (!versions.candidate.empty()) --versions.changed_at;
     versions.candidate.clear();
     versions.candidate_permille = 0;
     all.push_back(std::move(versions));
--- a/tests/system/rollouts_test.cpp
+++ b/tests/system/rollouts_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(badVersionIsReturnedBesideTroubles);
   CPPUNIT_TEST(goodVersionIsDelivered);
   CPPUNIT_TEST(goodVersionIsDeliveredBesideTroubles);
+  CPPUNIT_TEST(goodVersionIsDeliveredAfterAKillOfAll);
   CPPUNIT_TEST(versionWithoutServersIsReturned);
   CPPUNIT_TEST(twoRolloutsAtOnceDoNotMix);
   CPPUNIT_TEST(servicesWithoutARouteAreDecidedByWhatWasSeen);
@@ -322,6 +323,19 @@
     }
   }
 
+  // Issue 66, the duty: a closing fault takes members and edges at once, soon after the order. Edges that a
+  // member had handed its state to, while nobody led, took no part any more.
+  void goodVersionIsDeliveredAfterAKillOfAll() {
+    for (std::uint64_t seed = 1; seed <= 2 * seeds; ++seed) {
+      bool power = seed % 2 == 0;
+      play(large(seed), false, {}, [power](Cluster& cluster) {
+        cluster.run(3);
+        for (std::size_t core = 0; core < cluster.cores(); ++core) cluster.kill_core(core, 0.5, power);
+        for (std::size_t edge = 0; edge < cluster.edges(); ++edge) cluster.kill_edge(edge, 0.5);
+      });
+    }
+  }
+
   void versionWithoutServersIsReturned() {
     Cluster cluster(large(1));
     start(cluster);
