The log tells the next leader how many requests a roll-out's leases are measured by

What callers saw: after a closing fault on all machines a good version was returned for want of calls.

Cause: the limit of leases is a share of the requests that edges have reported; what they had told the former leader was forgotten with them, while all that was reserved counts as spent. The time in which no member was up counted as nothing: an in-doubt verdict could come after the term.

Change: entries that reserve calls carry the requests reported by then; the next leader counts on from there. A process that finds a roll-out in its log takes a second for the time in which it was away.

--- a/src/protocol/rollout_codec.cpp
+++ b/src/protocol/rollout_codec.cpp
@@ -56,9 +56,10 @@
     put(packer, command.old_versions);
   }
   void operator()(const ReserveCalls& command) const {
-    begin(packer, CommandTag::reserve, 3, command.service);
+    begin(packer, CommandTag::reserve, 4, command.service);
     packer.number(command.number);
     packer.number(command.calls);
+    packer.number(command.requests);
     packer.number(command.elapsed_ms);
   }
   void operator()(const SetShare& command) const {
@@ -101,9 +102,10 @@
       return command;
     }
     case CommandTag::reserve: {
-      ReserveCalls command{std::move(service), 0, 0, 0};
+      ReserveCalls command{std::move(service), 0, 0, 0, 0};
       command.number = in.number();
       command.calls = in.number();
+      command.requests = in.number();
       command.elapsed_ms = in.number();
       return command;
     }
@@ -128,13 +130,14 @@
 }
 
 void put(Packer& packer, const rollout::Rollout& each) {
-  packer.array(8);
+  packer.array(9);
   packer.number(each.number);
   packer.text(each.target);
   packer.number(each.over_ms);
   packer.number(static_cast<std::uint64_t>(each.state));
   packer.number(each.share_permille);
   packer.number(each.reserved_calls);
+  packer.number(each.requests);
   packer.number(each.elapsed_ms);
   packer.text(each.reason);
 }
@@ -147,6 +150,7 @@
   each.state = get_state(in);
   each.share_permille = static_cast<std::uint32_t>(in.number());
   each.reserved_calls = in.number();
+  each.requests = in.number();
   each.elapsed_ms = in.number();
   each.reason = in.text();
   in.leave();
--- a/src/rollout/exposure_budget.cpp
+++ b/src/rollout/exposure_budget.cpp
@@ -30,6 +30,8 @@
   std::uint64_t before = edge.exposed();
   std::uint64_t used = report.spent + report.held;
   if (first) edge.carried = used;
+  // What an edge has told earlier is in the requests that the log had.
+  if (first && report.number > 1) edge.requests = report.requests;
   edge.report = report.number;
   edge.known = used > edge.carried ? used - edge.carried : 0;
   // What the edge has received is in its counts; what was sent on a link that is gone never arrives.
--- a/src/rollout/exposure_budget.h
+++ b/src/rollout/exposure_budget.h
@@ -24,9 +24,10 @@
  public:
   using LinkId = std::uint64_t;
 
-  // `reserved`: by earlier leaders; all of it may have been spent.
-  ExposureBudget(const ExposureRules& rules, std::uint64_t reserved)
-      : rules_(rules), reserved_before_(reserved) {}
+  // `reserved`: by earlier leaders; all of it may have been spent. `requests`: that had been reported to
+  // them.
+  ExposureBudget(const ExposureRules& rules, std::uint64_t reserved, std::uint64_t requests)
+      : rules_(rules), exposed_(reserved), requests_(requests) {}
 
   // Takes over what an edge reports on this link.
   void on_report(LinkId link, const RolloutReport& report);
@@ -57,9 +58,8 @@
   };
 
   ExposureRules rules_;
-  std::uint64_t reserved_before_;
-  std::uint64_t exposed_ = reserved_before_;
-  std::uint64_t requests_ = 0;
+  std::uint64_t exposed_;
+  std::uint64_t requests_;
   std::map<std::uint64_t, Edge> edges_;  // by incarnation
 };
 
--- a/src/rollout/rollout_clock.h
+++ b/src/rollout/rollout_clock.h
@@ -19,7 +19,8 @@
  public:
   // To be called whenever the ledger may have changed.
   void observe(Time now, const RolloutLedger& ledger);
-  // Time since the order of the service's newest roll-out. Too low by the time in which no member was up.
+  // Time since the order of the service's newest roll-out. After a restart of all members too low by the time
+  // in which none was up, but for `restart_allowance`.
   Duration elapsed(Time now, const std::string& service) const { return now - ordered_at(service); }
   // By this process's clock; the far future where the service has no roll-out.
   Time ordered_at(const std::string& service) const;
@@ -27,6 +28,8 @@
   const std::vector<std::string>& in_transit() const { return in_transit_; }
 
  private:
+  // A process that finds a roll-out in its log was away for about as long.
+  static constexpr Duration restart_allowance = std::chrono::seconds(1);
   struct Start {
     RolloutNumber number = 0;
     Time ordered_at{};  // by this process's clock
@@ -37,6 +40,7 @@
     LogIndex changed_at = 0;
     bool operator==(const Seen&) const = default;
   };
+  bool started_ = false;
   Seen seen_;                            // of the ledger that was observed last
   std::map<std::string, Start> starts_;  // by service
   std::vector<std::string> in_transit_;
--- a/src/rollout/rollout_coordinator.cpp
+++ b/src/rollout/rollout_coordinator.cpp
@@ -85,7 +85,7 @@
   auto found = sessions_.find(service);
   if (found == sessions_.end()) {
     Duration slot = std::max<Duration>(min_slot, from_ms(rollout.over_ms) / slots_in_term);
-    Session session{rollout.number, {rules_, rollout.reserved_calls}, Evidence(slot)};
+    Session session{rollout.number, {rules_, rollout.reserved_calls, rollout.requests}, Evidence(slot)};
     session.share_permille = rollout.share_permille;
     session.step_began = now;
     found = sessions_.emplace(service, std::move(session)).first;
@@ -201,7 +201,8 @@
   std::uint64_t calls = std::min(allowed, exposed + reserve_step);
   if (exposed + reserve_ahead <= look.rollout.reserved_calls || calls <= look.rollout.reserved_calls)
     return std::nullopt;
-  return ReserveCalls{look.service, look.rollout.number, calls, to_ms(look.elapsed)};
+  return ReserveCalls{look.service, look.rollout.number, calls, session.budget.requests(),
+                      to_ms(look.elapsed)};
 }
 
 // Whether the votes clear the version: all that was seen proves it on each route, and what was seen of late,
--- a/src/rollout/rollout_ledger.cpp
+++ b/src/rollout/rollout_ledger.cpp
@@ -100,6 +100,7 @@
   Rollout* rollout = in_transit(command.service, command.number);
   if (!rollout) return;
   rollout->reserved_calls = std::max(rollout->reserved_calls, command.calls);
+  rollout->requests = std::max(rollout->requests, command.requests);
   rollout->elapsed_ms = std::max(rollout->elapsed_ms, command.elapsed_ms);
 }
 
--- a/src/rollout/rollout_ledger.h
+++ b/src/rollout/rollout_ledger.h
@@ -33,6 +33,7 @@
   RolloutState state = RolloutState::in_transit;
   std::uint32_t share_permille = 0;  // of the calls go to the target; 0: only those under a lease
   std::uint64_t reserved_calls = 0;  // that leaders may have granted leases for
+  std::uint64_t requests = 0;        // for the service since the order, that edges had reported by then
   std::uint64_t elapsed_ms = 0;  // from the order to the newest entry about it, as that leader measured it
   std::string reason;            // why the newest step was taken
 
@@ -61,11 +62,12 @@
   std::uint64_t over_ms = 0;
   std::vector<std::string> old_versions;
 };
-// Leases for that many calls in all may be granted.
+// Leases for that many calls in all may be granted, with so many requests for the service reported.
 struct ReserveCalls {
   std::string service;
   RolloutNumber number = 0;
   std::uint64_t calls = 0;
+  std::uint64_t requests = 0;
   std::uint64_t elapsed_ms = 0;
 };
 struct SetShare {
--- a/tests/system/rollout_evidence_test.cpp
+++ b/tests/system/rollout_evidence_test.cpp
@@ -150,6 +150,7 @@
     std::uint32_t old_calls_open = 0;
     double now = 0;
     Leader() {
+      coordinator.observe(at(0), ledger);
       ledger.apply(StartRollout{"s", "v2", 15000, {"v1"}}, index);
       coordinator.observe(at(0), ledger);
     }
--- a/tests/system/rollout_leases_test.cpp
+++ b/tests/system/rollout_leases_test.cpp
@@ -163,7 +163,7 @@
   }
 
   void budgetCountsLeasesUntilTheyAreKnownToBeUnspent() {
-    ExposureBudget budget({0.1, 50}, 0);
+    ExposureBudget budget({0.1, 50}, 0, 0);
     CPPUNIT_ASSERT_EQUAL(40.0, budget.limit(1));
     CPPUNIT_ASSERT_EQUAL(20.0, budget.limit(0.5));
     budget.on_report(1, report(1, 100, 0));
@@ -187,18 +187,22 @@
   }
 
   void budgetOfANewLeaderTakesAllThatWasReservedAsSpent() {
-    ExposureBudget budget({0.1, 50}, 32);
+    ExposureBudget budget({0.1, 50}, 32, 150);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{32}, budget.exposed());
     budget.on_report(1, report(9, 200, 10, 4));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{32}, budget.exposed());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{150},
+                         budget.requests());  // its 200 are among them, as far as it knows
     CPPUNIT_ASSERT_EQUAL(0u, budget.grant(1, report(9, 200, 10, 4), 5, 50, 32));
     CPPUNIT_ASSERT_EQUAL(5u, budget.grant(1, report(9, 200, 10, 4), 5, 50, 64));
     budget.on_report(1, report(10, 210, 14, 5, 9));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{37}, budget.exposed());
+    budget.on_report(2, report(1, 30, 0, 0, 0, 2));  // an edge that has just started
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{190}, budget.requests());
   }
 
   void edgeThatIsGoneKeepsItsLeasesCounted() {
-    ExposureBudget budget({0.1, 50}, 0);
+    ExposureBudget budget({0.1, 50}, 0, 0);
     budget.on_report(1, report(1, 100, 0));
     CPPUNIT_ASSERT_EQUAL(8u, budget.grant(1, report(1, 100, 0), 8, 10, 100));
     budget.on_report(2, report(1, 0, 0, 0, 0, 2));  // its next run, under another incarnation
@@ -209,6 +213,7 @@
   void nothingIsGrantedBeforeItIsReserved() {
     RolloutLedger ledger;
     RolloutCoordinator coordinator({0.1, 50});
+    coordinator.observe(at(0), ledger);
     ledger.apply(StartRollout{"s", "v2", 10000, {"v1"}}, 1);
     coordinator.observe(at(0), ledger);
     auto granted = [&](double seconds, std::uint64_t number) {
--- a/tests/system/rollout_ledger_test.cpp
+++ b/tests/system/rollout_ledger_test.cpp
@@ -203,20 +203,22 @@
     CPPUNIT_ASSERT_EQUAL(200, tested.order("a", "v2", "60").status);
   }
 
-  // Of the time that was over before a restart, what the log has is counted.
+  // Of the time that was over before a restart, what the log has is counted, and a second in which nobody was
+  // up.
   void termCountsOverRestarts() {
     RolloutLedger ledger;
     RolloutClock clock;
     Time now{Duration(100)};
+    clock.observe(now, ledger);
     ledger.apply(StartRollout{"a", "v2", 12000, {"v1"}}, 1);
     clock.observe(now, ledger);
     CPPUNIT_ASSERT(clock.elapsed(now + Duration(3), "a") == Duration(3));
-    ledger.apply(ReserveCalls{"a", 1, 10, 2500}, 2);
+    ledger.apply(ReserveCalls{"a", 1, 10, 0, 2500}, 2);
     clock.observe(now + Duration(2), ledger);
     CPPUNIT_ASSERT(clock.elapsed(now + Duration(3), "a") == Duration(3.5));
     RolloutClock restarted;
     restarted.observe(now + Duration(50), ledger);
-    CPPUNIT_ASSERT(restarted.elapsed(now + Duration(51), "a") == Duration(3.5));
+    CPPUNIT_ASSERT(restarted.elapsed(now + Duration(51), "a") == Duration(4.5));
     CPPUNIT_ASSERT(restarted.in_transit() == std::vector<std::string>{"a"});
     ledger.apply(FinishRollout{"a", 1, RolloutState::returned, 4000, ""}, 3);
     restarted.observe(now + Duration(51), ledger);
@@ -262,7 +264,7 @@
     entry.kind = raft::EntryKind::change;
     entry.data = ReplicatedState::encode_rollout_commands(
         {RecordVersions{"b", {"v7", "v8"}}, StartRollout{"a", "v2", 1500, {"v1"}},
-         ReserveCalls{"a", 1, 32, 100}, SetShare{"a", 1, 250, 700, "why"}});
+         ReserveCalls{"a", 1, 32, 640, 100}, SetShare{"a", 1, 250, 700, "why"}});
     state.apply(entry);
     ReplicatedState restored;
     restored.restore(state.take_snapshot());
@@ -271,6 +273,7 @@
     CPPUNIT_ASSERT_EQUAL(RolloutNumber{1}, restored.rollouts().last_number());
     const Rollout& rollout = *restored.rollouts().find("a")->rollout;
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{32}, rollout.reserved_calls);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{640}, rollout.requests);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{250}, rollout.share_permille);
     catalog::ServiceVersions versions = versions_of("a", *restored.rollouts().find("a"));
     auto decoded = protocol::unpack_service_versions(protocol::pack_service_versions(versions));
