Schedules order roll-outs of good and bad versions beside all troubles

Cause: the judge of the simulated cluster knew roll-outs only in tests by hand; nothing drew them beside members, edges and disks that fail.

--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -188,6 +188,9 @@
   // acknowledged, as many as serve it, and reads its state until it has ended. Returns the order's number.
   std::size_t order_rollout(const RolloutOrder& order, const VersionFault& fault = {});
   void read_rollout(const std::string& service);
+  bool rollout_under_way(const std::string& service) const {
+    return rollout_judge_.under_way(seconds(), service);
+  }
   // Servers of a version start, ordered or not. Returns the place of the first.
   std::size_t start_version(const std::string& service, const std::string& version, int count,
                             const VersionFault& fault = {});
@@ -247,8 +250,10 @@
   Reach reach(const std::string& address);
   void beat(Node& node);
   void send_delete(Node& node);
+  // A caller that waits for `waits_s` closes its connection then: who reads the call later drops it, as the
+  // HTTP server does. 0: it stays.
   void call(std::string from, std::size_t core, std::string method, std::string path, std::string if_match,
-            std::string body, Answer answer);
+            std::string body, Answer answer, double waits_s = 0);
   std::size_t member_to_ask();
   std::string configuration(std::uint64_t revision, int author) const;
   std::shared_ptr<Sent> make_order(const Order& order);
--- a/src/simulation/cluster_operators.cpp
+++ b/src/simulation/cluster_operators.cpp
@@ -16,14 +16,16 @@
 }  // namespace
 
 void Cluster::call(std::string from, std::size_t index, std::string method, std::string path,
-                   std::string if_match, std::string body, Answer answer) {
+                   std::string if_match, std::string body, Answer answer, double waits_s) {
+  Time closes = waits_s > 0 ? world_.now() + Duration(waits_s) : Time::max();
   Duration way = net_.delay(from, cores_[index]->address);
-  world_.in(way, [this, from, index, method, path, if_match, body, answer] {
+  world_.in(way, [this, from, index, method, path, if_match, body, answer, closes] {
     Core& core = *cores_[index];
     if (!core.hears_callers || !net_.reaches(from, core.address)) return;
     if (!core.process) return answer(0, {});
     Core::Process& process = *core.process;
-    auto taken = [&process, from, method, path, if_match, body, answer] {
+    auto taken = [&process, from, method, path, if_match, body, answer, closes] {
+      if (process.life.world.now() > closes) return;
       if (process.stopping) return answer(503, {});
       control_plane::CallerId caller = ++process.next;
       process.askers[caller] = {from, answer, {method, path, body}};
--- a/src/simulation/cluster_rollouts.cpp
+++ b/src/simulation/cluster_rollouts.cpp
@@ -6,6 +6,8 @@
 
 constexpr double operator_patience_s = 1;
 constexpr double retry_pause_s = 0.1;
+// An operator sends an order again for so long.
+constexpr double repeat_for_s = 5;
 constexpr double read_interval_s = 0.4;
 constexpr double returned_drain_s = 3;
 // An operator ends an order at the third answer of these.
@@ -36,23 +38,29 @@
   auto next = [this, sent, number] {
     if (sent->over || sent->tries != number) return;
     rollout_judge_.still_waiting(seconds(), sent->number, calm_seconds(sent->sent_at));
+    if (seconds() > sent->sent_at + repeat_for_s) {
+      sent->over = true;
+      return rollout_judge_.given_up(sent->number);
+    }
     world_.in(Duration(retry_pause_s), [this, sent, number] {
       if (!sent->over && sent->tries == number) push_rollout(sent);
     });
   };
   std::string body = "{\"depot\":\"" + sent->order.service + "\",\"targetEdition\":\"" + sent->order.version +
                      "\",\"overS\":" + std::to_string(sent->order.over_s) + "}";
-  call("", member_to_ask(), "POST", "/pearspar/rollouts", "", body,
-       [this, sent, next](int status, const std::string&) {
-         if (sent->over) return;
-         sent->client_errors += status >= 400 && status < 500 && status != 408 && status != 429;
-         if (!is_definite(status) && sent->client_errors < max_client_errors) return next();
-         sent->over = true;
-         rollout_judge_.answered(seconds(), sent->number, status, calm_seconds(sent->sent_at));
-         if (status != 200) return;
-         start_version(sent->order.service, sent->order.version, options_.nodes_per_shard, sent->fault);
-         follow_rollout(sent);
-       });
+  call(
+      "", member_to_ask(), "POST", "/pearspar/rollouts", "", body,
+      [this, sent, next](int status, const std::string&) {
+        if (sent->over) return;
+        sent->client_errors += status >= 400 && status < 500 && status != 408 && status != 429;
+        if (!is_definite(status) && sent->client_errors < max_client_errors) return next();
+        sent->over = true;
+        rollout_judge_.answered(seconds(), sent->number, status, calm_seconds(sent->sent_at));
+        if (status != 200) return;
+        start_version(sent->order.service, sent->order.version, options_.nodes_per_shard, sent->fault);
+        follow_rollout(sent);
+      },
+      operator_patience_s);
   world_.in(Duration(operator_patience_s), next);
 }
 
@@ -130,9 +138,9 @@
 
 void Cluster::read_rollout(const std::string& service) {
   call("", member_to_ask(), "GET", "/pearspar/rollouts/" + service, "", "",
-       [this, service](int status, const std::string& body) {
+       [this, service, began = seconds()](int status, const std::string& body) {
          if (status != 200 && status != 404) return;
-         rollout_judge_.read(seconds(), service, status, between(body, "\"targetEdition\":\"", "\""),
+         rollout_judge_.read(began, seconds(), service, status, between(body, "\"targetEdition\":\"", "\""),
                              between(body, "\"nodeState\":\"", "\""));
        });
 }
--- a/src/simulation/player.h
+++ b/src/simulation/player.h
@@ -73,6 +73,9 @@
   void everywhere();
   void strike_orders(const std::string& kind, double span);
 
+  // schedule_rollouts.cpp
+  void order_rollouts();
+
   const ScheduleOptions& options_;
   Cluster& cluster_;
   World& world_;
@@ -86,6 +89,7 @@
   int answered_last_ = -1;  // the member that gave the last clear answer
   std::string after_word_;  // what follows on the next one
   double orders_lost_until_ = 0;
+  int last_version_ = 1;  // of a roll-out; the servers of the start are of the first
   bool cut_ = false;
   bool leaving_ = false;  // a successor stands, or comes
   std::string told_core_;
--- a/src/simulation/rollout_judge.h
+++ b/src/simulation/rollout_judge.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pearspar::simulation {
@@ -30,8 +31,8 @@
   void answered(double at, std::size_t order, int status, double calm_s);
   // No definite answer yet.
   void still_waiting(double at, std::size_t order, double calm_s);
-  // What a read of a service's roll-out gave; 404 where there is none.
-  void read(double at, const std::string& service, int status, const std::string& version,
+  // What a read of a service's roll-out that was begun at `began` gave; 404 where there is none.
+  void read(double began, double at, const std::string& service, int status, const std::string& version,
             const std::string& state);
 
   // A version that serves a service from the start.
@@ -57,6 +58,17 @@
   double requests(std::size_t order) const { return orders_[order].at_service; }
   // Good versions that were not delivered in their term, and bad ones that were not returned.
   std::size_t missed_duties() const { return missed_; }
+  // Of those: bad versions that were delivered.
+  std::size_t delivered_bad() const { return delivered_bad_; }
+  // Acknowledged orders whose term was over at the end.
+  std::size_t judged() const { return judged_; }
+  // Whether an acknowledged order for the service, or one without an answer yet, was not read as ended. One
+  // that its operator has given up on may be under way for its term, and as long as it was repeated.
+  bool under_way(double at, const std::string& service) const;
+  // When the newest order for the service was acknowledged; 0 = it was not.
+  double acknowledged_at(const std::string& service) const;
+  // The operator has given up on an order, which may have been taken.
+  void given_up(std::size_t order) { orders_[order].unclear = true; }
 
   double exposure_share = 0.1;
   double exposure_slack = 50;
@@ -71,6 +83,8 @@
     double acknowledged_at = 0;  // 0 = not yet
     bool late = false;           // said already
     bool decided = false;
+    bool refused = false;
+    bool unclear = false;  // its operator has given up
     std::string state;
     double ended_at = 0;
     double at_service = 0;
@@ -89,8 +103,12 @@
   Broken broken_;
   std::vector<Ordered> orders_;
   std::map<std::string, std::set<std::string>> serving_;
+  std::set<std::pair<std::string, std::string>>
+      served_;  // services and versions that another one has replaced
   double unsettled_at_ = 0;
   std::size_t missed_ = 0;
+  std::size_t delivered_bad_ = 0;
+  std::size_t judged_ = 0;
 };
 
 }  // namespace pearspar::simulation
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -35,6 +35,7 @@
   in(2.5, [this] { change(); });
   in(4, [this] { trouble(); });
   if (options_.tells_core) tell_core();
+  if (options_.rollouts) in(6, [this] { order_rollouts(); });
 }
 
 void Player::mend() {
@@ -170,6 +171,9 @@
   cluster.run(2);
   cluster.check_settled();
   outcome.faults = cluster.checker().faults();
+  outcome.rollouts = cluster.rollout_judge().judged();
+  outcome.delivered_bad = cluster.rollout_judge().delivered_bad();
+  outcome.missed_rollouts = cluster.rollout_judge().missed_duties();
   outcome.totals = cluster.totals();
   outcome.acknowledged = cluster.checker().acknowledged();
   outcome.frames = cluster.net().frames();
--- a/src/simulation/schedule.h
+++ b/src/simulation/schedule.h
@@ -17,6 +17,7 @@
   double trouble_every_s = 1.2;
   double change_every_s = 0.9;
   std::vector<std::string> kinds;  // only these; empty = all
+  bool rollouts = false;           // are ordered as well
   bool tells_core = false;         // the story also tells who leads and how many count
 };
 
@@ -35,6 +36,10 @@
   std::vector<Befallen> befallen;
   Cluster::Totals totals;
   std::size_t acknowledged = 0;
+  // Roll-outs whose term was over: all, and those whose version was not dealt with as it should be.
+  std::size_t rollouts = 0;
+  std::size_t missed_rollouts = 0;
+  std::size_t delivered_bad = 0;
   std::uint64_t frames = 0;  // between processes
 };
 
@@ -42,6 +47,8 @@
 // A schedule whose shape is the seed's: how many members, how long, how slow the disks, how large the
 // configurations. Most are small, so that many can be played; some are whole systems.
 ScheduleOptions drawn_schedule(std::uint64_t seed);
+// One with roll-outs under traffic; its shape is the seed's.
+ScheduleOptions drawn_rollout_schedule(std::uint64_t seed);
 Outcome play(const ScheduleOptions& options);
 
 // A leader is cut off, or frozen, for so long; orders go on at the others, and one meets it as it returns,
--- a/tests/system/rollouts_test.cpp
+++ b/tests/system/rollouts_test.cpp
@@ -1,7 +1,7 @@
 // Roll-outs of new versions, in whole simulated clusters. Each seed gives the same run.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "simulation/cluster.h"
+#include "simulation/schedule.h"
 
 namespace pearspar::simulation {
 
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(versionWithoutServersIsReturned);
   CPPUNIT_TEST(twoRolloutsAtOnceDoNotMix);
   CPPUNIT_TEST(servicesWithoutARouteAreDecidedByWhatWasSeen);
+  CPPUNIT_TEST(schedulesWithRolloutsBreakNoRule);
   CPPUNIT_TEST_SUITE_END();
 
   static ClusterOptions small(std::uint64_t seed = 1) {
@@ -372,6 +373,18 @@
       play(large(seed), true, errors(0.3), cut);
     }
   }
+
+  // Good and bad versions beside troubles of all kinds.
+  void schedulesWithRolloutsBreakNoRule() {
+    std::size_t rollouts = 0;
+    for (std::uint64_t seed = 1; seed <= 4 * seeds; ++seed) {
+      Outcome outcome = simulation::play(drawn_rollout_schedule(seed));
+      if (!outcome.faults.empty())
+        CPPUNIT_FAIL("seed " + std::to_string(seed) + ": " + outcome.faults.front());
+      rollouts += outcome.rollouts;
+    }
+    CPPUNIT_ASSERT(rollouts > 4 * seeds);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutsTest);
 
