--- a/src/catalog/node_list.cpp
+++ b/src/catalog/node_list.cpp
@@ -73,29 +73,13 @@
   by_address_.erase(found->second.address);
   digest_ ^= digest_of(found->second);
   // A delayed heartbeat must not reopen a closing node.
-  if (found->second.closing) remember_retired(found->first);
+  if (found->second.closing) retired_.insert(found->first);
   nodes_.erase(found);
   return true;
 }
 
-void NodeList::remember_retired(const std::string& id) {
-  if (!retired_.insert(id).second) return;
-  retired_order_.push_back(id);
-  if (retired_order_.size() <= max_retired) return;
-  retired_.erase(retired_order_.front());
-  retired_order_.pop_front();
-}
-
-void NodeList::remember_closing(const std::string& id) {
-  if (!closing_.insert(id).second) return;
-  closing_order_.push_back(id);
-  if (closing_order_.size() <= max_closing) return;
-  closing_.erase(closing_order_.front());
-  closing_order_.pop_front();
-}
-
 bool NodeList::close(std::string_view id) {
-  remember_closing(std::string(id));
+  closing_.insert(std::string(id));
   auto found = nodes_.find(id);
   if (found == nodes_.end() || found->second.closing) return false;
   digest_ ^= digest_of(found->second);
@@ -107,7 +91,7 @@
 bool NodeList::retire(std::string_view id) {
   std::string name(id);
   bool fresh = !is_retired(name);
-  remember_retired(name);
+  retired_.insert(name);
   remove(id);
   return fresh;
 }
--- a/src/catalog/node_list.h
+++ b/src/catalog/node_list.h
@@ -10,9 +10,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 
 #include "catalog/json.h"
+#include "catalog/recent_ids.h"
 
 namespace pearspar::catalog {
 
@@ -61,30 +61,26 @@
   bool close(std::string_view id);
   // Removes a node that may return with its next heartbeat. A closing node is retired instead.
   bool remove(std::string_view id);
-  bool is_retired(const std::string& id) const { return retired_.count(id) != 0; }
+  bool is_retired(const std::string& id) const { return retired_.contains(id); }
   // Whether the node was marked by close(): heartbeats that say otherwise are late.
-  bool is_closing(const std::string& id) const { return closing_.count(id) != 0; }
+  bool is_closing(const std::string& id) const { return closing_.contains(id); }
 
   const Node* find(std::string_view id) const;
   const std::map<std::string, Node, std::less<>>& all() const { return nodes_; }
   // Retired ids, oldest first.
-  const std::deque<std::string>& retired() const { return retired_order_; }
+  const std::deque<std::string>& retired() const { return retired_.in_order(); }
   // Digest of the listed nodes, independent of their order. Never 0.
   std::uint64_t digest() const { return digest_ | 1; }
 
  private:
   static constexpr std::size_t max_retired = 4096;  // retired ids that are remembered
   static constexpr std::size_t max_closing = 4096;  // ids marked by close() that are remembered
-  void remember_retired(const std::string& id);
-  void remember_closing(const std::string& id);
-  std::uint64_t digest_ = 0;
 
+  std::uint64_t digest_ = 0;
   std::map<std::string, Node, std::less<>> nodes_;
   std::map<std::string, std::string, std::less<>> by_address_;
-  std::unordered_set<std::string> retired_;
-  std::deque<std::string> retired_order_;
-  std::unordered_set<std::string> closing_;
-  std::deque<std::string> closing_order_;
+  RecentIds retired_{max_retired};
+  RecentIds closing_{max_closing};
 };
 
 }  // namespace pearspar::catalog
