--- a/src/control_plane/controller_rollouts.cpp
+++ b/src/control_plane/controller_rollouts.cpp
@@ -162,8 +162,8 @@
   published_versions_ = state_.rollouts().changed_at();
 }
 
-// What a member that does not lead hands on: no lease goes with it, so there is no candidate. It counts as older
-// than what the leader has, which is then taken over.
+// What a member that does not lead hands on: no lease goes with it, so there is no candidate. It counts as
+// older than what the leader has, which is then taken over.
 std::vector<catalog::ServiceVersions> Controller::provisional_versions() const {
   std::vector<catalog::ServiceVersions> all;
   for (const auto& [service, record] : state_.rollouts().services()) {
