--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -196,6 +196,8 @@
                             const VersionFault& fault = {});
   RolloutJudge& rollout_judge() { return rollout_judge_; }
   std::string node_version(std::size_t node) const;
+  // The node answers like that from now on.
+  void set_node_fault(std::size_t node, const VersionFault& fault);
   bool node_up(std::size_t node) const;
   // The index is cut into other shards, by a change.
   void cut_index(int shards);
@@ -214,6 +216,8 @@
     std::uint64_t changes_taken = 0, changes_refused = 0, unclear = 0;
   };
   const Totals& totals() const { return totals_; }
+  // Of all clients together, from the next request on.
+  void set_request_rate(double requests_per_s) { options_.requests_per_s = requests_per_s; }
   // One retrieval, asked for at so many edges at once.
   void retrieve_one(const std::string& holder, bool gathers, int copies);
   void stop_retrieving() { retrieving_ = false; }
--- a/src/simulation/cluster_rollouts.cpp
+++ b/src/simulation/cluster_rollouts.cpp
@@ -76,6 +76,8 @@
   return first;
 }
 
+void Cluster::set_node_fault(std::size_t node, const VersionFault& fault) { nodes_[node]->fault = fault; }
+
 void Cluster::follow_rollout(const std::shared_ptr<SentRollout>& sent) {
   const RolloutOrder& order = sent->order;
   read_rollout(order.service);
