--- a/src/rollout/edge_rollouts.cpp
+++ b/src/rollout/edge_rollouts.cpp
@@ -19,6 +19,26 @@
 constexpr double balance_slack = 2;         // calls
 constexpr double whole_permille = 1000;
 
+template <typename Latencies>
+void describe_latencies(const Latencies& latencies, StateDescription& out) {
+  out.number(latencies.size());
+  for (const auto& [bucket, calls] : latencies) {
+    out.number(bucket);
+    out.number(calls);
+  }
+}
+
+void describe_vote(const Vote& vote, StateDescription& out) {
+  out.number(vote.number);
+  out.number(vote.counts.size());
+  for (const CallCounts& counts : vote.counts) {
+    out.text(counts.route);
+    out.text(counts.node);
+    for (std::uint32_t value : {counts.calls, counts.failed, counts.refused}) out.number(value);
+    describe_latencies(counts.latencies, out);
+  }
+}
+
 }  // namespace
 
 EdgeRollouts::Rollout* EdgeRollouts::find(const std::string& service) {
@@ -224,4 +244,52 @@
   return due;
 }
 
+void EdgeRollouts::Rollout::describe(StateDescription& out) const {
+  out.number(versions.rollout);
+  out.number(versions.candidate_permille);
+  for (std::uint64_t value :
+       {requests, spent, old_calls_open, report, last_grant, last_vote, votes_received, share_sequence})
+    out.number(value);
+  out.number(watches);
+  out.time(next_report);
+  out.number(leases.size());
+  for (const Lease& lease : leases) {
+    out.time(lease.until);
+    out.number(lease.calls);
+  }
+  out.number(reported.size());
+  for (const auto& [number, at] : reported) {
+    out.number(number);
+    out.time(at);
+  }
+  out.number(votes.size());
+  for (const ClosedVote& closed : votes) {
+    out.time(closed.ended);
+    describe_vote(closed.vote, out);
+  }
+  out.number(epoch.size());
+  for (const auto& [key, counted] : epoch) {
+    out.text(key.first);
+    out.text(key.second);
+    for (std::uint32_t value : {counted.calls, counted.failed, counted.refused}) out.number(value);
+    describe_latencies(counted.latencies, out);
+  }
+  out.number(balances.size());
+  for (const auto& [route, balance] : balances) {
+    out.text(route);
+    out.number(balance.requests);
+    out.number(balance.candidates);
+  }
+}
+
+void EdgeRollouts::describe(StateDescription& out) const {
+  out.number(incarnation_);
+  out.time(leader_heard_at_);
+  out.number(rollouts_.size());
+  for (const auto& [service, rollout] : rollouts_) {
+    out.text(service);
+    rollout.describe(out);
+  }
+}
+
 }  // namespace pearspar::rollout
--- a/src/rollout/edge_rollouts.h
+++ b/src/rollout/edge_rollouts.h
@@ -16,6 +16,7 @@
 #include "dispatch/version_selector.h"
 #include "rollout/latency_buckets.h"
 #include "rollout/messages.h"
+#include "rollout/state_description.h"
 
 namespace pearspar::rollout {
 
@@ -60,6 +61,8 @@
 
   const EdgeRolloutCounters& counters() const { return counters_; }
   std::size_t in_transit() const { return rollouts_.size(); }
+  // All that later steps depend on, for a search over states.
+  void describe(StateDescription& out) const;
 
  private:
   static constexpr std::size_t max_counted_routes = 64;
@@ -101,6 +104,7 @@
     std::deque<ClosedVote> votes;
     std::unordered_map<std::string, Balance> balances;  // by route
     std::uint64_t share_sequence = 0;
+    void describe(StateDescription& out) const;
   };
 
   Rollout* find(const std::string& service);
--- a/src/rollout/evidence.cpp
+++ b/src/rollout/evidence.cpp
@@ -245,4 +245,36 @@
   return list;
 }
 
+void Evidence::Cell::describe(StateDescription& out) const {
+  out.number(calls);
+  out.number(failed);
+  for (std::uint32_t count : latencies) out.number(count);
+}
+
+void Evidence::RouteSlot::describe(StateDescription& out) const {
+  old_version.describe(out);
+  out.number(nodes.size());
+  for (const auto& [node, cell] : nodes) {
+    out.text(node);
+    cell.describe(out);
+  }
+  out.number(watchers.size());
+  for (const auto& [watcher, cell] : watchers) {
+    out.number(watcher);
+    cell.describe(out);
+  }
+}
+
+void Evidence::describe(StateDescription& out) const {
+  out.number(slots_.size());
+  for (const auto& [number, routes] : slots_) {
+    out.number(number);
+    out.number(routes.size());
+    for (const auto& [route, slot] : routes) {
+      out.text(route);
+      slot.describe(out);
+    }
+  }
+}
+
 }  // namespace pearspar::rollout
--- a/src/rollout/evidence.h
+++ b/src/rollout/evidence.h
@@ -18,6 +18,7 @@
 #include "rollout/latency_buckets.h"
 #include "rollout/messages.h"
 #include "rollout/rollout_clock.h"
+#include "rollout/state_description.h"
 
 namespace pearspar::rollout {
 
@@ -60,6 +61,8 @@
   Findings findings(Time since) const { return findings_since(slot_of(since)); }
   // By edge, of all calls.
   std::vector<EdgeVote> votes() const;
+  // All that later steps depend on, for a search over states.
+  void describe(StateDescription& out) const;
 
  private:
   // Counts of calls, by latency.
@@ -70,11 +73,13 @@
     void add(const CallCounts& counts);
     void add(const Cell& other);
     std::uint64_t bad(LatencyBucket slow_from) const;
+    void describe(StateDescription& out) const;
   };
   struct RouteSlot {
     Cell old_version;
     std::map<std::string, Cell> nodes;  // of the new version
     std::map<Watcher, Cell> watchers;   // the same calls, by edge
+    void describe(StateDescription& out) const;
   };
   using SlotNumber = std::int64_t;
   using Slots = std::map<SlotNumber, std::map<std::string, RouteSlot>>;  // by route
--- a/src/rollout/exposure_budget.cpp
+++ b/src/rollout/exposure_budget.cpp
@@ -54,4 +54,20 @@
   return calls;
 }
 
+void ExposureBudget::describe(StateDescription& out) const {
+  out.number(exposed_);
+  out.number(requests_);
+  out.number(edges_.size());
+  for (const auto& [incarnation, edge] : edges_) {
+    for (std::uint64_t value : {incarnation, edge.report, edge.requests, edge.carried, edge.known})
+      out.number(value);
+    out.number(edge.in_flight.size());
+    for (const Grant& grant : edge.in_flight) {
+      out.number(grant.number);
+      out.number(grant.link);
+      out.number(grant.calls);
+    }
+  }
+}
+
 }  // namespace pearspar::rollout
--- a/src/rollout/exposure_budget.h
+++ b/src/rollout/exposure_budget.h
@@ -12,6 +12,7 @@
 #include <map>
 
 #include "rollout/messages.h"
+#include "rollout/state_description.h"
 
 namespace pearspar::rollout {
 
@@ -41,6 +42,8 @@
   std::uint64_t requests() const { return requests_; }
   // Calls that may be made when all edges have reported so many requests. `slack_share`: of the slack.
   double limit(double slack_share) const;
+  // All that later steps depend on, for a search over states.
+  void describe(StateDescription& out) const;
 
  private:
   struct Grant {
--- a/src/rollout/rollout_clock.cpp
+++ b/src/rollout/rollout_clock.cpp
@@ -30,4 +30,13 @@
   return start == starts_.end() ? Time::max() : start->second.ordered_at;
 }
 
+void RolloutClock::describe(StateDescription& out) const {
+  out.number(starts_.size());
+  for (const auto& [service, start] : starts_) {
+    out.text(service);
+    out.number(start.number);
+    out.time(start.ordered_at);
+  }
+}
+
 }  // namespace pearspar::rollout
--- a/src/rollout/rollout_clock.h
+++ b/src/rollout/rollout_clock.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "rollout/rollout_ledger.h"
+#include "rollout/state_description.h"
 
 namespace pearspar::rollout {
 
@@ -26,6 +27,8 @@
   Time ordered_at(const std::string& service) const;
   // Services whose roll-out is in transit.
   const std::vector<std::string>& in_transit() const { return in_transit_; }
+  // All that later steps depend on but the ledger, for a search over states.
+  void describe(StateDescription& out) const;
 
  private:
   // A process that finds a roll-out in its log was away for about as long.
--- a/src/rollout/rollout_coordinator.cpp
+++ b/src/rollout/rollout_coordinator.cpp
@@ -54,7 +54,7 @@
   return static_cast<std::uint64_t>(std::max(0.0, duration.count() * 1000));
 }
 
-std::string describe(const Findings& findings) {
+std::string text_of(const Findings& findings) {
   double share = findings.calls == 0
                      ? 0
                      : 100.0 * static_cast<double>(findings.bad) / static_cast<double>(findings.calls);
@@ -234,7 +234,7 @@
 // No requests come, so that nothing more can be learnt, and nobody is hurt.
 std::optional<RolloutCommand> RolloutCoordinator::decide_idle(const Look& look, const Session& session) {
   Findings all = session.evidence.findings();
-  std::string reason = "no route leads to the depot any more; " + describe(all);
+  std::string reason = "no route leads to the depot any more; " + text_of(all);
   if (look.rollout.share_permille < RolloutLedger::whole_permille) {
     Findings last = session.evidence.findings(session.unrouted_since - last_calls);
     if (all.weakest > idle_cleared || last.weakest > 0 || last.evidence > idle_recently) return std::nullopt;
@@ -253,10 +253,10 @@
   if (!is_cleared(look, session, findings)) return std::nullopt;
   auto next = std::upper_bound(share_steps.begin(), share_steps.end(), look.rollout.share_permille);
   if (next != share_steps.end())
-    return SetShare{look.service, look.rollout.number, *next, to_ms(look.elapsed), describe(findings)};
+    return SetShare{look.service, look.rollout.number, *next, to_ms(look.elapsed), text_of(findings)};
   if (!has_moved(look, session)) return std::nullopt;
   return FinishRollout{look.service, look.rollout.number, RolloutState::delivered, to_ms(look.elapsed),
-                       describe(findings)};
+                       text_of(findings)};
 }
 
 std::optional<RolloutCommand> RolloutCoordinator::decide(const Look& look, Session& session) {
@@ -269,10 +269,10 @@
                          std::move(reason)};
   };
   Findings findings;
-  if (session.evidence.convicts(look.now, findings)) return returned("convicted: " + describe(findings));
+  if (session.evidence.convicts(look.now, findings)) return returned("convicted: " + text_of(findings));
   if (look.elapsed >= look.over * (whole ? last_delivery_at : return_at))
     return returned("no verdict before the end of the term; " +
-                    describe(session.evidence.findings(look.now - look.over * clear_window)));
+                    text_of(session.evidence.findings(look.now - look.over * clear_window)));
   bool idle = session.unrouted_since != Time::max() && look.now - session.unrouted_since >= idle_after;
   return idle ? decide_idle(look, session) : decide_step(look, session);
 }
@@ -313,4 +313,36 @@
   return due;
 }
 
+void RolloutCoordinator::Edge::describe(StateDescription& out) const {
+  out.text(zone);
+  out.time(first_heard);
+  out.time(last_heard);
+  for (std::uint64_t value : {requests, earlier_requests, spent, last_vote}) out.number(value);
+  out.number(old_calls_open);
+}
+
+void RolloutCoordinator::Session::describe(StateDescription& out) const {
+  out.number(number);
+  budget.describe(out);
+  evidence.describe(out);
+  out.number(edges.size());
+  for (const auto& [incarnation, edge] : edges) {
+    out.number(incarnation);
+    edge.describe(out);
+  }
+  out.number(watchers.size());
+  for (std::uint64_t watcher : watchers) out.number(watcher);
+  out.number(share_permille);
+  for (Time at : {next_choice, next_decision, step_began, acknowledged_at, unrouted_since}) out.time(at);
+}
+
+void RolloutCoordinator::describe(StateDescription& out) const {
+  clock_.describe(out);
+  out.number(sessions_.size());
+  for (const auto& [service, session] : sessions_) {
+    out.text(service);
+    session.describe(out);
+  }
+}
+
 }  // namespace pearspar::rollout
--- a/src/rollout/rollout_coordinator.h
+++ b/src/rollout/rollout_coordinator.h
@@ -60,6 +60,8 @@
   Time due() const;
   // Empty where no edge has reported.
   RolloutProgress progress(const std::string& service) const;
+  // All that later steps depend on but the ledger, for a search over states.
+  void describe(StateDescription& out) const;
   Duration elapsed(Time now, const std::string& service) const { return clock_.elapsed(now, service); }
 
  private:
@@ -74,6 +76,7 @@
     std::uint64_t last_vote = 0;
     std::uint32_t old_calls_open = 0;
     double rate() const;  // requests a second
+    void describe(StateDescription& out) const;
   };
   // One roll-out in transit.
   struct Session {
@@ -88,6 +91,7 @@
     Time step_began{};
     Time acknowledged_at = Time::max();  // by all followers, while all calls go to the version
     Time unrouted_since = Time::max();
+    void describe(StateDescription& out) const;
   };
   // One look at a roll-out.
   struct Look {
