The soak's judge blames the end of an edge only for tries that were open then

Cause, by the kept plan and requests: edge 2 was killed at 4794.026 and the request on it ended at 4794.037, both by the judge's clock; the edge started again at 4794.051 and got SIGTERM at 4797.09. The judge takes each try sent within 4 s before a SIGTERM for one that the SIGTERM cut, also where it had ended before: a fault of the check, since a killed edge may cut what it holds. Change: a try counts as cut by an end only if it was open when the edge was told. Tries that ended before are judged as all others are, by whether the edge was calm, so that nothing is left out that the rule asks for.

--- a/tests/processes/traffic_history.cpp
+++ b/tests/processes/traffic_history.cpp
@@ -231,12 +231,15 @@
                          lasting, example));
 }
 
-// When its edge was told to end, where that was around this try; else negative.
+// When its edge was told to end, where that was around this try; else negative. A try that had ended by then
+// was not cut by it.
 double TrafficHistory::told_to_end_before(const ClientTry& attempt) const {
   const auto ends = ends_.find(attempt.edge);
   if (ends == ends_.end()) return -1;
-  for (const double at : ends->second)
-    if (attempt.sent_at > at - in_touch_s && attempt.sent_at < at + taken_within_s) return at;
+  for (const double at : ends->second) {
+    const bool near = attempt.sent_at > at - in_touch_s && attempt.sent_at < at + taken_within_s;
+    if (near && attempt.ended_at >= at) return at;
+  }
   return -1;
 }
 
