Simulation: a frame takes its time on the receiver's link also where that was idle

The time at which a receiver's link had been free last was taken for the time at which a frame's first byte comes in, so a machine with a bandwidth received a first frame of any size at once. A frame now begins to come in no earlier than its sender begins to send it. Seen in a trial of ConfigurationLagTest: states of 172 KB at 170 KB/s came in within milliseconds; now in a second.

--- a/src/simulation/net.cpp
+++ b/src/simulation/net.cpp
@@ -186,9 +186,12 @@
   Side& sender = sender_of(link, by_dialler);
   const std::string& to = sender_of(link, !by_dialler).address;
   Time arrives = std::max(from + delay(sender.address, to) + resent(), sender.free);
-  if (Duration in = takes(to, static_cast<double>(frame.size() + 4)); in > Duration(0)) {
+  const auto bytes = static_cast<double>(frame.size() + 4);
+  if (Duration in = takes(to, bytes); in > Duration(0)) {
     Time& free = ways_[to].in_free;
-    free = arrives = std::max(arrives, free + in);
+    // Its first byte comes in while the sender is still at the others.
+    const Time first_byte = arrives - takes(sender.address, bytes);
+    free = arrives = std::max(arrives, std::max(free, first_byte) + in);
   }
   sender.free = arrives;
   world_.at(arrives, [this, link, by_dialler, frame = std::move(frame)]() mutable {
