--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -222,6 +222,8 @@
   void retrieve_one(const std::string& holder, bool gathers, int copies);
   void stop_retrieving() { retrieving_ = false; }
   void set_allowances(const std::string& json) { options_.allowances = json; }
+  // Routes beside the two that are asked, from the next change on.
+  void set_more_routes(int routes) { options_.more_routes = routes; }
   const Auditor& auditor() const { return auditor_; }
   std::vector<std::string> audit(const std::vector<Auditor::Limit>& limits, bool exactly) const;
   const edge_gateway::EdgeGateway* gateway(std::size_t edge) const;
