Large configurations are fetched from a member of the edge's own zone

A text of over 16 KB is now only announced in the leader's updates and states; edges request it after 200 ms, from a member of their own zone where one has announced it. Followers that do not ask (older programs) get a full state as before.

--- a/src/control_plane/configuration_server.cpp
+++ b/src/control_plane/configuration_server.cpp
@@ -86,7 +86,7 @@
   any_notice_due_ = false;
   if (all) notices_due_ = Time::max();
   const std::string notice =
-      protocol::pack(protocol::ConfigurationNotice{revision_, age_ms(now, applied_at_)});
+      protocol::pack(protocol::ConfigurationNotice{revision_, age_ms(now, applied_at_), zone_});
   for (auto& [link, edge] : edges_)
     if (std::exchange(edge.notice_due, false) || (all && edge.known < revision_))
       frames.push_back({link, notice});
--- a/src/control_plane/configuration_server.h
+++ b/src/control_plane/configuration_server.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "control_plane/followers.h"
@@ -19,6 +20,9 @@
 
 class ConfigurationServer {
  public:
+  // `zone` is this member's: edges rather ask in their own.
+  explicit ConfigurationServer(std::string zone) : zone_(std::move(zone)) {}
+
   // The newest configuration that this member has applied. Edges that it does not reach in some other way
   // within a short time are told.
   void set_configuration(Time now, catalog::Revision revision, std::string_view text);
@@ -56,6 +60,7 @@
   // Encoded once for all edges that have the same revision.
   const std::string& update_for(Time now, catalog::Revision known);
 
+  std::string zone_;
   catalog::Revision revision_ = 0;
   std::string text_;
   Time applied_at_{};
--- a/src/control_plane/controller.cpp
+++ b/src/control_plane/controller.cpp
@@ -22,8 +22,14 @@
 }
 
 protocol::Hello Controller::hello() const {
-  return {options_.incarnation, protocol::FollowerKind::core, options_.name, options_.zone, view_.at(),
-          view_.revision()};
+  return {options_.incarnation,
+          protocol::FollowerKind::core,
+          options_.name,
+          options_.zone,
+          view_.at(),
+          view_.revision(),
+          {},
+          true};
 }
 
 // Followers must still find the core when all members that they started with have been replaced.
--- a/src/control_plane/controller.h
+++ b/src/control_plane/controller.h
@@ -185,7 +185,7 @@
   ReplicatedState& state_;
   subscription::ClusterView view_;
   Followers followers_;
-  ConfigurationServer configuration_server_;
+  ConfigurationServer configuration_server_{options_.zone};
   retry_tokens::TokenPool pool_;
   quota::QuotaAllocator quota_allocator_;
   CallLimiter call_limiter_{max_calls, max_call_bytes};  // of all pending calls
--- a/src/control_plane/followers.cpp
+++ b/src/control_plane/followers.cpp
@@ -20,7 +20,8 @@
 constexpr std::size_t max_bytes_in_flight = 4 << 20;
 // Recently removed nodes that are sent to followers that already have a list.
 constexpr std::size_t max_recently_gone = 64;
-constexpr std::size_t max_batch_bytes = 2 << 20;  // followers that lack more are sent the full state
+constexpr std::size_t max_pushed_text_bytes = 16 << 10;  // of a configuration, to followers that can ask
+constexpr std::size_t max_batch_bytes = 2 << 20;         // followers that lack more are sent the full state
 constexpr Duration encoded_state_lifetime = 250ms;
 constexpr std::size_t neighbour_checks_per_ping = 256;  // edges whose neighbours are checked
 constexpr Duration transfer_timeout = 2s;               // then a full state no longer counts as in flight
@@ -86,11 +87,21 @@
       change.text = std::move(delta);
     }
   }
+  view_.adopt(configuration);
+  if (change.text.size() > max_pushed_text_bytes) omit_text(now, change);
   configuration_position_ = add(now, std::move(change));
   changes_due_ = std::min(changes_due_, now);
   encoded_states_.clear();
 }
 
+// Followers ask the members of their own zones for a large text. Those that do not ask get a full state.
+void Followers::omit_text(Time now, protocol::Change& change) {
+  change.kind = protocol::ChangeKind::configuration;
+  change.text.clear();
+  for (auto& [link, follower] : followers_)
+    if (!follower.fetches_configurations) await_full_state(now, follower);
+}
+
 protocol::Position Followers::add_service_versions(Time now, const catalog::ServiceVersions& versions) {
   protocol::Change change;
   change.kind = protocol::ChangeKind::service_versions;
@@ -241,7 +252,8 @@
 
 const Followers::EncodedState& Followers::full_state_for(Time now, const Follower& follower, bool has_list) {
   // Who asks for configurations gets a newer one apart from the state, and mostly as a delta.
-  const bool omits_text = follower.fetches_configurations && follower.revision > 0;
+  const bool is_large = view_.configuration() && view_.configuration()->text.size() > max_pushed_text_bytes;
+  const bool omits_text = follower.fetches_configurations && (follower.revision > 0 || is_large);
   const catalog::Revision known = omits_text ? view_.revision() : follower.revision;
   // A state without the newest configuration would not help a follower that could not apply the delta.
   std::erase_if(encoded_states_, [&](const auto& each) {
--- a/src/control_plane/followers.h
+++ b/src/control_plane/followers.h
@@ -113,6 +113,7 @@
     protocol::Position at;
     Time when{};
   };
+  void omit_text(Time now, protocol::Change& change);
   void await_full_state(Time now, Follower& follower);
   // Followers that wait for a full state: those that hold a lease first, then by the time they have waited.
   std::vector<std::pair<const LinkId, Follower>*> waiting_followers(Time now);
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -193,9 +193,10 @@
     packer.number(ack.node_list_digest);
   }
   void operator()(const ConfigurationNotice& notice) const {
-    begin(packer, Tag::configuration_notice, 2);
+    begin(packer, Tag::configuration_notice, 3);
     packer.number(notice.revision);
     packer.number(notice.age_ms);
+    packer.text(notice.zone);
   }
   void operator()(const ConfigurationRequest& request) const {
     begin(packer, Tag::configuration_request, 2);
@@ -377,6 +378,7 @@
       ConfigurationNotice notice;
       notice.revision = in.number();
       notice.age_ms = static_cast<std::uint32_t>(in.number());
+      notice.zone = in.text();
       return notice;
     }
     case Tag::configuration_request: {
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -87,6 +87,7 @@
 struct Change {
   ChangeKind kind = ChangeKind::list_complete;
   catalog::Revision revision = 0;
+  // Empty where a configuration is to be requested.
   std::string text;  // the configuration, its delta, a node's id, or the encoded versions of a service
   NodeUpdate update;
 };
@@ -117,6 +118,7 @@
 struct ConfigurationNotice {
   catalog::Revision revision = 0;
   std::uint32_t age_ms = 0;  // since this member applied it
+  std::string zone = {};     // the member's
 };
 // Edge to member: the newest configuration is wanted.
 struct ConfigurationRequest {
--- a/src/subscription/cluster_view.cpp
+++ b/src/subscription/cluster_view.cpp
@@ -88,6 +88,7 @@
     const protocol::Change& change = changes.changes[i];
     const bool is_delta = change.kind == ChangeKind::configuration_delta;
     if ((!is_delta && change.kind != ChangeKind::configuration) || change.revision <= newest) continue;
+    if (change.text.empty()) continue;  // to be requested
     std::optional<std::string> next = is_delta ? protocol::apply_delta(text, change.text) : change.text;
     if (!next) continue;
     text = std::move(*next);
--- a/src/subscription/configuration_watch.h
+++ b/src/subscription/configuration_watch.h
@@ -24,8 +24,13 @@
   // After `max_lag` behind an announced configuration, requests are not to be served by an older one.
   explicit ConfigurationWatch(Duration max_lag) : max_lag_(max_lag) {}
 
-  // The member at the other end of the link has this revision or a newer one.
-  void on_announced(Time now, transport::LinkId link, catalog::Revision revision);
+  // A member that has the configuration.
+  struct Source {
+    transport::LinkId link = 0;
+    bool is_nearby = false;  // known to be in this edge's zone; asked before others
+  };
+  // The member has this revision.
+  void on_announced(Time now, Source source, catalog::Revision revision);
   // The edge goes by this revision.
   void on_adopted(catalog::Revision revision);
   void on_link_down(transport::LinkId link);
@@ -48,12 +53,12 @@
     catalog::Revision revision = 0;
     Time announced_at{};
   };
-  void add_source(transport::LinkId link);
+  void add_source(Source source);
 
   Duration max_lag_;
   catalog::Revision adopted_ = 0;
-  std::deque<Announced> missing_;           // revisions above adopted_, ascending
-  std::vector<transport::LinkId> sources_;  // members that have the newest of them
+  std::deque<Announced> missing_;  // revisions above adopted_, ascending
+  std::vector<Source> sources_;    // that have the newest of them, nearby ones first
   std::size_t next_source_ = 0;
   Time next_request_{};
 };
--- a/src/subscription/follower.cpp
+++ b/src/subscription/follower.cpp
@@ -121,7 +121,7 @@
   if (const auto* ping = std::get_if<protocol::Ping>(&*message))
     return handle_result(now, link, view_.apply(*ping));
   if (const auto* notice = std::get_if<protocol::ConfigurationNotice>(&*message)) {
-    watch_.on_announced(now, link, notice->revision);
+    watch_.on_announced(now, {link, notice->zone == options_.zone}, notice->revision);
     return false;
   }
   if (const auto* update = std::get_if<protocol::ConfigurationUpdate>(&*message))
@@ -201,7 +201,7 @@
   last_update_ = now;
   leader_link_ = link;
   watch_.on_adopted(view_.revision());
-  watch_.on_announced(now, link, view_.announced_revision());
+  watch_.on_announced(now, {link, false}, view_.announced_revision());
   if (result == ClusterView::ApplyResult::gap) {
     transport_.send(link, hello());
     return false;
