--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -22,7 +22,6 @@
 constexpr double max_end_margin_share_of_grace = 0.14;
 constexpr net::Duration final_answer_time = 200ms;  // for clients to read the last answers
 constexpr transport::TcpTransport::InboundLimits edge_link_limits{64, 1024};
-constexpr net::Duration max_update_delay = 500ms;  // of the leader's updates, on their way
 constexpr std::size_t reserved_descriptors = 300;  // not available for clients
 
 std::size_t max_clients(const process_settings::Settings& settings) {
@@ -30,15 +29,12 @@
   return file_limit > 2 * reserved_descriptors ? (file_limit - reserved_descriptors) / 2 : 100;
 }
 
-subscription::Duration confirmation_lifetime(const process_settings::Settings& settings) {
-  return std::max(net::Duration{}, dispatch::from_ms(settings.config_within_ms) - max_update_delay);
-}
-
-// Room is left for an edge to learn that it is behind, and for requests that are on their way.
-constexpr double max_configuration_lag_share = 0.4;
-
-subscription::Duration max_configuration_lag(const process_settings::Settings& settings) {
-  return dispatch::from_ms(settings.config_within_ms) * max_configuration_lag_share;
+subscription::FollowerOptions follower_options(const process_settings::Settings& settings,
+                                               std::uint64_t incarnation, std::string address) {
+  subscription::FollowerOptions options{incarnation, settings.node_name, settings.zone,
+                                        settings.inner_seeds(), std::move(address)};
+  options.set_configuration_bound(dispatch::from_ms(settings.config_within_ms));
+  return options;
 }
 
 void warn(std::string_view what) { log(Level::warning, "front_door", {{"what", what}}); }
@@ -51,8 +47,7 @@
       readiness_(loop, warn, 64, *this, {30s, 5s}),
       links_(loop, *this),
       proxy_(loop, links_,
-             {{incarnation, settings.node_name, settings.zone, settings.inner_seeds(), listen_to_edges(),
-               confirmation_lifetime(settings), max_configuration_lag(settings)},
+             {follower_options(settings, incarnation, listen_to_edges()),
               {settings.retry_ratio, settings.retry_slack, net::Duration(settings.retry_window_s)},
               max_clients(settings),
               warn}) {
--- a/src/control_plane/configuration_server.cpp
+++ b/src/control_plane/configuration_server.cpp
@@ -59,15 +59,22 @@
 
 void ConfigurationServer::on_contact(Edge& edge, catalog::Revision known) {
   edge.known = known;
-  if (known >= revision_) edge.bytes_in_flight = 0;
+  if (known >= edge.sent) edge.bytes_in_flight = 0;
   edge.notice_due = known < revision_;
   any_notice_due_ |= edge.notice_due;
 }
 
-void ConfigurationServer::on_request(Time, LinkId link, const protocol::ConfigurationRequest& request) {
+bool ConfigurationServer::is_in_flight(Time now, const Edge& edge) {
+  return edge.bytes_in_flight > 0 && now - edge.sent_at < transfer_timeout;
+}
+
+// An edge that is being sent the newest configuration is not sent it twice.
+void ConfigurationServer::on_request(Time now, LinkId link, const protocol::ConfigurationRequest& request) {
   auto found = edges_.find(link);
   if (found == edges_.end() || found->second.incarnation != request.incarnation) return;
-  found->second.known = request.known;
+  Edge& edge = found->second;
+  edge.known = request.known;
+  if (edge.sent == revision_ && is_in_flight(now, edge)) return;
   if (request.known < revision_ && std::find(requests_.begin(), requests_.end(), link) == requests_.end())
     requests_.push_back(link);
 }
@@ -102,15 +109,18 @@
     Edge& edge = found->second;
     frames.push_back({link, update_for(now, edge.known)});
     edge.bytes_in_flight = frames.back().bytes.size();
+    edge.sent = revision_;
     edge.sent_at = now;
     bytes += edge.bytes_in_flight;
   }
 }
 
-std::size_t ConfigurationServer::bytes_in_flight(Time now) const {
+std::size_t ConfigurationServer::bytes_in_flight(Time now) {
   std::size_t bytes = 0;
-  for (const auto& [link, edge] : edges_)
-    if (now - edge.sent_at < transfer_timeout) bytes += edge.bytes_in_flight;
+  for (auto& [link, edge] : edges_) {
+    if (!is_in_flight(now, edge)) edge.bytes_in_flight = 0;
+    bytes += edge.bytes_in_flight;
+  }
   return bytes;
 }
 
--- a/src/control_plane/configuration_server.h
+++ b/src/control_plane/configuration_server.h
@@ -42,7 +42,8 @@
  private:
   struct Edge {
     protocol::Incarnation incarnation = 0;
-    catalog::Revision known = 0;      // as the edge said last
+    catalog::Revision known = 0;  // as the edge said last
+    catalog::Revision sent = 0;
     std::size_t bytes_in_flight = 0;  // of the configuration that was sent and not acknowledged
     Time sent_at{};
     bool notice_due = false;
@@ -52,11 +53,12 @@
     std::string text;
   };
 
+  static bool is_in_flight(Time now, const Edge& edge);
   void on_contact(Edge& edge, catalog::Revision known);
   void keep_earlier_text();
   void add_notices(Time now, std::vector<LinkFrame>& frames);
   void add_updates(Time now, std::vector<LinkFrame>& frames);
-  std::size_t bytes_in_flight(Time now) const;
+  std::size_t bytes_in_flight(Time now);
   // Encoded once for all edges that have the same revision.
   const std::string& update_for(Time now, catalog::Revision known);
 
--- a/src/control_plane/controller.cpp
+++ b/src/control_plane/controller.cpp
@@ -21,6 +21,7 @@
   pool_.set(options_.pool);
 }
 
+// A member needs no texts of configurations, since the log brings them.
 protocol::Hello Controller::hello() const {
   return {options_.incarnation,
           protocol::FollowerKind::core,
--- a/src/control_plane/followers.cpp
+++ b/src/control_plane/followers.cpp
@@ -87,21 +87,11 @@
       change.text = std::move(delta);
     }
   }
-  view_.adopt(configuration);
-  if (change.text.size() > max_pushed_text_bytes) omit_text(now, change);
   configuration_position_ = add(now, std::move(change));
   changes_due_ = std::min(changes_due_, now);
   encoded_states_.clear();
 }
 
-// Followers ask the members of their own zones for a large text. Those that do not ask get a full state.
-void Followers::omit_text(Time now, protocol::Change& change) {
-  change.kind = protocol::ChangeKind::configuration;
-  change.text.clear();
-  for (auto& [link, follower] : followers_)
-    if (!follower.fetches_configurations) await_full_state(now, follower);
-}
-
 protocol::Position Followers::add_service_versions(Time now, const catalog::ServiceVersions& versions) {
   protocol::Change change;
   change.kind = protocol::ChangeKind::service_versions;
@@ -152,10 +142,12 @@
                                    hello.position >= configuration_position_ &&
                                    hello.revision < view_.revision();
   if (!open_ || !list_complete_ || hello.position.term != term_ || hello.position.number + 1 < first_ ||
-      hello.position > end() || needs_configuration)
+      hello.position > end() || needs_configuration) {
     await_full_state(now, follower);
-  else
-    follower.synced = true, follower.waiting_since = {};
+  } else {
+    follower.synced = true;
+    follower.waiting_since = {};
+  }
   follower.list_unverified = follower.synced && hello.kind == protocol::FollowerKind::edge;
   if (follower.synced && follower.sent < end()) changes_due_ = std::min(changes_due_, now);
 }
@@ -163,6 +155,7 @@
 void Followers::on_ack(Time now, LinkId link, const protocol::Ack& ack) {
   neighbours_.remove_expired(now);
   auto found = followers_.find(link);
+  if (found == followers_.end()) found = move_to_link(now, link, ack);
   if (found == followers_.end() || found->second.incarnation != ack.incarnation) return;
   found->second.last_heard = now;
   found->second.acked = std::max(found->second.acked, ack.at);
@@ -186,6 +179,28 @@
   if (!found->second.synced) all_synced_ = false;
 }
 
+// A hello that came late on an earlier link of the process made that one count. The link on which the process
+// speaks is the live one: what was sent on the other and not acknowledged is sent again.
+Followers::FollowerMap::iterator Followers::move_to_link(Time now, LinkId link, const protocol::Ack& ack) {
+  const auto other = std::find_if(followers_.begin(), followers_.end(), [&](const auto& each) {
+    return each.second.incarnation == ack.incarnation;
+  });
+  if (other == followers_.end()) return followers_.end();
+  auto moved = followers_.extract(other);
+  moved.key() = link;
+  const auto place = followers_.insert(std::move(moved)).position;
+  Follower& follower = place->second;
+  neighbours_.add(link, follower.address, follower.zone);
+  follower.full_state_bytes = 0;
+  follower.full_state_position = {};
+  follower.sent = ack.at;
+  if (!open_ || ack.at.term != term_ || ack.at.number + 1 < first_ || ack.at > end())
+    await_full_state(now, follower);
+  else if (follower.sent < end())
+    changes_due_ = std::min(changes_due_, now);
+  return place;
+}
+
 void Followers::on_closed(LinkId link) {
   auto found = followers_.find(link);
   if (found == followers_.end()) return;
@@ -283,7 +298,7 @@
   if (send_changes) changes_due_ = Time::max();
   if (!ping && !send_changes && all_synced_) return frames;
   all_synced_ = true;
-  std::map<std::uint64_t, std::string> batches;  // encoded once, by the position that they follow
+  Batches batches;
   add_full_states(now, frames);
   const std::string ping_bytes =
       ping ? protocol::pack(protocol::Ping{end(), edges(now), coverage(now)}) : std::string();
@@ -299,24 +314,36 @@
   return frames;
 }
 
-void Followers::add_changes(Time now, LinkId link, Follower& follower,
-                            std::map<std::uint64_t, std::string>& batches, std::vector<LinkFrame>& frames) {
+void Followers::add_changes(Time now, LinkId link, Follower& follower, Batches& batches,
+                            std::vector<LinkFrame>& frames) {
   // The journal no longer reaches back to its position, or the changes do not fit into one frame.
-  if (follower.sent.number + 1 < first_ || backlog_bytes(follower.sent) > max_batch_bytes)
-    return await_full_state(now, follower);
-  std::string& bytes = batches[follower.sent.number];
-  if (bytes.empty()) {
-    protocol::Changes changes;
-    changes.after = follower.sent;
-    changes.changes.assign(journal_.begin() + static_cast<std::ptrdiff_t>(follower.sent.number + 1 - first_),
-                           journal_.end());
-    bytes = protocol::pack(std::move(changes));
+  if (follower.sent.number + 1 < first_ || backlog_bytes(follower.sent) > max_batch_bytes) {
+    await_full_state(now, follower);
+    changes_due_ = std::min(changes_due_, now);
+    return;
   }
+  std::string& bytes = batches[{follower.sent.number, follower.fetches_configurations}];
+  if (bytes.empty()) bytes = pack_changes(follower);
   frames.push_back({link, bytes});
   follower.got_full_state = false;
   follower.sent = end();
 }
 
+// Who asks for configurations is sent no large ones, since a member of its own zone has them too.
+std::string Followers::pack_changes(const Follower& follower) const {
+  protocol::Changes changes;
+  changes.after = follower.sent;
+  changes.changes.assign(journal_.begin() + static_cast<std::ptrdiff_t>(follower.sent.number + 1 - first_),
+                         journal_.end());
+  for (protocol::Change& change : changes.changes)
+    if (follower.fetches_configurations && change.text.size() > max_pushed_text_bytes &&
+        change.revision > 0) {
+      change.kind = protocol::ChangeKind::configuration;
+      change.text.clear();
+    }
+  return protocol::pack(std::move(changes));
+}
+
 void Followers::await_full_state(Time now, Follower& follower) {
   if (follower.synced || follower.waiting_since == Time{}) follower.waiting_since = now;
   follower.synced = false;
@@ -339,7 +366,10 @@
   const auto waits = [](const auto& each) { return !each.second.synced; };
   if (std::none_of(followers_.begin(), followers_.end(), waits)) return;
   std::size_t bytes = bytes_in_flight(now);
-  if (bytes >= max_bytes_in_flight) return static_cast<void>(all_synced_ = false);
+  if (bytes >= max_bytes_in_flight) {
+    all_synced_ = false;
+    return;
+  }
   for (auto* each : waiting_followers(now)) {
     auto& [link, follower] = *each;
     if (now < follower.retry_at || bytes >= max_bytes_in_flight) {
--- a/src/control_plane/followers.h
+++ b/src/control_plane/followers.h
@@ -99,7 +99,8 @@
     std::vector<std::string> neighbours;   // sent in this term
     bool list_unverified = false;          // the digest of its next acknowledgement is compared with ours
   };
-  const std::map<LinkId, Follower>& all() const { return followers_; }
+  using FollowerMap = std::map<LinkId, Follower>;
+  const FollowerMap& all() const { return followers_; }
   static bool has_lease(Time now, const Follower& follower);
 
  private:
@@ -113,13 +114,17 @@
     protocol::Position at;
     Time when{};
   };
-  void omit_text(Time now, protocol::Change& change);
+  // The follower that acknowledges on a link that is not known as its own; end() if there is none.
+  FollowerMap::iterator move_to_link(Time now, LinkId link, const protocol::Ack& ack);
   void await_full_state(Time now, Follower& follower);
   // Followers that wait for a full state: those that hold a lease first, then by the time they have waited.
   std::vector<std::pair<const LinkId, Follower>*> waiting_followers(Time now);
   void add_full_states(Time now, std::vector<LinkFrame>& frames);
-  void add_changes(Time now, LinkId link, Follower& follower, std::map<std::uint64_t, std::string>& batches,
+  // Encoded changes, by the position that they follow and whether large configurations are left out.
+  using Batches = std::map<std::pair<std::uint64_t, bool>, std::string>;
+  void add_changes(Time now, LinkId link, Follower& follower, Batches& batches,
                    std::vector<LinkFrame>& frames);
+  std::string pack_changes(const Follower& follower) const;
   std::string encode_full_state(Time now, catalog::Revision known, bool has_list) const;
   // Never older than the follower's own position, since followers ignore states that would take them back.
   const EncodedState& full_state_for(Time now, const Follower& follower, bool has_list);
@@ -139,7 +144,7 @@
   std::deque<std::uint64_t> digests_;          // of the list of nodes after each change
   protocol::Position list_complete_position_;  // of the change that completed the list
   protocol::Position configuration_position_;  // of the newest configuration
-  std::map<LinkId, Follower> followers_;
+  FollowerMap followers_;
   NeighbourRing neighbours_;
   // By the follower's revision of the configuration, and whether it has a list of an earlier term.
   std::map<std::pair<catalog::Revision, bool>, EncodedState> encoded_states_;
--- a/src/subscription/configuration_watch.h
+++ b/src/subscription/configuration_watch.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <vector>
@@ -21,25 +22,29 @@
 
 class ConfigurationWatch {
  public:
-  // After `max_lag` behind an announced configuration, requests are not to be served by an older one.
-  explicit ConfigurationWatch(Duration max_lag) : max_lag_(max_lag) {}
+  // Requests are not to be served by a configuration that was replaced longer than `max_lag` ago. `seed`
+  // differs from edge to edge, so that they ask different members.
+  ConfigurationWatch(Duration max_lag, std::uint64_t seed) : max_lag_(max_lag), seed_(seed) {}
 
   // A member that has the configuration.
   struct Source {
     transport::LinkId link = 0;
     bool is_nearby = false;  // known to be in this edge's zone; asked before others
   };
-  // The member has this revision.
-  void on_announced(Time now, Source source, catalog::Revision revision);
+  // The member has this revision, and has had it for `age`.
+  void on_announced(Time now, Source source, catalog::Revision revision, Duration age = {});
   // The edge goes by this revision.
-  void on_adopted(catalog::Revision revision);
+  void on_adopted(Time now, catalog::Revision revision);
+  // This program cannot read the configuration: it is requested again only after a long while.
+  void on_unreadable(Time now, catalog::Revision revision);
   void on_link_down(transport::LinkId link);
 
   bool is_behind() const { return !missing_.empty(); }
-  // When the oldest announced revision that the edge lacks was announced; Time::max() if it lacks none.
-  Time behind_since() const { return missing_.empty() ? Time::max() : missing_.front().announced_at; }
-  // From when on the edge's own configuration is too old to serve by; Time::max() if it is the newest known.
-  Time outdated_from() const { return missing_.empty() ? Time::max() : behind_since() + max_lag_; }
+  // When the oldest announced revision that the edge lacks came into force; Time::max() if it lacks none.
+  Time behind_since() const { return missing_.empty() ? Time::max() : missing_.front().in_force_since; }
+  // From when on the edge's own configuration is too old to serve by. Time::max() if it is the newest known,
+  // and where no member that has a newer one is connected: without members the edge serves by what it has.
+  Time outdated_from() const { return sources_.empty() ? Time::max() : behind_since() + max_lag_; }
   catalog::Revision newest_announced() const {
     return missing_.empty() ? adopted_ : missing_.back().revision;
   }
@@ -51,16 +56,20 @@
  private:
   struct Announced {
     catalog::Revision revision = 0;
-    Time announced_at{};
+    Time in_force_since{};
   };
-  void add_source(Source source);
+  void add_source(Time now, Source source);
 
   Duration max_lag_;
+  std::uint64_t seed_;
   catalog::Revision adopted_ = 0;
+  Time adopted_at_ = Time::min();
+  catalog::Revision unreadable_ = 0;
   std::deque<Announced> missing_;  // revisions above adopted_, ascending
   std::vector<Source> sources_;    // that have the newest of them, nearby ones first
   std::size_t next_source_ = 0;
   Time next_request_{};
+  Duration request_timeout_{};
 };
 
 }  // namespace pearspar::subscription
--- a/src/subscription/follower.cpp
+++ b/src/subscription/follower.cpp
@@ -15,14 +15,22 @@
 constexpr std::size_t max_provisional = 8;
 constexpr Duration token_request_interval = 100ms;
 constexpr Duration token_request_timeout = 500ms;
-constexpr Duration max_list_wait = 1500ms;  // then an incomplete list of nodes is used
+constexpr Duration max_list_wait = 1500ms;    // then an incomplete list of nodes is used
+constexpr Duration max_update_delay = 500ms;  // of the leader's updates, on their way
+// Room is left for a member to apply the change, and for requests that are on their way.
+constexpr double max_configuration_lag_share = 0.6;
 
 }  // namespace
 
+void FollowerOptions::set_configuration_bound(Duration config_within) {
+  confirmation_lifetime = std::max(Duration{}, config_within - max_update_delay);
+  max_configuration_lag = config_within * max_configuration_lag_share;
+}
+
 Follower::Follower(transport::Transport& transport, FollowerOptions options)
     : transport_(transport),
       options_(std::move(options)),
-      watch_(options_.max_configuration_lag),
+      watch_(options_.max_configuration_lag, options_.incarnation),
       discovery_(options_.incarnation) {}
 
 void Follower::start(Time now) {
@@ -106,12 +114,7 @@
     return false;
   }
   if (const auto* snapshot = std::get_if<protocol::StateSnapshot>(&*message)) {
-    if (snapshot->at == protocol::Position{}) {
-      if (view_.at() != protocol::Position{} || provisional_.size() >= max_provisional) return false;
-      if (provisional_due_ == Time::max()) provisional_due_ = now + provisional_delay;
-      provisional_.push_back(*snapshot);
-      return false;
-    }
+    if (snapshot->at == protocol::Position{}) return handle_provisional(now, link, *snapshot);
     auto result = view_.apply(now, *snapshot);
     if (result == ClusterView::ApplyResult::applied && snapshot->complete) list_complete_ = true;
     return handle_result(now, link, result);
@@ -121,11 +124,12 @@
   if (const auto* ping = std::get_if<protocol::Ping>(&*message))
     return handle_result(now, link, view_.apply(*ping));
   if (const auto* notice = std::get_if<protocol::ConfigurationNotice>(&*message)) {
-    watch_.on_announced(now, {link, notice->zone == options_.zone}, notice->revision);
+    watch_.on_announced(now, {link, notice->zone == options_.zone}, notice->revision,
+                        std::chrono::milliseconds(notice->age_ms));
     return false;
   }
   if (const auto* update = std::get_if<protocol::ConfigurationUpdate>(&*message))
-    return handle_configuration(link, *update);
+    return handle_configuration(now, link, *update);
   if (const auto* grant = std::get_if<protocol::TokenGrant>(&*message)) {
     // Lifetimes count from the request, so that tokens expire here before they expire at the leader.
     if (grant->number != token_request_) return false;
@@ -180,16 +184,32 @@
 }
 
 // Acknowledged to the leader too, which counts the edges that lack the configuration.
-bool Follower::handle_configuration(transport::LinkId link, const protocol::ConfigurationUpdate& update) {
+bool Follower::handle_configuration(Time now, transport::LinkId link,
+                                    const protocol::ConfigurationUpdate& update) {
   const catalog::Revision before = view_.revision();
   view_.apply(update);
-  if (view_.revision() == before) return false;
-  watch_.on_adopted(view_.revision());
+  if (view_.revision() == before) {
+    const bool is_whole = update.base == 0;
+    if (is_whole && update.revision > before) watch_.on_unreadable(now, update.revision);
+    return false;
+  }
+  watch_.on_adopted(now, view_.revision());
   transport_.send(link, ack());
   if (leader_link_ != 0 && leader_link_ != link) transport_.send(leader_link_, ack());
   return true;
 }
 
+// Kept until it is clear that no leader sends its state. Beside the leader's state only the configuration
+// counts, if it is newer.
+bool Follower::handle_provisional(Time now, transport::LinkId link, const protocol::StateSnapshot& snapshot) {
+  if (view_.at() != protocol::Position{})
+    return handle_configuration(now, link, {0, snapshot.revision, 0, snapshot.configuration});
+  if (provisional_.size() >= max_provisional) return false;
+  if (provisional_due_ == Time::max()) provisional_due_ = now + provisional_delay;
+  provisional_.push_back(snapshot);
+  return false;
+}
+
 void Follower::request_configuration(Time now) {
   if (const auto link = watch_.take_request(now))
     transport_.send(*link,
@@ -200,7 +220,7 @@
   if (result == ClusterView::ApplyResult::stale) return false;
   last_update_ = now;
   leader_link_ = link;
-  watch_.on_adopted(view_.revision());
+  watch_.on_adopted(now, view_.revision());
   watch_.on_announced(now, {link, false}, view_.announced_revision());
   if (result == ClusterView::ApplyResult::gap) {
     transport_.send(link, hello());
@@ -208,7 +228,7 @@
   }
   // Counts from before a pause of this process, in which another leader may have replaced the configuration.
   leader_heard_at_ = last_tick_;
-  if (view_.configuration() && view_.revision() == view_.announced_revision())
+  if (view_.configuration() && view_.revision() == view_.announced_revision() && !watch_.is_behind())
     confirmed_until_ = last_tick_ + options_.confirmation_lifetime;
   if (!has_nodes_ && !view_.nodes().all().empty()) {
     has_nodes_ = true;
@@ -237,15 +257,25 @@
   return changed;
 }
 
+// The leader's state has come first; it may lack a text that members have sent already.
+bool Follower::adopt_newer(Time now, const std::vector<protocol::StateSnapshot>& snapshots) {
+  const catalog::Revision before = view_.revision();
+  for (const protocol::StateSnapshot& snapshot : snapshots)
+    if (snapshot.revision > view_.revision())
+      view_.apply(protocol::ConfigurationUpdate{0, snapshot.revision, 0, snapshot.configuration});
+  watch_.on_adopted(now, view_.revision());
+  return view_.revision() != before;
+}
+
 // Without a leader, uses the state that members have applied: it was in force, and it is not newer than the
 // state of the next leader. It may be far older, which is why it confirms nothing.
 bool Follower::apply_provisional(Time now) {
   if (now < provisional_due_) return false;
   provisional_due_ = Time::max();
   std::vector<protocol::StateSnapshot> snapshots = std::exchange(provisional_, {});
-  if (view_.at() != protocol::Position{}) return false;
+  if (view_.at() != protocol::Position{}) return adopt_newer(now, snapshots);
   for (const protocol::StateSnapshot& snapshot : snapshots) view_.apply(now, snapshot);
-  watch_.on_adopted(view_.revision());
+  watch_.on_adopted(now, view_.revision());
   list_complete_ = view_.is_usable();
   return true;
 }
--- a/src/subscription/follower.h
+++ b/src/subscription/follower.h
@@ -30,7 +30,10 @@
   Duration confirmation_lifetime = std::chrono::milliseconds(2500);
   // For how long requests are served by a configuration that is known to have been replaced. A fraction of
   // the time in which a change has to be in force everywhere.
-  Duration max_configuration_lag = std::chrono::milliseconds(1200);
+  Duration max_configuration_lag = std::chrono::milliseconds(1800);
+
+  // Sets both for a change that has to be in force everywhere within this time.
+  void set_configuration_bound(Duration config_within);
 };
 
 class Follower {
@@ -86,9 +89,11 @@
   std::string hello() const;
   std::string ack() const;
   bool handle_result(Time now, transport::LinkId link, ClusterView::ApplyResult result);
-  bool handle_configuration(transport::LinkId link, const protocol::ConfigurationUpdate& update);
+  bool handle_configuration(Time now, transport::LinkId link, const protocol::ConfigurationUpdate& update);
+  bool handle_provisional(Time now, transport::LinkId link, const protocol::StateSnapshot& snapshot);
   void request_configuration(Time now);
   bool apply_provisional(Time now);
+  bool adopt_newer(Time now, const std::vector<protocol::StateSnapshot>& snapshots);
   bool leader_is_silent(Time now) const;
   void update_targets();
   void handle_welcome(const protocol::Welcome& welcome);
