Departures and versions of services do not wait for whole lists of nodes

An edge that has any list now gets a short state first, what closes and the last that went, then changes; the whole list follows in its turn where the digest of its own differs. departuresDoNotWaitForWholeLists: 300 edges, 2,000 nodes, nobody acknowledges; all are told in the first turn.

--- a/src/control_plane/followers.cpp
+++ b/src/control_plane/followers.cpp
@@ -48,7 +48,7 @@
   digests_.clear();
   encoded_states_.clear();
   for (auto& [link, follower] : followers_) {
-    follower.synced = follower.list_unverified = false;
+    follower.synced = follower.list_unverified = follower.needs_list = false;
     follower.waiting_since = now;
     follower.full_state_bytes = 0;
     follower.full_state_position = {};
@@ -166,7 +166,7 @@
       ack.at <= end()) {
     found->second.list_unverified = false;
     if (ack.at.number < first_ || ack.node_list_digest != digests_[ack.at.number - first_])
-      await_full_state(now, found->second);
+      await_list(now, found->second);
   }
   // The follower skipped a configuration that it could not read or apply, and does not ask for it. A delta is
   // followed by the full state at once; a follower that cannot read that either (an older program) gets it
@@ -243,12 +243,12 @@
   return protocol::pack(std::move(standing));
 }
 
-// While the list is being gathered, a follower with a list of an earlier term gets only the closing and the
+// A follower with a list of an earlier term, or of an earlier position, gets only the closing and the
 // recently removed nodes: an incomplete state leaves the rest of its list untouched.
 std::string Followers::encode_full_state(Time now, catalog::Revision known, bool has_list) const {
   protocol::StateSnapshot standing;
   standing.at = end();
-  standing.complete = list_complete_;
+  standing.complete = list_complete_ && !has_list;
   standing.edges = edges(now);
   standing.coverage = coverage(now);
   standing.revision = view_.revision();
@@ -345,15 +345,21 @@
 }
 
 void Followers::await_full_state(Time now, Follower& follower) {
-  if (follower.synced || follower.waiting_since == Time{}) follower.waiting_since = now;
-  follower.synced = false;
+  if (follower.waiting_since == Time{}) follower.waiting_since = now;
+  follower.synced = follower.needs_list = false;
+  all_synced_ = false;
+}
+
+void Followers::await_list(Time now, Follower& follower) {
+  if (follower.waiting_since == Time{}) follower.waiting_since = now;
+  follower.needs_list = true;
   all_synced_ = false;
 }
 
 std::vector<std::pair<const LinkId, Followers::Follower>*> Followers::waiting_followers(Time now) {
   std::vector<std::pair<const LinkId, Follower>*> waiting;
   for (auto& each : followers_)
-    if (!each.second.synced) waiting.push_back(&each);
+    if (each.second.is_waiting()) waiting.push_back(&each);
   std::sort(waiting.begin(), waiting.end(), [now](const auto* a, const auto* b) {
     const bool a_lapsed = !has_lease(now, a->second), b_lapsed = !has_lease(now, b->second);
     return std::tie(a_lapsed, a->second.waiting_since, a->first) <
@@ -363,8 +369,8 @@
 }
 
 void Followers::add_full_states(Time now, std::vector<LinkFrame>& frames) {
-  const auto waits = [](const auto& each) { return !each.second.synced; };
-  if (std::none_of(followers_.begin(), followers_.end(), waits)) return;
+  const auto is_waiting = [](const auto& each) { return each.second.is_waiting(); };
+  if (std::none_of(followers_.begin(), followers_.end(), is_waiting)) return;
   std::size_t bytes = bytes_in_flight(now);
   if (bytes >= max_bytes_in_flight) {
     all_synced_ = false;
@@ -377,13 +383,14 @@
       continue;
     }
     const bool has_list =
-        !list_complete_ && follower.kind == protocol::FollowerKind::edge && follower.acked.term > 0;
+        !follower.needs_list && follower.kind == protocol::FollowerKind::edge && follower.acked.term > 0;
     const EncodedState& state = full_state_for(now, follower, has_list);
     frames.push_back({link, state.bytes});
     bytes += state.bytes.size();
     follower.synced = follower.got_full_state = true;
     follower.waiting_since = {};
-    follower.list_unverified = false;
+    follower.needs_list = false;
+    follower.list_unverified = has_list && list_complete_;
     follower.sent = follower.full_state_position = state.at;
     if (state.at < end()) changes_due_ = std::min(changes_due_, now);
     follower.full_state_bytes = state.bytes.size();
--- a/src/control_plane/followers.h
+++ b/src/control_plane/followers.h
@@ -89,7 +89,8 @@
     Time last_heard{};
     bool fetches_configurations = false;     // asks any member for those that it lacks
     bool synced = false;                     // needs no full state in this term, only changes
-    Time waiting_since{};                    // not synced: for a full state
+    bool needs_list = false;                 // gets changes, and the whole list of nodes in its turn
+    Time waiting_since{};                    // for a full state
     bool got_full_state = false;             // the last state sent was a full state
     Time retry_at{};                         // no full state before then: it could not read the last one
     std::size_t full_state_bytes = 0;        // of the full state that may be in flight
@@ -98,6 +99,7 @@
     std::uint64_t neighbours_version = 0;  // version of the ring last checked for it
     std::vector<std::string> neighbours;   // sent in this term
     bool list_unverified = false;          // the digest of its next acknowledgement is compared with ours
+    bool is_waiting() const { return !synced || needs_list; }
   };
   using FollowerMap = std::map<LinkId, Follower>;
   const FollowerMap& all() const { return followers_; }
@@ -117,6 +119,7 @@
   // The follower that acknowledges on a link that is not known as its own; end() if there is none.
   FollowerMap::iterator move_to_link(Time now, LinkId link, const protocol::Ack& ack);
   void await_full_state(Time now, Follower& follower);
+  void await_list(Time now, Follower& follower);
   // Followers that wait for a full state: those that hold a lease first, then by the time they have waited.
   std::vector<std::pair<const LinkId, Follower>*> waiting_followers(Time now);
   void add_full_states(Time now, std::vector<LinkFrame>& frames);
--- a/tests/system/configuration_delivery_test.cpp
+++ b/tests/system/configuration_delivery_test.cpp
@@ -2,6 +2,8 @@
 // behind.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 #include "control_plane/configuration_server.h"
 #include "simulation/cluster.h"
 
@@ -65,6 +67,7 @@
   CPPUNIT_TEST(bytesInFlightAreBoundedAndRequestsKeepTheirOrder);
   CPPUNIT_TEST(edgeIsNotSentACopyOfWhatIsOnItsWay);
   CPPUNIT_TEST(largeTextIsLeftOutForThoseThatAsk);
+  CPPUNIT_TEST(departuresDoNotWaitForWholeLists);
   CPPUNIT_TEST(linkOnWhichAProcessSpeaksCounts);
   CPPUNIT_TEST(edgeThatTheLeaderDoesNotReachIsNotLate);
   CPPUNIT_TEST(edgeThatDoesNotReachTheLeaderIsNotLate);
@@ -203,6 +206,59 @@
     CPPUNIT_ASSERT_EQUAL(catalog::Revision{4}, view.revision());
   }
 
+  // DRAIN: departures waited with the whole lists that go out in turns behind a new leader.
+  void departuresDoNotWaitForWholeLists() {
+    constexpr LinkId edges = 300;
+    catalog::Time now{catalog::Duration(50)};
+    subscription::ClusterView view;
+    control_plane::Followers followers(view);
+    followers.open(now, 2, true);
+    for (int i = 0; i < 2000; ++i) {
+      protocol::Change change;
+      change.kind = protocol::ChangeKind::node_updated;
+      change.update.node.id = "n" + std::to_string(i);
+      change.update.node.address = "1.1.1.1:" + std::to_string(i);
+      change.update.node.closing = i < 20;
+      followers.add(now, change);
+    }
+    for (LinkId link = 1; link <= edges; ++link) {
+      protocol::Hello edge = hello(link, 0);
+      edge.position = {1, 9};
+      followers.on_hello(now, link, edge);
+    }
+    now += 20ms;
+    const auto states = messages_in<protocol::StateSnapshot>(followers.take_frames(now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{edges}, states.size());
+    for (const auto& [link, state] : states) {
+      CPPUNIT_ASSERT(!state.complete);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{20}, state.nodes.size());
+    }
+    // None has the same list: each waits for the whole one, and gets changes meanwhile.
+    for (LinkId link = 1; link <= edges; ++link) {
+      protocol::Ack other_list = ack(link, 0);
+      other_list.at = states[0].second.at;
+      other_list.node_list_digest = 1;
+      followers.on_ack(now, link, other_list);
+    }
+    protocol::Change departure;
+    departure.kind = protocol::ChangeKind::node_retired;
+    departure.text = "n30";
+    followers.add(now, departure);
+    now += 20ms;
+    std::set<LinkId> told, complete;
+    for (int turn = 0; turn < 200 && complete.size() < edges; ++turn) {
+      const auto frames = followers.take_frames(now);
+      for (const auto& [link, changes] : messages_in<protocol::Changes>(frames)) told.insert(link);
+      for (const auto& [link, state] : messages_in<protocol::StateSnapshot>(frames))
+        if (state.complete) complete.insert(link), told.insert(link);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{edges}, told.size());
+      CPPUNIT_ASSERT(turn > 0 || complete.size() < edges);
+      now += 500ms;
+      for (LinkId link = 1; link <= edges; ++link) followers.on_ack(now, link, ack(link, 0));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{edges}, complete.size());
+  }
+
   // CONFIG, H3 of the incident: after a late hello on an earlier link the leader's updates went into that
   // one.
   void linkOnWhichAProcessSpeaksCounts() {
