Status and metrics of a member tell which edges lag, and the slowest

Change: follower_lag sums up the followers that hold a lease. /pearspar/status has inSync, waitedS and behind for each edge, and edgesWaiting, edgesBehind and slowestEdge; the metrics altavia_followers_in_sync, _waiting, _longest_wait_seconds and altavia_edges_behind say the same. `altavia status` counts those that wait and are behind, and names the slowest.

--- a/src/admin_client/session_status.cpp
+++ b/src/admin_client/session_status.cpp
@@ -30,15 +30,30 @@
   return notes;
 }
 
+// The edge that lags the most, as a member tells it; empty if none lags.
+std::string slowest_edge_line(const cJSON* status, const std::string& control) {
+  const cJSON* edge = cJSON_GetObjectItemCaseSensitive(status, "slowestEdge");
+  if (!cJSON_IsObject(edge)) return {};
+  std::string line =
+      fmt::format("slowest edge: {} in {}, edition {} of {}", text_of(edge, "nodeName"),
+                  text_of(edge, "zoneName"), text_of(edge, "edition"), text_of(status, "edition"));
+  if (cJSON_IsFalse(cJSON_GetObjectItemCaseSensitive(edge, "inSync")))
+    line += fmt::format(", has waited for a full state for {:.1f} s",
+                        cJSON_GetNumberValue(cJSON_GetObjectItemCaseSensitive(edge, "waitedS")));
+  return line + fmt::format(" (as {} knows)\n", control);
+}
+
 }  // namespace
 
 // Asks every member separately, so that disagreement between members is visible.
 int Session::status() {
   std::vector<std::vector<std::string>> rows = {
-      {"member", "leads", "term", "commit", "edition", "nodes", "edges", "leader", ""}};
+      {"member", "leads", "term", "commit", "edition", "nodes", "edges", "leader", "waiting", "behind", ""}};
   std::size_t answered = 0;
   bool leaderless = false;
   std::set<std::string> revisions, leaders;
+  std::string slowest_edge;
+  bool told_by_leader = false;
   for (const std::string& member : caller_.members()) {
     AdminReply reply =
         caller_.call_member(member, {"GET", "/pearspar/status", "", "", ""},
@@ -48,7 +63,7 @@
     if (!json) {
       std::string why = reply.status == 0 ? reply.fault : std::to_string(reply.status);
       if (why.starts_with(member + ": ")) why.erase(0, member.size() + 2);
-      rows.push_back({member, "-", "-", "-", "-", "-", "-", "-", why});
+      rows.push_back({member, "-", "-", "-", "-", "-", "-", "-", "-", "-", why});
       continue;
     }
     ++answered;
@@ -61,9 +76,14 @@
     rows.push_back({member, text_of(root, "leads"), text_of(root, "term"), text_of(root, "commit"),
                     text_of(root, "edition"), text_of(root, "nodes"),
                     std::to_string(cJSON_GetArraySize(cJSON_GetObjectItemCaseSensitive(root, "edges"))),
-                    leader.empty() ? "-" : leader, status_notes(root, member)});
+                    leader.empty() ? "-" : leader, text_of(root, "edgesWaiting"),
+                    text_of(root, "edgesBehind"), status_notes(root, member)});
+    // The leader's word counts, since only a leader knows who waits.
+    const bool leads = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(root, "leads"));
+    if (leads || (!told_by_leader && slowest_edge.empty())) slowest_edge = slowest_edge_line(root, member);
+    told_by_leader = told_by_leader || leads;
   }
-  if (!options_.json) std::fprintf(out_, "%s", format_table(rows).c_str());
+  if (!options_.json) std::fprintf(out_, "%s%s", format_table(rows).c_str(), slowest_edge.c_str());
   if (answered == 0) return fail(failed, "no member has answered");
   std::string problems;
   if (answered < caller_.members().size())
--- a/src/altavia/member.cpp
+++ b/src/altavia/member.cpp
@@ -5,6 +5,7 @@
 
 #include "allocation/allocation.h"
 #include "altavia/memory_shares.h"
+#include "control_plane/follower_lag.h"
 #include "invariants/invariants.h"
 #include "logging/log.h"
 
@@ -130,6 +131,8 @@
 
 std::vector<metrics::Sample> Member::samples() const {
   const raft::Core& core = member_.core();
+  const control_plane::FollowerLag lag = control_plane::follower_lag(
+      loop_.read_clock(), member_.controller().followers(), member_.state().revision());
   auto number = [](auto value) { return static_cast<double>(value); };
   std::vector<metrics::Sample> samples = {
       {"altavia_leads", "whether this member leads, its lease holding",
@@ -165,6 +168,13 @@
       {"altavia_nodes", "nodes known", number(member_.controller().view().nodes().all().size())},
       {"altavia_edges", "edges that hold a lease here",
        number(member_.controller().followers().edges(loop_.read_clock()))},
+      {"altavia_followers_in_sync", "edges and members in touch that need only changes, at a leader",
+       number(lag.in_sync)},
+      {"altavia_followers_waiting", "edges and members in touch that wait for a full state, at a leader",
+       number(lag.waiting)},
+      {"altavia_followers_longest_wait_seconds", "of those, for a full state", lag.longest_wait.count()},
+      {"altavia_edges_behind", "edges in touch that have not acknowledged the newest configuration here",
+       number(lag.edges_behind)},
       {"altavia_tokens_granted_total", "of the budget that edges share",
        number(member_.controller().pool().granted())},
       {"altavia_tokens_refused_total", "asked for and not there",
--- a/src/control_plane/report.cpp
+++ b/src/control_plane/report.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "control_plane/follower_lag.h"
+
 namespace pearspar::control_plane {
 namespace {
 
@@ -23,6 +25,17 @@
   std::string text_ = "[";
 };
 
+// An edge as /pearspar/status lists it. Only a leader knows whether an edge is in sync.
+std::string edge_json(Time now, const Followers& followers, const Followers::Follower& edge,
+                      catalog::Revision newest) {
+  const char* in_sync = !followers.is_open() ? "null" : edge.synced ? "true" : "false";
+  return fmt::format(R"({{"nodeName":{},"zoneName":{},"lease":{},"edition":{},"acknowledged":{},)"
+                     R"("inSync":{},"waitedS":{:.1f},"behind":{}}})",
+                     quoted(edge.name), quoted(edge.zone), Followers::has_lease(now, edge), edge.revision,
+                     edge.acked.number, in_sync, waited(now, followers, edge).count(),
+                     edge.revision < newest);
+}
+
 }  // namespace
 
 std::string error_json(std::string_view what) { return "{\"errorText\":" + quoted(what) + "}"; }
@@ -36,17 +49,18 @@
                             voter.address == core.leader_address()));
   for (const auto& [link, follower] : followers.all())
     if (follower.kind == protocol::FollowerKind::edge)
-      edges.add(fmt::format(R"({{"nodeName":{},"zoneName":{},"lease":{},"edition":{},"acknowledged":{}}})",
-                            quoted(follower.name), quoted(follower.zone), Followers::has_lease(now, follower),
-                            follower.revision, follower.acked.number));
+      edges.add(edge_json(now, followers, follower, state.revision()));
+  const FollowerLag lag = follower_lag(now, followers, state.revision());
   return fmt::format(
       R"({{"view":"local","nodeName":{},"leads":{},"leader":{},"term":{},"commit":{},"logEntries":{},)"
       R"("diskRefuses":{},"edition":{},"readable":{},)"
-      R"("wanted":{},"members":{},"nodes":{},"edges":{}}})",
+      R"("wanted":{},"members":{},"nodes":{},"edges":{},)"
+      R"("edgesWaiting":{},"edgesBehind":{},"slowestEdge":{}}})",
       quoted(name), core.holds_lease(now), quoted(core.leader_address()), core.term(), core.commit(),
       core.log().last() - core.log().snapshot().index, core.store_failed(), state.revision(),
       state.may_serve(), core.log().membership().target_size, members.text(), view.nodes().all().size(),
-      edges.text());
+      edges.text(), lag.edges_waiting, lag.edges_behind,
+      lag.slowest_edge ? edge_json(now, followers, *lag.slowest_edge, state.revision()) : "null");
 }
 
 std::string nodes_json(Time now, const subscription::ClusterView& view) {
--- a/tests/system/controller_test.cpp
+++ b/tests/system/controller_test.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "catalog/json.h"
+#include "control_plane/follower_lag.h"
 #include "control_plane/member.h"
 #include "simulation/disk.h"
 
@@ -45,6 +46,8 @@
   CPPUNIT_TEST(replyBytesPerTurnAreBounded);
   CPPUNIT_TEST(unknownForwardedCallChangesNothing);
   CPPUNIT_TEST(refusedCallsAreCountedByPathAndStatus);
+  CPPUNIT_TEST(statusNamesTheSlowestEdge);
+  CPPUNIT_TEST(statusOfALeaderCountsWaitingEdges);
   CPPUNIT_TEST(openApiFileMatchesTheCalls);
   CPPUNIT_TEST_SUITE_END();
 
@@ -55,6 +58,7 @@
     Member member;
     CallerId next = 0;
     std::map<CallerId, Reply> replies;
+    catalog::Json status_document;
     SingleMember() : member(wire, disk, raft_options(), controller_options()) { member.start(world.now()); }
     static raft::Options raft_options() {
       raft::Options options;
@@ -87,6 +91,13 @@
       return next;
     }
     int status(CallerId caller) { return replies.count(caller) ? replies[caller].status : 0; }
+    // A field of /pearspar/status; valid until the next call.
+    const cJSON* status_field(const char* field) {
+      catalog::Fault fault;
+      status_document = catalog::parse_json(replies[call("GET", "/pearspar/status")].body, fault);
+      CPPUNIT_ASSERT_EQUAL(std::string(), fault.text());
+      return cJSON_GetObjectItem(status_document.get(), field);
+    }
     int put(int base, const std::string& text) {
       return status(call("PUT", "/pearspar/config", std::to_string(base), text));
     }
@@ -300,6 +311,62 @@
     CPPUNIT_ASSERT(f.member.take_refused_calls().empty());
   }
 
+  // An operator could not tell which edge a change had not reached.
+  void statusNamesTheSlowestEdge() {
+    SingleMember f;
+    f.run(2);
+    CPPUNIT_ASSERT_EQUAL(200, f.put(0, config(3)));
+    const auto contact = [&](LinkId link, const std::string& name, catalog::Revision revision) {
+      protocol::Hello hello;
+      hello.incarnation = link;
+      hello.kind = protocol::FollowerKind::edge;
+      hello.name = name;
+      hello.zone = "b";
+      hello.revision = revision;
+      f.member.link_frame(f.world.now(), link, protocol::pack(hello));
+      f.advance();
+    };
+    contact(21, "newest", 3);
+    CPPUNIT_ASSERT(cJSON_IsNull(f.status_field("slowestEdge")));
+    CPPUNIT_ASSERT_EQUAL(0, f.status_field("edgesBehind")->valueint);
+    contact(22, "older", 2);
+    contact(23, "oldest", 1);
+    CPPUNIT_ASSERT_EQUAL(2, f.status_field("edgesBehind")->valueint);
+    const cJSON* slowest = f.status_field("slowestEdge");
+    CPPUNIT_ASSERT_EQUAL(std::string("oldest"),
+                         std::string(cJSON_GetObjectItem(slowest, "nodeName")->valuestring));
+    CPPUNIT_ASSERT_EQUAL(1, cJSON_GetObjectItem(slowest, "edition")->valueint);
+    CPPUNIT_ASSERT(cJSON_IsTrue(cJSON_GetObjectItem(slowest, "behind")));
+    // One that is cut off is listed, and no longer counts.
+    f.run(3);
+    CPPUNIT_ASSERT_EQUAL(0, f.status_field("edgesBehind")->valueint);
+    CPPUNIT_ASSERT_EQUAL(3, cJSON_GetArraySize(f.status_field("edges")));
+  }
+
+  // An edge that waited its turn for a full state looked like one in sync.
+  void statusOfALeaderCountsWaitingEdges() {
+    subscription::ClusterView view;
+    Followers followers(view);
+    Time now = Time(Duration(100));
+    protocol::Hello hello;
+    hello.incarnation = 21;
+    hello.kind = protocol::FollowerKind::edge;
+    followers.on_hello(now, 21, hello);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, follower_lag(now, followers, 0).waiting);  // no leader
+    followers.open(now, 1, true);
+    now += Duration(1.5);
+    FollowerLag lag = follower_lag(now, followers, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lag.waiting);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lag.edges_waiting);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, lag.in_sync);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, lag.longest_wait.count(), 1e-6);
+    CPPUNIT_ASSERT(lag.slowest_edge && lag.slowest_edge->incarnation == 21);
+    followers.take_frames(now);
+    lag = follower_lag(now, followers, 0);
+    CPPUNIT_ASSERT(lag.in_sync == 1 && lag.waiting == 0 && !lag.slowest_edge);
+    CPPUNIT_ASSERT_EQUAL(0.0, lag.longest_wait.count());
+  }
+
   // api/altavia.json lists exactly the calls that the controller serves, with their statuses.
   void openApiFileMatchesTheCalls() {
     std::ifstream file(PEARSPAR_ROOT "/api/altavia.json");
--- a/tests/system_process.sh
+++ b/tests/system_process.sh
@@ -63,6 +63,18 @@
 wants 0 $standin ask --at 127.77.1.1:28726 --path /g/x -n 20
 wants 0 op --json nodes; says closing_out
 
+# An edge that takes nothing while a change is acknowledged: status names it and counts it, until it has caught up.
+kill -STOP "${pid_of[edge1]}"
+wants 0 op config put <(configuration 5 shard0)
+names_the_slowest() { op status >"$dir/out"; grep -q "^slowest edge: edge1 in a, edition 4 of 5" "$dir/out"; }
+wait_until 2 "the slowest edge" names_the_slowest
+leader=$(op leader)
+wants 0 curl_text "${leader%%:*}:28729" /pearspar/metrics; says '^altavia_edges_behind{.*} 1'
+says '^altavia_followers_longest_wait_seconds{'
+kill -CONT "${pid_of[edge1]}"
+none_is_slow() { op status >"$dir/out"; ! grep -q "^slowest edge" "$dir/out"; }
+wait_until 5 "edge1 with edition 5" none_is_slow
+
 # The leader dies; the edge serves on; a change is taken by the next one.
 leader=$(op leader); name=core${leader#127.77.0.}; name=${name%%:*}
 old_id=$(op members | grep "${leader%%:*}:" | awk '{print $2}')
