An edge tells how late its configuration came, and when it refuses

Change: ConfigurationArrival keeps from whom the configuration came, its age as members told it, and the one that came over a second after the edge knew that its own had been replaced. The edge logs configuration_outdated where it begins to refuse and configuration_late when the configuration has come; the line "configuration" ends with the new field "from". New metrics: altavia_configuration_behind, _behind_seconds, _age_seconds, _from.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -41,6 +41,12 @@
   return dispatch::from_ms(settings.config_within_ms) * max_configuration_lag_share;
 }
 
+// For how long the edge has known of a newer configuration than its own; zero if it knows of none.
+net::Duration behind_for(const subscription::ConfigurationWatch& watch, net::Time now) {
+  return watch.is_behind() ? std::max(net::Duration{}, net::Duration(now - watch.behind_since()))
+                           : net::Duration{};
+}
+
 void warn(std::string_view what) { log(Level::warning, "front_door", {{"what", what}}); }
 
 }  // namespace
@@ -112,7 +118,38 @@
   log(Level::info, "configuration",
       {{"edition", configuration->revision},
        {"routes", configuration->routes.size()},
-       {"confirmed", proxy_.gateway().dispatcher().routes_confirmed(loop_.now())}});
+       {"confirmed", proxy_.gateway().dispatcher().routes_confirmed(loop_.now())},
+       {"from", name_of(proxy_.gateway().follower().configuration_arrival().source())}});
+}
+
+// Logs when the edge begins to refuse requests, since it has not received a configuration that it knows of.
+void Edge::log_outdated_configuration() {
+  const subscription::Follower& follower = proxy_.gateway().follower();
+  const subscription::ConfigurationWatch& watch = follower.configuration_watch();
+  const bool outdated = loop_.now() >= watch.outdated_from();
+  if (outdated == configuration_outdated_) return;
+  configuration_outdated_ = outdated;
+  if (!outdated) return;
+  log(Level::warning, "configuration_outdated",
+      {{"edition", follower.view().revision()},
+       {"newest", watch.newest_announced()},
+       {"behind_s", behind_for(watch, loop_.now()).count()},
+       {"from", name_of(follower.configuration_arrival().source())}});
+}
+
+// Logs a configuration that the edge knew of for long before it came.
+void Edge::log_late_configuration() {
+  subscription::Follower& follower = proxy_.gateway().follower();
+  const std::uint64_t refused = proxy_.gateway().dispatcher().counters().outdated_requests;
+  const auto late = follower.take_late_configuration();
+  if (late)
+    log(Level::warning, "configuration_late",
+        {{"edition", late->revision},
+         {"from", name_of(late->source)},
+         {"behind_s", late->behind_for.count()},
+         {"age_s", late->age.count()},
+         {"refused", refused - refused_before_}});
+  if (late || !follower.configuration_watch().is_behind()) refused_before_ = refused;
 }
 
 // Logs when a leader has confirmed the configuration, and when that is too long ago.
@@ -138,8 +175,12 @@
   proxy_.after_turn();
   apply_configuration();
   log_confirmation();
+  log_outdated_configuration();
+  log_late_configuration();
   if (stopping_) start_draining();
   net::Time due = proxy_.gateway().due(now);
+  if (!configuration_outdated_)
+    due = std::min(due, proxy_.gateway().follower().configuration_watch().outdated_from());
   if (stopping_) due = std::min(due, now + net::Duration(0.05));
   due_timer_ = loop_.at(std::max(due, now), [] {});
 }
@@ -179,6 +220,8 @@
   const quota::EdgeQuotaCounters& edge_quota = proxy_.gateway().edge_quota().counters();
   const upstream::LinkCounters& links = proxy_.nodes().counters();
   const clients::HttpServerCounters& front = proxy_.front().counters();
+  const subscription::ConfigurationWatch& watch = proxy_.gateway().follower().configuration_watch();
+  const subscription::ConfigurationArrival& arrival = proxy_.gateway().follower().configuration_arrival();
   const rollout::EdgeRolloutCounters& rollouts = proxy_.gateway().edge_rollouts().counters();
   auto number = [](auto value) { return static_cast<double>(value); };
   return {
@@ -258,6 +301,16 @@
       {"altavia_open", "requests under way", number(proxy_.gateway().dispatcher().open_requests())},
       {"altavia_coverage", "share of the weight that is asked", proxy_.gateway().dispatcher().coverage()},
       {"altavia_edition", "configuration in force", number(proxy_.gateway().follower().view().revision())},
+      {"altavia_configuration_behind", "whether members have announced a newer configuration",
+       watch.is_behind() ? 1.0 : 0.0},
+      {"altavia_configuration_behind_seconds", "for how long that has been known",
+       behind_for(watch, loop_.now()).count()},
+      {"altavia_configuration_age_seconds", "since the configuration was first known to be in force",
+       arrival.age(loop_.now()).count()},
+      {"altavia_configuration_from",
+       "1: by which way the configuration came",
+       1,
+       {{"source", std::string(name_of(arrival.source()))}}},
       {"altavia_nodes", "nodes known", number(proxy_.gateway().follower().view().nodes().all().size())},
       {"altavia_edges", "edges that hold a lease", number(proxy_.gateway().follower().view().edge_count())},
       {"altavia_ready", "whether it takes clients", ready() ? 1.0 : 0.0},
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -2,6 +2,7 @@
 // members and other edges, and shutdown.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,8 @@
 
   void apply_configuration();
   void log_confirmation();
+  void log_outdated_configuration();
+  void log_late_configuration();
   void each_second();
   // Carries on a shutdown that has begun.
   void start_draining();
@@ -61,6 +64,8 @@
   net::Timer second_timer_;
   net::Timer due_timer_;
   bool configuration_confirmed_ = false;  // as logged last
+  bool configuration_outdated_ = false;   // as logged last: requests are refused
+  std::uint64_t refused_before_ = 0;      // outdated requests before the edge fell behind
   bool stopping_ = false;
   bool stopped_ = false;
   net::Time stop_listening_at_{};
--- a/src/subscription/follower.cpp
+++ b/src/subscription/follower.cpp
@@ -114,18 +114,23 @@
     }
     auto result = view_.apply(now, *snapshot);
     if (result == ClusterView::ApplyResult::applied && snapshot->complete) list_complete_ = true;
+    record_arrival(now, ConfigurationSource::leader_state);
+    return handle_result(now, link, result);
+  }
+  if (const auto* changes = std::get_if<protocol::Changes>(&*message)) {
+    auto result = view_.apply(now, *changes);
+    record_arrival(now, ConfigurationSource::leader_update);
     return handle_result(now, link, result);
   }
-  if (const auto* changes = std::get_if<protocol::Changes>(&*message))
-    return handle_result(now, link, view_.apply(now, *changes));
   if (const auto* ping = std::get_if<protocol::Ping>(&*message))
     return handle_result(now, link, view_.apply(*ping));
   if (const auto* notice = std::get_if<protocol::ConfigurationNotice>(&*message)) {
     watch_.on_announced(now, {link, notice->zone == options_.zone}, notice->revision);
+    arrival_.on_announced(now, notice->revision, notice->age_ms);
     return false;
   }
   if (const auto* update = std::get_if<protocol::ConfigurationUpdate>(&*message))
-    return handle_configuration(link, *update);
+    return handle_configuration(now, link, *update);
   if (const auto* grant = std::get_if<protocol::TokenGrant>(&*message)) {
     // Lifetimes count from the request, so that tokens expire here before they expire at the leader.
     if (grant->number != token_request_) return false;
@@ -180,16 +185,23 @@
 }
 
 // Acknowledged to the leader too, which counts the edges that lack the configuration.
-bool Follower::handle_configuration(transport::LinkId link, const protocol::ConfigurationUpdate& update) {
+bool Follower::handle_configuration(Time now, transport::LinkId link,
+                                    const protocol::ConfigurationUpdate& update) {
   const catalog::Revision before = view_.revision();
   view_.apply(update);
   if (view_.revision() == before) return false;
+  arrival_.on_announced(now, update.revision, update.age_ms);
+  record_arrival(now, ConfigurationSource::member_answer);
   watch_.on_adopted(view_.revision());
   transport_.send(link, ack());
   if (leader_link_ != 0 && leader_link_ != link) transport_.send(leader_link_, ack());
   return true;
 }
 
+void Follower::record_arrival(Time now, ConfigurationSource source) {
+  arrival_.on_adopted(now, view_.revision(), source, watch_.behind_since());
+}
+
 void Follower::request_configuration(Time now) {
   if (const auto link = watch_.take_request(now))
     transport_.send(*link,
@@ -245,6 +257,7 @@
   std::vector<protocol::StateSnapshot> snapshots = std::exchange(provisional_, {});
   if (view_.at() != protocol::Position{}) return false;
   for (const protocol::StateSnapshot& snapshot : snapshots) view_.apply(now, snapshot);
+  record_arrival(now, ConfigurationSource::provisional_state);
   watch_.on_adopted(view_.revision());
   list_complete_ = view_.is_usable();
   return true;
--- a/src/subscription/follower.h
+++ b/src/subscription/follower.h
@@ -8,11 +8,13 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "subscription/cluster_view.h"
+#include "subscription/configuration_arrival.h"
 #include "subscription/configuration_watch.h"
 #include "subscription/core_discovery.h"
 #include "transport/transport.h"
@@ -56,6 +58,9 @@
   Time configuration_confirmed_until() const { return confirmed_until_; }
   // Whether members have announced a newer configuration, and since when.
   const ConfigurationWatch& configuration_watch() const { return watch_; }
+  // From whom the configuration came, and how late, for reports.
+  const ConfigurationArrival& configuration_arrival() const { return arrival_; }
+  std::optional<LateConfiguration> take_late_configuration() { return arrival_.take_late(); }
   // Sets this edge's coverage in percent, which acknowledgements report.
   void set_coverage(std::uint32_t percent) { coverage_ = percent; }
   // Requests retry tokens from the leader. Returns false where none was sent.
@@ -86,7 +91,9 @@
   std::string hello() const;
   std::string ack() const;
   bool handle_result(Time now, transport::LinkId link, ClusterView::ApplyResult result);
-  bool handle_configuration(transport::LinkId link, const protocol::ConfigurationUpdate& update);
+  bool handle_configuration(Time now, transport::LinkId link, const protocol::ConfigurationUpdate& update);
+  // To be called after the view has changed, before watch_ is told.
+  void record_arrival(Time now, ConfigurationSource source);
   void request_configuration(Time now);
   bool apply_provisional(Time now);
   bool leader_is_silent(Time now) const;
@@ -98,6 +105,7 @@
   FollowerOptions options_;
   ClusterView view_;
   ConfigurationWatch watch_;
+  ConfigurationArrival arrival_;
   std::vector<transport::LinkId> member_links_;
   std::vector<transport::LinkId> edge_links_;  // to edges that are being queried
   CoreDiscovery discovery_;
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -14,6 +14,8 @@
 #include "protocol/raft_codec.h"
 #include "storage/lmdb_store.h"
 #include "subscription/cluster_view.h"
+#include "subscription/configuration_arrival.h"
+#include "subscription/follower.h"
 #include "temp_folder.h"
 
 namespace pearspar {
@@ -57,6 +59,9 @@
   CPPUNIT_TEST(corruptMessagesAreReadSafely);
   CPPUNIT_TEST(updatesApplyInOrderAndNeverGoBack);
   CPPUNIT_TEST(incompleteListRemovesNoNodes);
+  CPPUNIT_TEST(lateConfigurationIsReportedOnce);
+  CPPUNIT_TEST(configurationAgeCountsFromTheMember);
+  CPPUNIT_TEST(followerTellsByWhichWayItsConfigurationCame);
   CPPUNIT_TEST(storeReturnsWhatWasSaved);
   CPPUNIT_TEST(storeRejectsAnotherFormat);
   CPPUNIT_TEST(tornWriteKeepsThePreviousCommit);
@@ -239,6 +244,86 @@
     CPPUNIT_ASSERT(!view.nodes().find("a"));
   }
 
+  // A change that came late left no trace at the edge, or one with each update.
+  void lateConfigurationIsReportedOnce() {
+    using subscription::ConfigurationSource;
+    const catalog::Time start{catalog::Duration(100)};
+    const auto at = [&](double seconds) { return start + catalog::Duration(seconds); };
+    subscription::ConfigurationArrival arrival;
+    arrival.on_adopted(start, 3, ConfigurationSource::leader_state, catalog::Time::max());
+    CPPUNIT_ASSERT(!arrival.take_late());
+    arrival.on_adopted(at(1), 4, ConfigurationSource::leader_update, at(0));
+    CPPUNIT_ASSERT(!arrival.take_late());  // not over a second
+    arrival.on_announced(at(3), 5, 500);
+    arrival.on_adopted(at(4.5), 5, ConfigurationSource::member_answer, at(3));
+    arrival.on_adopted(at(5), 5, ConfigurationSource::leader_state, at(3));  // again, by another way
+    const auto late = arrival.take_late();
+    CPPUNIT_ASSERT(late && late->revision == 5 && late->source == ConfigurationSource::member_answer);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, late->behind_for.count(), 1e-6);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, late->age.count(), 1e-6);
+    CPPUNIT_ASSERT(!arrival.take_late());
+  }
+
+  // The age was counted from its arrival here, however old the configuration was by then.
+  void configurationAgeCountsFromTheMember() {
+    using subscription::ConfigurationSource;
+    const catalog::Time start{catalog::Duration(100)};
+    subscription::ConfigurationArrival arrival;
+    CPPUNIT_ASSERT_EQUAL(0.0, arrival.age(start).count());
+    arrival.on_announced(start, 5, 2000);
+    arrival.on_adopted(start + catalog::Duration(1), 5, ConfigurationSource::leader_update, start);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, arrival.age(start + catalog::Duration(2)).count(), 1e-6);
+    // A member that applied it earlier.
+    arrival.on_announced(start + catalog::Duration(2), 5, 9000);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(9.0, arrival.age(start + catalog::Duration(2)).count(), 1e-6);
+    // The age of a newer one is not that of the older one.
+    arrival.on_adopted(start + catalog::Duration(3), 6, ConfigurationSource::leader_update,
+                       catalog::Time::max());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, arrival.age(start + catalog::Duration(4)).count(), 1e-6);
+  }
+
+  struct SilentTransport : transport::Transport {
+    void set_targets(const std::vector<std::string>&) override {}
+    bool send_to(const std::string&, std::string_view) override { return true; }
+    bool send(transport::LinkId, std::string_view) override { return true; }
+  };
+
+  // Each way looked the same in the log, so that nobody could say which one had failed.
+  void followerTellsByWhichWayItsConfigurationCame() {
+    using subscription::ConfigurationSource;
+    constexpr transport::LinkId link = 7;
+    const catalog::Time start{catalog::Duration(100)};
+    SilentTransport wire;
+    subscription::Follower follower(wire, {});
+    follower.start(start);
+    follower.link_up(link, "m:1");
+    const auto receive = [&](double seconds, const auto& message) {
+      follower.link_frame(start + catalog::Duration(seconds), link, protocol::pack(message));
+    };
+    CPPUNIT_ASSERT(follower.configuration_arrival().source() == ConfigurationSource::none);
+    protocol::StateSnapshot state;
+    state.at = {2, 5};
+    state.revision = 7;
+    state.configuration = good_config;
+    receive(0, state);
+    CPPUNIT_ASSERT(follower.configuration_arrival().source() == ConfigurationSource::leader_state);
+    protocol::Change change;
+    change.kind = protocol::ChangeKind::configuration;
+    change.revision = 8;
+    change.text = with(good_config, "\"edition\":7", "\"edition\":8");
+    receive(0.5, protocol::Changes{{2, 5}, {change}});
+    CPPUNIT_ASSERT(follower.configuration_arrival().source() == ConfigurationSource::leader_update);
+    CPPUNIT_ASSERT(!follower.take_late_configuration());
+    receive(1, protocol::ConfigurationNotice{9, 250, "z"});
+    receive(2.5,
+            protocol::ConfigurationUpdate{0, 9, 1750, with(good_config, "\"edition\":7", "\"edition\":9")});
+    CPPUNIT_ASSERT(follower.configuration_arrival().source() == ConfigurationSource::member_answer);
+    const auto late = follower.take_late_configuration();
+    CPPUNIT_ASSERT(late && late->revision == 9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, late->behind_for.count(), 1e-6);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.75, late->age.count(), 1e-6);
+  }
+
   static raft::Entry entry(raft::Index index, const std::string& data) {
     return {index, 4, raft::EntryKind::change, data, {}};
   }
