--- a/src/subscription/follower.cpp
+++ b/src/subscription/follower.cpp
@@ -117,19 +117,24 @@
     if (snapshot->at == protocol::Position{}) return handle_provisional(now, link, *snapshot);
     auto result = view_.apply(now, *snapshot);
     if (result == ClusterView::ApplyResult::applied && snapshot->complete) list_complete_ = true;
+    record_arrival(now, ConfigurationSource::leader_state);
+    return handle_result(now, link, result);
+  }
+  if (const auto* changes = std::get_if<protocol::Changes>(&*message)) {
+    auto result = view_.apply(now, *changes);
+    record_arrival(now, ConfigurationSource::leader_update);
     return handle_result(now, link, result);
   }
-  if (const auto* changes = std::get_if<protocol::Changes>(&*message))
-    return handle_result(now, link, view_.apply(now, *changes));
   if (const auto* ping = std::get_if<protocol::Ping>(&*message))
     return handle_result(now, link, view_.apply(*ping));
   if (const auto* notice = std::get_if<protocol::ConfigurationNotice>(&*message)) {
     watch_.on_announced(now, {link, notice->zone == options_.zone}, notice->revision,
                         std::chrono::milliseconds(notice->age_ms));
+    arrival_.on_announced(now, notice->revision, notice->age_ms);
     return false;
   }
   if (const auto* update = std::get_if<protocol::ConfigurationUpdate>(&*message))
-    return handle_configuration(now, link, *update);
+    return handle_configuration(now, link, *update, ConfigurationSource::member_answer);
   if (const auto* grant = std::get_if<protocol::TokenGrant>(&*message)) {
     // Lifetimes count from the request, so that tokens expire here before they expire at the leader.
     if (grant->number != token_request_) return false;
@@ -185,7 +190,7 @@
 
 // Acknowledged to the leader too, which counts the edges that lack the configuration.
 bool Follower::handle_configuration(Time now, transport::LinkId link,
-                                    const protocol::ConfigurationUpdate& update) {
+                                    const protocol::ConfigurationUpdate& update, ConfigurationSource source) {
   const catalog::Revision before = view_.revision();
   view_.apply(update);
   if (view_.revision() == before) {
@@ -193,6 +198,8 @@
     if (is_whole && update.revision > before) watch_.on_unreadable(now, update.revision);
     return false;
   }
+  arrival_.on_announced(now, update.revision, update.age_ms);
+  record_arrival(now, source);
   watch_.on_adopted(now, view_.revision());
   transport_.send(link, ack());
   if (leader_link_ != 0 && leader_link_ != link) transport_.send(leader_link_, ack());
@@ -203,13 +210,18 @@
 // counts, if it is newer.
 bool Follower::handle_provisional(Time now, transport::LinkId link, const protocol::StateSnapshot& snapshot) {
   if (view_.at() != protocol::Position{})
-    return handle_configuration(now, link, {0, snapshot.revision, 0, snapshot.configuration});
+    return handle_configuration(now, link, {0, snapshot.revision, 0, snapshot.configuration},
+                                ConfigurationSource::provisional_state);
   if (provisional_.size() >= max_provisional) return false;
   if (provisional_due_ == Time::max()) provisional_due_ = now + provisional_delay;
   provisional_.push_back(snapshot);
   return false;
 }
 
+void Follower::record_arrival(Time now, ConfigurationSource source) {
+  arrival_.on_adopted(now, view_.revision(), source, watch_.behind_since());
+}
+
 void Follower::request_configuration(Time now) {
   if (const auto link = watch_.take_request(now))
     transport_.send(*link,
@@ -263,6 +275,7 @@
   for (const protocol::StateSnapshot& snapshot : snapshots)
     if (snapshot.revision > view_.revision())
       view_.apply(protocol::ConfigurationUpdate{0, snapshot.revision, 0, snapshot.configuration});
+  record_arrival(now, ConfigurationSource::provisional_state);
   watch_.on_adopted(now, view_.revision());
   return view_.revision() != before;
 }
@@ -275,6 +288,7 @@
   std::vector<protocol::StateSnapshot> snapshots = std::exchange(provisional_, {});
   if (view_.at() != protocol::Position{}) return adopt_newer(now, snapshots);
   for (const protocol::StateSnapshot& snapshot : snapshots) view_.apply(now, snapshot);
+  record_arrival(now, ConfigurationSource::provisional_state);
   watch_.on_adopted(now, view_.revision());
   list_complete_ = view_.is_usable();
   return true;
