The judge of roll-outs notes a decision when a member applies it

The leases are unchanged.

Change: members are asked after each of their steps. The bound of half and the places where it is checked stay as they are. Each roll-out's decision is noted once, by its number: earlier, a member that lagged behind could have marked a later order of the same version as decided (read, not seen in a run).

--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "control_plane/member.h"
 #include "dispatch/dispatcher.h"
 #include "edge_gateway/edge_gateway.h"
+#include "rollout/rollout_ledger.h"
 #include "simulation/auditor.h"
 #include "simulation/call_judge.h"
 #include "simulation/checker.h"
@@ -274,7 +276,8 @@
   void arrived(Node& node, const std::string& id);
   // Whether this answer of the node's version is a failure.
   bool answers_badly(Node& node, const std::string& target);
-  void note_decisions(const Node& node);
+  // Asked after each step of a member: it may die before a request reaches a server.
+  void note_decisions(const control_plane::Member& member);
   double calm_seconds(double since) const;
   void touched(const std::string& address);
   void cut(const std::string& address, const std::string& other);
@@ -312,6 +315,7 @@
   CallJudge calls_{[this](const std::string& rule, const std::string& what) { checker_.broken(rule, what); }};
   RolloutJudge rollout_judge_{
       [this](const std::string& rule, const std::string& what) { checker_.broken(rule, what); }};
+  std::set<rollout::RolloutNumber> decided_rollouts_;  // that the judge was told of
   std::vector<std::unique_ptr<Core>> cores_;
   std::vector<std::unique_ptr<Edge>> edges_;
   std::vector<std::unique_ptr<Node>> nodes_;
--- a/src/simulation/cluster_core.cpp
+++ b/src/simulation/cluster_core.cpp
@@ -84,6 +84,7 @@
       });
       process.askers.erase(caller);
     }
+    if (process.member->started()) note_decisions(*process.member);
     if (process.member->started() && process.member->core().holds_lease(process.own(ready())))
       for (const auto& other : cores_)
         if (other.get() != &core && other->process && ready() == world_.now() &&
--- a/src/simulation/cluster_rollouts.cpp
+++ b/src/simulation/cluster_rollouts.cpp
@@ -110,19 +110,18 @@
   auto& load = service_load_[node.service];
   load.push_back(world_.now());
   while (load.front() < world_.now() - Duration(1)) load.pop_front();
-  note_decisions(node);
   rollout_judge_.arrived(seconds(), node.service, node.version, edge_in_touch());
 }
 
-// What members have applied tells when more than leases may go to a version.
-void Cluster::note_decisions(const Node& node) {
-  if (node.version == "v1") return;
-  for (const auto& core : cores_) {
-    if (!core->process || !core->process->member->started()) continue;
-    const auto* record = core->process->member->state().rollouts().find(node.service);
-    if (record && record->rollout && record->rollout->target == node.version &&
-        (record->rollout->share_permille > 0 || record->rollout->state == rollout::RolloutState::delivered))
-      rollout_judge_.decided(node.service, node.version);
+// What a member has applied tells that more than leases may go to a version. Each roll-out is noted once,
+// when the first member has applied that: a later order of the same version is undecided again.
+void Cluster::note_decisions(const control_plane::Member& member) {
+  for (const auto& [service, record] : member.state().rollouts().services()) {
+    if (!record.rollout) continue;
+    const rollout::Rollout& applied = *record.rollout;
+    bool decided = applied.share_permille > 0 || applied.state == rollout::RolloutState::delivered;
+    if (decided && decided_rollouts_.insert(applied.number).second)
+      rollout_judge_.decided(service, applied.target);
   }
 }
 
--- a/tests/system/rollouts_test.cpp
+++ b/tests/system/rollouts_test.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(leasesKeepANewVersionUnderHalfOfItsShare);
   CPPUNIT_TEST(leasesHoldBesideLossesOfEdgesAndLeaders);
   CPPUNIT_TEST(leasesHoldAtThinTraffic);
+  CPPUNIT_TEST(callsAfterTheDecisionAreNoneBeforeItThoughAllMembersDied);
   CPPUNIT_TEST(badVersionIsReturnedWhateverItsFault);
   CPPUNIT_TEST(goodVersionIsDelivered);
   CPPUNIT_TEST(versionWithoutServersIsReturned);
@@ -22,6 +23,16 @@
   CPPUNIT_TEST(schedulesWithRolloutsBreakNoRule);
   CPPUNIT_TEST_SUITE_END();
 
+  // Whether a member has applied that a share of the calls goes to the new version.
+  static bool moves_share(const Cluster& cluster) {
+    for (std::size_t core = 0; core < cluster.cores(); ++core) {
+      const control_plane::Member* member = cluster.member(core);
+      const rollout::ServiceRecord* record = member ? member->state().rollouts().find("shard0") : nullptr;
+      if (record && record->rollout && record->rollout->share_permille > 0) return true;
+    }
+    return false;
+  }
+
  public:
   // Issue 66, SHORT: an order of a roll-out had no acknowledgement after 6 s of calm.
   void orderIsAcknowledgedInACalmStretch() {
@@ -176,6 +187,24 @@
     }
   }
 
+  // Issue 66, a false alarm of EXPOSURE: all members died after a decision, before a request reached the new
+  // version again, and the calls that edges sent under it were judged as undecided ones.
+  void callsAfterTheDecisionAreNoneBeforeItThoughAllMembersDied() {
+    for (std::uint64_t seed = 1; seed <= 4 * rollout_seeds; ++seed) {
+      Cluster cluster(large_cluster(seed));
+      start_cluster(cluster);
+      cluster.order_rollout({"shard0", "v2", 15});
+      for (int i = 0; i < 14000 && !moves_share(cluster); ++i) cluster.run(0.001);
+      CPPUNIT_ASSERT(moves_share(cluster));
+      cluster.set_request_rate(2);  // hardly any until the members are gone
+      cluster.run(0.2);             // edges hear of the share
+      for (std::size_t core = 0; core < cluster.cores(); ++core) cluster.kill_core(core, 3, false);
+      cluster.set_request_rate(400);
+      cluster.run(10);
+      check_rules(cluster);
+    }
+  }
+
   // Issue 66, EXPOSURE and the duty: each way in which a version is bad, under its share until it is
   // returned.
   void badVersionIsReturnedWhateverItsFault() {
