Real processes: which configuration each edge goes by, judged from outside

The soak judged an edge's configuration by its own log and at the end of a run only; nothing judged configWithinMs at each edge, and no link of an edge was ever cut in one direction (issue CONFIG).

- Configurations with traffic carry routes that changes add, drop and move, decided by the revision alone.
Three probers an edge ask for them all over the run.
A late one breaks CONFIG; the largest lag and its edge are in each run's summary.
- Edges half cut: edge_cut_in, edge_cut_out, edge_cut_leader_in and _out.
- The blocking connection of the misbehaving clients is ClientConnection now, shared with the probers.
Probes get 404 where a route is gone, so they are left out of DENIED's "in every configuration"; all other rules hold for them.
- configWithinMs and inTouchMs stand in the settings that the soak writes.

--- /dev/null
+++ b/tests/processes/configuration_judge.cpp
@@ -0,0 +1,186 @@
+#include "processes/configuration_judge.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace pearspar::processes {
+namespace {
+
+constexpr std::uint64_t brief_step = 4, brief_kept = 8;  // revisions a block, blocks kept beside the newest
+constexpr std::uint64_t steady_step = 64, steady_kept = 1;
+constexpr std::uint64_t moved_step = 8;
+constexpr const char* services[] = {"plain", "shard0", "shard1"};
+constexpr double seconds_per_ms = 0.001;
+constexpr double config_within_s = config_within_ms * seconds_per_ms;
+constexpr double in_touch_s = in_touch_ms * seconds_per_ms;
+constexpr double outer_s = outer_ms * seconds_per_ms;
+
+bool is_kept(std::uint64_t block, std::uint64_t newest, std::uint64_t kept) {
+  return block <= newest && block + kept >= newest;
+}
+
+void add_kept(std::vector<ProbeRoute>& routes, ProbeRoute::Family family, std::uint64_t newest,
+              std::uint64_t kept) {
+  for (std::uint64_t block = newest > kept ? newest - kept : 0; block <= newest; ++block)
+    routes.push_back({family, block});
+}
+
+std::optional<std::uint64_t> number_after(const std::string& path, const std::string& prefix) {
+  if (!path.starts_with(prefix)) return std::nullopt;
+  return std::strtoull(path.c_str() + prefix.size(), nullptr, 10);
+}
+
+bool overlaps(const std::pair<double, double>& span, double from, double until) {
+  return span.first <= until && span.second >= from;
+}
+
+// The newest revision that may have been acknowledged for longer than the bound when the probe was sent.
+std::uint64_t oldest_allowed(const std::vector<Change>& changes, double acknowledged_before) {
+  std::uint64_t oldest = 0;
+  for (const Change& change : changes)
+    if (change.acknowledged_at < acknowledged_before) oldest = std::max(oldest, change.revision);
+  return oldest;
+}
+
+// The newest revision, sent by then, that handles the probe so; none if there is no such revision.
+std::optional<std::uint64_t> newest_like(const std::vector<Change>& ascending, const ProbeOutcome& probe,
+                                         const ProbeRoute& route) {
+  for (auto change = ascending.rbegin(); change != ascending.rend(); ++change)
+    if (change->sent_at <= probe.handled_at && route.service_at(change->revision) == probe.service)
+      return change->revision;
+  return std::nullopt;
+}
+
+// How long a revision above this one had been acknowledged when the probe was sent.
+double lag_behind(const std::vector<Change>& changes, std::uint64_t revision, double sent_at) {
+  double lag = 0;
+  for (const Change& change : changes)
+    if (change.revision > revision) lag = std::max(lag, sent_at - change.acknowledged_at);
+  return lag;
+}
+
+std::string text_of(const Lag& lag) {
+  if (lag.seconds <= 0) return "0.000 s";
+  return fmt::format("{:.3f} s ({} at {}, {} {})", lag.seconds, lag.probe.path, lag.probe.edge,
+                     lag.probe.service ? "run by " + *lag.probe.service : "404", lag.probe.id);
+}
+
+void keep_larger(Lag& largest, double seconds, const ProbeOutcome& probe) {
+  if (seconds > largest.seconds) largest = {seconds, probe};
+}
+
+}  // namespace
+
+std::string ProbeRoute::path_prefix() const {
+  switch (family) {
+    case Family::brief:
+      return fmt::format("/brief/{}/", block);
+    case Family::steady:
+      return fmt::format("/steady/{}/", block);
+    case Family::moved:
+      break;
+  }
+  return "/moved/";
+}
+
+std::optional<ProbeRoute> ProbeRoute::of_path(const std::string& path) {
+  if (const auto block = number_after(path, "/brief/")) return ProbeRoute{Family::brief, *block};
+  if (const auto block = number_after(path, "/steady/")) return ProbeRoute{Family::steady, *block};
+  if (path.starts_with("/moved/")) return ProbeRoute{Family::moved, 0};
+  return std::nullopt;
+}
+
+std::optional<std::string> ProbeRoute::service_at(std::uint64_t revision) const {
+  if (family == Family::moved) return services[revision / moved_step % std::size(services)];
+  const bool is_brief = family == Family::brief;
+  const std::uint64_t newest = is_brief ? brief_block_added(revision) : steady_block_added(revision);
+  if (!is_kept(block, newest, is_brief ? brief_kept : steady_kept)) return std::nullopt;
+  return services[0];
+}
+
+std::vector<ProbeRoute> probe_routes(std::uint64_t revision) {
+  std::vector<ProbeRoute> routes{{ProbeRoute::Family::moved, 0}};
+  add_kept(routes, ProbeRoute::Family::brief, brief_block_added(revision), brief_kept);
+  add_kept(routes, ProbeRoute::Family::steady, steady_block_added(revision), steady_kept);
+  return routes;
+}
+
+std::uint64_t brief_block_added(std::uint64_t revision) { return revision / brief_step; }
+
+std::uint64_t brief_block_dropped(std::uint64_t revision) {
+  const std::uint64_t newest = brief_block_added(revision);
+  return newest > brief_kept ? newest - brief_kept - 1 : 0;
+}
+
+std::uint64_t steady_block_added(std::uint64_t revision) { return revision / steady_step; }
+
+void ConfigurationVerdict::add(const ConfigurationVerdict& other) {
+  late.insert(late.end(), other.late.begin(), other.late.end());
+  settled += other.settled;
+  unsettled += other.unsettled;
+  keep_larger(largest_settled, other.largest_settled.seconds, other.largest_settled.probe);
+  keep_larger(largest_unsettled, other.largest_unsettled.seconds, other.largest_unsettled.probe);
+}
+
+std::string ConfigurationVerdict::summary() const {
+  return fmt::format(
+      "configuration lag: {} probes in touch, largest {}; {} beside an unsettled core, largest {}; late {}",
+      settled, text_of(largest_settled), unsettled, text_of(largest_unsettled), late.size());
+}
+
+std::optional<double> ConfigurationJudge::bound_for(const ProbeOutcome& probe) const {
+  const double from = probe.sent_at - in_touch_s;
+  if (const auto found = edge_troubled_.find(probe.edge); found != edge_troubled_.end())
+    for (const auto& span : found->second)
+      if (overlaps(span, from, probe.handled_at)) return std::nullopt;
+  const bool disturbed = std::any_of(core_disturbed_.begin(), core_disturbed_.end(),
+                                     [&](double at) { return at >= from && at <= probe.handled_at; });
+  if (!disturbed && core_ran(from, probe.handled_at)) return config_within_s;
+  const double stretched = config_within_s + outer_s;
+  if (!core_ran(probe.sent_at - stretched, probe.handled_at)) return std::nullopt;
+  return stretched;
+}
+
+bool ConfigurationJudge::core_ran(double from, double until) const {
+  return std::none_of(core_lost_.begin(), core_lost_.end(),
+                      [&](const auto& span) { return overlaps(span, from, until); });
+}
+
+std::string ConfigurationJudge::account_of(const std::string& edge) const {
+  std::string text;
+  if (const auto found = edge_troubled_.find(edge); found != edge_troubled_.end())
+    for (const auto& [from, until] : found->second) text += fmt::format(" {:.3f}-{:.3f}", from, until);
+  return text.empty() ? " none" : text;
+}
+
+ConfigurationVerdict ConfigurationJudge::judge(std::vector<Change> changes,
+                                               const std::vector<ProbeOutcome>& probes) const {
+  std::sort(changes.begin(), changes.end(),
+            [](const Change& a, const Change& b) { return a.revision < b.revision; });
+  ConfigurationVerdict verdict;
+  for (const ProbeOutcome& probe : probes) {
+    const auto route = ProbeRoute::of_path(probe.path);
+    const auto bound = bound_for(probe);
+    if (!route || !bound) continue;
+    const bool settled = *bound == config_within_s;
+    ++(settled ? verdict.settled : verdict.unsettled);
+    const std::uint64_t seen = newest_like(changes, probe, *route).value_or(0);
+    const double lag = lag_behind(changes, seen, probe.sent_at);
+    keep_larger(settled ? verdict.largest_settled : verdict.largest_unsettled, lag, probe);
+    const std::uint64_t oldest = oldest_allowed(changes, probe.sent_at - *bound);
+    if (seen >= oldest) continue;
+    verdict.late.push_back(
+        {probe.id,
+         fmt::format("{} {} sent to {} at {:.3f} was {} by {:.3f}: handled by revision {} or older; "
+                     "a newer one was acknowledged {:.3f} s before, {} more than {:.0f} s before; "
+                     "the edge's troubles:{}",
+                     probe.path, probe.id, probe.edge, probe.sent_at,
+                     probe.service ? "run by " + *probe.service : "refused with 404", probe.handled_at, seen,
+                     lag, oldest, *bound, account_of(probe.edge))});
+  }
+  return verdict;
+}
+
+}  // namespace pearspar::processes
--- /dev/null
+++ b/tests/processes/configuration_probes.cpp
@@ -0,0 +1,96 @@
+// Requests on the routes that changes add, drop and move, at each edge from threads of its own.
+#include <fmt/format.h>
+
+#include <chrono>
+#include <random>
+
+#include "processes/client_connection.h"
+#include "processes/configuration_judge.h"
+#include "processes/traffic.h"
+
+namespace pearspar::processes {
+namespace {
+
+constexpr double answer_slack_s = 1.5;  // past the deadline, before the prober gives up
+constexpr double probe_deadline_s = 1;
+constexpr double rest_s = 0.01;
+constexpr std::uint64_t probers_per_edge = 3;
+constexpr double old_s = config_within_ms * 0.001;
+
+class Prober {
+ public:
+  Prober(Scene& scene, TrafficHistory& history, std::string edge, std::uint64_t seed)
+      : scene_(scene), history_(history), edge_(std::move(edge)), random_(seed), connection_(history) {}
+
+  void run() {
+    while (!scene_.over) {
+      if (connection_.is_open() || connection_.connect(edge_)) probe();
+      std::this_thread::sleep_for(std::chrono::duration<double>(rest_s));
+    }
+  }
+
+ private:
+  // Those routes by which edges that are late and edges that aren't can be told apart best.
+  ProbeRoute draw_route() {
+    using Family = ProbeRoute::Family;
+    const std::uint64_t newest = scene_.judge.newest();
+    const std::uint64_t old = scene_.judge.acknowledged_before(history_.now() - old_s);
+    switch (random_() % 4) {
+      case 0:
+        return {Family::brief, brief_block_added(newest)};
+      case 1: {
+        const std::uint64_t first = brief_block_dropped(old), last = brief_block_dropped(newest);
+        return {Family::brief, first + random_() % (last - first + 1)};
+      }
+      case 2: {
+        const std::uint64_t block = steady_block_added(old);
+        return {Family::steady, block > 2 ? block - random_() % 3 : block};
+      }
+      default:
+        return {Family::moved, 0};
+    }
+  }
+
+  void probe() {
+    ClientTry attempt;
+    attempt.id = fmt::format("{:016x}", random_());
+    attempt.edge = edge_;
+    attempt.method = "GET";
+    attempt.path = draw_route().path_prefix() + "x";
+    attempt.deadline_s = probe_deadline_s;
+    attempt.probes = true;
+    attempt.sent_at = history_.now();
+    history_.sent(attempt);
+    const double until = attempt.sent_at + attempt.deadline_s + answer_slack_s;
+    if (!connection_.send(request_head(attempt) + "\r\n", until)) return connection_.broken_off(attempt);
+    history_.sent_whole(attempt.id);
+    connection_.read_answer(attempt, until);
+  }
+
+  Scene& scene_;
+  TrafficHistory& history_;
+  const std::string edge_;
+  std::mt19937_64 random_;
+  ClientConnection connection_;
+};
+
+}  // namespace
+
+ConfigurationProbes::ConfigurationProbes(Scene& scene, TrafficHistory& history, std::uint64_t seed) {
+  std::vector<std::string> edges;
+  {
+    std::lock_guard lock(scene.mutex);
+    edges = scene.edges;
+  }
+  for (std::size_t number = 0; number < edges.size() * probers_per_edge; ++number)
+    threads_.emplace_back(
+        [&scene, &history, edge = edges[number % edges.size()], own_seed = seed * 512 + 256 + number] {
+          Prober(scene, history, edge, own_seed).run();
+        });
+}
+
+ConfigurationProbes::~ConfigurationProbes() {
+  for (std::thread& each : threads_) each.join();
+}
+
+}  // namespace pearspar::processes
--- a/tests/processes/processes.h
+++ b/tests/processes/processes.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "net/clock.h"
+#include "processes/configuration_judge.h"
 #include "simulation/checker.h"
 
 namespace pearspar::processes {
@@ -36,6 +37,8 @@
 const std::vector<std::string>& kinds();
 Plan draw_plan(std::uint64_t seed, int members, double troubled_s, bool mixed,
                const std::vector<std::string>& only, bool traffic = false);
+// Members and edges stopped or half cut, with calm between in which the bound of configuration holds.
+Plan draw_changes_plan(std::uint64_t seed, int members, double troubled_s);
 std::string text_of(const Plan& plan);
 // Throws std::runtime_error with the line that is no good.
 Plan read_plan(const std::string& path);
@@ -64,6 +67,8 @@
   void fault(const std::string& rule, const std::string& what);
   void settled(const std::string& edge, std::uint64_t revision);
   std::uint64_t newest() const;  // acknowledged or read
+  std::vector<Change> changes() const;
+  std::uint64_t acknowledged_before(double at) const;
   std::vector<std::pair<Order, int>> definite() const;
   Told finish();
 
@@ -72,7 +77,7 @@
   simulation::Checker checker_;
   std::map<std::string, std::pair<Order, int>> settled_;  // by text: the definite answer
   std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> edges_;
-  std::set<std::uint64_t> revisions_;  // that were ever sent
+  std::map<std::uint64_t, Change> changes_;  // by revision: all that were ever sent
   std::uint64_t newest_ = 0;
   Told told_;
 };
@@ -98,12 +103,14 @@
   std::atomic<bool> troubled{true};          // new orders
   std::atomic<bool> over{false};
   std::atomic<int> at_work{0};     // operators that have not ended
+  bool probed = false;             // configurations have routes to be probed
   std::size_t remembered = 20000;  // changes, by all programs that take part
 
   std::vector<std::string> controls();
   std::string leader();  // control address, or empty
 };
-std::string configuration(std::uint64_t revision, const std::string& mark, int routes = 3);
+std::string configuration(std::uint64_t revision, const std::string& mark, int routes = 3,
+                          bool probed = false);
 void operate(Scene& scene, std::uint64_t seed, int number);  // an operator with a rival and lost answers
 void read_on(Scene& scene, std::uint64_t seed);
 void ask_on(Scene& scene, std::uint64_t seed);
@@ -132,7 +139,8 @@
   int past = 0, past_found = 0;  // folders set back, and found out
   std::uint64_t cut_connections = 0;
   double took_s = 0;
-  std::string traffic;   // what clients and index servers saw, in a line
+  std::string traffic;  // what clients and index servers saw, in a line
+  ConfigurationVerdict configurations;
   std::string evidence;  // all that is known of the requests that broken rules name
 };
 Result play(const Plan& plan, const RunOptions& options);
--- a/tests/processes/processes_callers.cpp
+++ b/tests/processes/processes_callers.cpp
@@ -21,6 +21,7 @@
 constexpr net::Duration one_call = 1500ms;
 constexpr double most_open_s = 45;  // an order without a definite answer, all being well at its end
 constexpr double agree_within_s = 20;
+constexpr int least_routes = 3;  // of a configuration, beside those that are probed
 
 void rest(double seconds) { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); }
 
@@ -70,7 +71,21 @@
   return {};
 }
 
-std::string configuration(std::uint64_t revision, const std::string& mark, int routes) {
+namespace {
+
+std::string probe_route_text(const ProbeRoute& route, std::uint64_t revision) {
+  const std::string prefix = route.path_prefix();
+  std::string name = prefix.substr(1, prefix.size() - 2);
+  std::replace(name.begin(), name.end(), '/', '-');
+  return fmt::format(
+      R"(,{{"name":"{}","hostName":"hall.example","pathPrefix":"{}","lineKind":"safe","deadlineMs":1000,)"
+      R"("targetMs":150,"precedence":2,"depot":"{}","tries":2}})",
+      name, prefix, route.service_at(revision).value());
+}
+
+}  // namespace
+
+std::string configuration(std::uint64_t revision, const std::string& mark, int routes, bool probed) {
   std::string text = fmt::format(
       R"({{"edition":{},"postalRoutes":[{{"name":"g","hostName":"hall.example","pathPrefix":"/g/",)"
       R"("lineKind":"safe","deadlineMs":1000,"targetMs":150,"precedence":1,"gatherFrom":["shard0","shard1"],)"
@@ -86,6 +101,8 @@
         R"(,{{"name":"e{0}","hostName":"h{0}.example","pathPrefix":"/{1}/{2}/","lineKind":"safe",)"
         R"("deadlineMs":1000,"targetMs":150,"precedence":2,"depot":"plain","tries":2}})",
         i, mark, i == 2 ? revision : 0);
+  if (probed)
+    for (const ProbeRoute& route : probe_routes(revision)) text += probe_route_text(route, revision);
   text += R"(],"depots":[)";
   for (const char* service : {"shard0", "shard1", "plain"})
     text += fmt::format(R"({}{{"name":"{}","healthPath":"/health","connLimit":72}})",
@@ -103,9 +120,13 @@
     Order order;
     order.base = scene.judge.newest();
     order.revision = order.base + 1 + random() % 3;
-    order.text = configuration(order.revision, fmt::format("o{}x{:x}", number, random() % 65536));
+    auto draw_text = [&](char who) {
+      const std::string mark = fmt::format("{}{}x{:x}", who, number, random() % 65536);
+      return configuration(order.revision, mark, least_routes, scene.probed);
+    };
+    order.text = draw_text('o');
     Order rival = order;
-    rival.text = configuration(rival.revision, fmt::format("r{}x{:x}", number, random() % 65536));
+    rival.text = draw_text('r');
     const std::vector<std::string> members = scene.controls();
     const std::string member = pick(members, random), other = pick(members, random);
     const bool lose = random() % 5 == 0;
--- a/tests/processes/processes_hall.cpp
+++ b/tests/processes/processes_hall.cpp
@@ -46,8 +46,10 @@
   else
     text += fmt::format("frontDoor = \"{0}:{1}\"\nreadyCheck = \"{0}:{2}\"\n", ip, door_port, check_port);
   return text +
-         "[limits]\nmemoryMb = 256\nfileLimit = 1024\n[ruleBounds]\ngracePeriodS = 4\nretryRatio = 0.2\n"
-         "retrySlack = 56\nretryWindowS = 10\n";
+         fmt::format(
+             "[limits]\nmemoryMb = 256\nfileLimit = 1024\n[ruleBounds]\ngracePeriodS = 4\nretryRatio = 0.2\n"
+             "retrySlack = 56\nretryWindowS = 10\nconfigWithinMs = {}\ninTouchMs = {}\n",
+             config_within_ms, in_touch_ms);
 }
 
 std::vector<std::string> Hall::words(const std::string& program, const std::string& ip,
@@ -90,6 +92,7 @@
 void Hall::start_member(int number, bool first_start) {
   Member& each = member(number);
   if (each.gone || up(number)) return;
+  disturbs_core();
   const std::string name = fmt::format("core{}", number), file = options_.folder + "/" + name + ".toml";
   std::ofstream(file) << settings(name, host(first_member + number), first_start, true, each.folder);
   each.told_to_end = false;
@@ -111,10 +114,15 @@
 }
 
 // By its owner's end, which waits for it: nobody is told.
-void Hall::kill(int number) { member(number).process.reset(); }
+void Hall::kill(int number) {
+  disturbs_core();
+  member(number).process.reset();
+}
 
 void Hall::signal(int number, int what) {
-  if (up(number)) member(number).process->signal(what);
+  if (!up(number)) return;
+  disturbs_core();
+  member(number).process->signal(what);
 }
 
 void Hall::end(int number, std::function<void(int)> then) {
@@ -127,6 +135,7 @@
 void Hall::forget(int number) {
   Member& each = member(number);
   each.gone = true;
+  disturbs_core();
   std::lock_guard lock(scene_.mutex);
   std::erase(scene_.members, each.control);
   scene_.standing.erase(each.control);
@@ -210,15 +219,22 @@
   return {resident_mb, static_cast<int>(std::distance(files, std::filesystem::directory_iterator()))};
 }
 
-void Hall::cut_edge(int edge, bool cuts) {
+void Hall::cut_edge(int edge, const EdgeCut& cut) {
+  const std::uint32_t self = address_of(host(first_edge + edge), 1).host;
+  for (int i = 0; i < most_members; ++i) {
+    if (cut.member >= 0 && cut.member != i) continue;
+    const std::uint32_t peer = address_of(host(first_member + i), 1).host;
+    if (cut.out) relay_.cut(self, peer, false);
+    if (cut.in) relay_.cut(peer, self, false);
+  }
+}
+
+void Hall::heal_edge(int edge) {
   const std::uint32_t self = address_of(host(first_edge + edge), 1).host;
   for (int i = 0; i < most_members; ++i) {
     const std::uint32_t peer = address_of(host(first_member + i), 1).host;
-    for (auto [from, to] : {std::pair(self, peer), std::pair(peer, self)})
-      if (cuts)
-        relay_.cut(from, to, false);
-      else
-        relay_.heal(from, to);
+    relay_.heal(self, peer);
+    relay_.heal(peer, self);
   }
 }
 
@@ -267,6 +283,7 @@
 }
 
 void Hall::cut(int number, bool in, bool out, bool holds) {
+  disturbs_core();
   each_peer(number, [&](std::uint32_t self, std::uint32_t peer) {
     if (out) relay_.cut(self, peer, holds);
     if (in) relay_.cut(peer, self, holds);
@@ -274,6 +291,7 @@
 }
 
 void Hall::heal(int number) {
+  disturbs_core();
   each_peer(number, [&](std::uint32_t self, std::uint32_t peer) {
     relay_.heal(self, peer);
     relay_.heal(peer, self);
--- a/tests/processes/processes_hall.h
+++ b/tests/processes/processes_hall.h
@@ -42,7 +42,13 @@
   // One that is there is killed first.
   void start_edge(int edge, bool older);
   void signal_edge(int edge, int number);
-  void cut_edge(int edge, bool cuts);
+  // Between that edge and all members, or one of them, in one direction or both.
+  struct EdgeCut {
+    bool in = true, out = true;  // to the edge, from the edge
+    int member = -1;             // -1: all
+  };
+  void cut_edge(int edge, const EdgeCut& cut);
+  void heal_edge(int edge);
   void end_edge(int edge);                // SIGTERM; it is expected to end by itself then
   void reload_edge(int edge);             // its settings are written anew, then SIGHUP
   void stall_log(int edge, bool stalls);  // nobody reads what it writes
@@ -59,6 +65,8 @@
   // Between that member and all others, edges too.
   void cut(int member, bool in, bool out, bool holds);
   void heal(int member);
+  // When members were killed, started, signalled, cut off or joined again.
+  const std::vector<double>& core_disturbed() const { return core_disturbed_; }
   const trial::StreamCounters& relayed() const { return relay_.counters(); }
 
  private:
@@ -68,6 +76,7 @@
                                  const std::string& settings, bool listens) const;
   void heard(const std::string& who, std::uint32_t life, bool edge, std::string_view line);
   std::string host(int last) const { return scene_.net + std::to_string(last); }
+  void disturbs_core() { core_disturbed_.push_back(scene_.judge.now()); }
   void each_peer(int member, const std::function<void(std::uint32_t, std::uint32_t)>& what) const;
 
   net::Loop& loop_;
@@ -82,6 +91,7 @@
   std::vector<std::unique_ptr<trial::Process>> nodes_;
   std::set<int> edges_told_to_end_;
   std::uint32_t lives_ = 0;
+  std::vector<double> core_disturbed_;
 };
 
 }  // namespace pearspar::processes
--- a/tests/processes/processes_judge.cpp
+++ b/tests/processes/processes_judge.cpp
@@ -17,7 +17,7 @@
 void Judge::sent(const Order& order) {
   std::lock_guard lock(mutex_);
   checker_.change_sent(order.base, order.revision, order.text);
-  revisions_.insert(order.revision);
+  changes_.try_emplace(order.revision, Change{order.revision, now()});
 }
 
 bool Judge::answered(const Order& order, int status, const std::string& why) {
@@ -33,7 +33,11 @@
   if (!fresh && (first->second.second == 200) != (status == 200))
     checker_.broken("CONFIG", fmt::format("edition {} was answered {} and later {}", order.revision,
                                           first->second.second, status));
-  if (status == 200) newest_ = std::max(newest_, order.revision);
+  if (status == 200) {
+    newest_ = std::max(newest_, order.revision);
+    Change& change = changes_.try_emplace(order.revision, Change{order.revision, now()}).first->second;
+    change.acknowledged_at = std::min(change.acknowledged_at, now());
+  }
   return true;
 }
 
@@ -61,7 +65,7 @@
   if (revision < before)
     checker_.broken("CONFIG", fmt::format("{} went back from edition {} to {}", edge, before, revision));
   before = std::max(before, revision);
-  if (!revisions_.count(revision))
+  if (!changes_.count(revision))
     checker_.broken("CONFIG", fmt::format("{} goes by edition {}, which nobody sent", edge, revision));
 }
 
@@ -88,6 +92,20 @@
   return newest_;
 }
 
+std::vector<Change> Judge::changes() const {
+  std::lock_guard lock(mutex_);
+  std::vector<Change> all;
+  for (const auto& [revision, change] : changes_) all.push_back(change);
+  return all;
+}
+
+std::uint64_t Judge::acknowledged_before(double at) const {
+  std::lock_guard lock(mutex_);
+  for (auto change = changes_.rbegin(); change != changes_.rend(); ++change)
+    if (change->second.acknowledged_at < at) return change->first;
+  return 0;
+}
+
 std::vector<std::pair<Order, int>> Judge::definite() const {
   std::lock_guard lock(mutex_);
   std::vector<std::pair<Order, int>> all;
--- a/tests/processes/processes_measure.cpp
+++ b/tests/processes/processes_measure.cpp
@@ -31,7 +31,7 @@
   unsigned long long seed = 1;
   int count = 1, jobs = 2, members = 0, edges = 3, shorten = 0, changes = 5000, routes = 500;
   double troubled_s = 25;
-  bool restart = false, chatty = false, keep = false, draw = false, traffic = false;
+  bool restart = false, chatty = false, keep = false, draw = false, traffic = false, beside_changes = false;
 };
 
 // Each run has addresses of its own in 127.0.0.0/8, by this process's id and the run's place; a listener on
@@ -151,11 +151,11 @@
     }
     for (int i = 0; i < options.count; ++i) {
       const std::uint64_t seed = options.seed + static_cast<unsigned>(i);
-      plans.push_back(draw_plan(seed,
-                                options.members > 0 ? options.members
-                                : seed % 4 == 3     ? 5
-                                                    : 3,
-                                options.troubled_s, !options.programs.older.empty(), only, options.traffic));
+      const int members = options.members > 0 ? options.members : seed % 4 == 3 ? 5 : 3;
+      plans.push_back(options.beside_changes
+                          ? draw_changes_plan(seed, members, options.troubled_s)
+                          : draw_plan(seed, members, options.troubled_s, !options.programs.older.empty(),
+                                      only, options.traffic));
     }
   }
   if (options.draw) {
@@ -192,6 +192,7 @@
   Told sum;
   int broken = 0, past = 0, found = 0;
   std::uint64_t cut = 0;
+  ConfigurationVerdict configurations;
   std::map<std::string, int> struck;
   for (const Result& each : results) {
     broken += !each.told.faults.empty();
@@ -205,6 +206,7 @@
     past += each.past;
     found += each.past_found;
     cut += each.cut_connections;
+    configurations.add(each.configurations);
   }
   std::sort(sum.waits.begin(), sum.waits.end());
   std::printf(
@@ -219,6 +221,7 @@
       static_cast<unsigned long long>(sum.asked),
       sum.asked > 0 ? static_cast<double>(sum.served) / static_cast<double>(sum.asked) : 0.0,
       static_cast<unsigned long long>(cut), past, found);
+  if (options.traffic) std::printf("%s\n", configurations.summary().c_str());
   for (const auto& [kind, times] : struck) std::printf("  %s %d", kind.c_str(), times);
   std::printf("\n");
   if (!options.json.empty()) std::ofstream(options.json) << json_of(options, results, sum.waits);
@@ -247,7 +250,7 @@
                {"only", &to.only, "only these kinds, by commas"},
                {"plan", &to.plan, "plays the plan in this file"},
                {"json", &to.json, "writes the outcome there"}};
-  int restart = 0, chatty = 0, keep = 0, draw = 0, traffic = 0;
+  int restart = 0, chatty = 0, keep = 0, draw = 0, traffic = 0, beside_changes = 0;
   std::vector<poptOption> options;
   for (Text& each : texts)
     options.push_back({each.name, 0, POPT_ARG_STRING, &each.text, 0, each.what, "TEXT"});
@@ -266,6 +269,8 @@
       {"traffic", 0, POPT_ARG_NONE, &traffic, 0,
        "clients and index servers that misbehave, edges that end, reload, or whose log nobody reads",
        nullptr},
+      {"beside-changes", 0, POPT_ARG_NONE, &beside_changes, 0,
+       "with traffic, members and edges stopped and half cut beside changes, with calm between", nullptr},
       {"draw", 0, POPT_ARG_NONE, &draw, 0, "prints the plans only", nullptr},
       {"keep", 0, POPT_ARG_NONE, &keep, 0, "keeps settings and folders", nullptr},
       {"chatty", 'v', POPT_ARG_NONE, &chatty, 0, "each step, and what processes say", nullptr},
@@ -290,7 +295,8 @@
   to.chatty = chatty != 0;
   to.keep = keep != 0;
   to.draw = draw != 0;
-  to.traffic = traffic != 0;
+  to.beside_changes = beside_changes != 0;
+  to.traffic = traffic != 0 || to.beside_changes;
   try {
     if (!to.restart) return play_all(to);
     Folder folder(to.keep);
--- a/tests/processes/processes_plan.cpp
+++ b/tests/processes/processes_plan.cpp
@@ -27,8 +27,14 @@
 constexpr Kind other_kinds[] = {
     {"edge_kill", 0.5, 0.5, 0}, {"edge_freeze", 0.3, 10, 0}, {"edge_cut", 1, 12, 0}, {"node_leave", 0, 0, 0}};
 // Only with traffic through the edges.
-constexpr Kind traffic_kinds[] = {
-    {"edge_term", 0.1, 0.5, 0}, {"edge_hup", 0, 0, 0}, {"edge_stalled_log", 1, 6, 0}};
+constexpr Kind traffic_kinds[] = {{"edge_term", 0.1, 0.5, 0},      {"edge_hup", 0, 0, 0},
+                                  {"edge_stalled_log", 1, 6, 0},   {"edge_cut_in", 1, 8, 0},
+                                  {"edge_cut_out", 1, 8, 0},       {"edge_cut_leader_in", 1, 8, 0},
+                                  {"edge_cut_leader_out", 1, 8, 0}};
+// Beside a series of changes.
+constexpr const char* member_kinds_beside_changes[] = {"freeze", "cut_in", "cut_out", "cut"};
+constexpr const char* edge_kinds_beside_changes[] = {
+    "edge_freeze", "edge_cut", "edge_cut_in", "edge_cut_out", "edge_cut_leader_in", "edge_cut_leader_out"};
 constexpr double most_share_aimed = 0.45;  // at whoever leads
 
 const Kind* find(const std::string& name) {
@@ -94,6 +100,32 @@
   return plan;
 }
 
+Plan draw_changes_plan(std::uint64_t seed, int members, double troubled_s) {
+  std::mt19937_64 random(seed * 2 + 1);
+  auto between = [&](double from, double to) {
+    return std::uniform_real_distribution<double>(from, to)(random);
+  };
+  auto one_of = [&](const auto& names) { return names[random() % std::size(names)]; };
+  Plan plan;
+  plan.seed = seed;
+  plan.members = members;
+  plan.troubled_s = troubled_s;
+  // The core counts as settled again some seconds into each trouble of a member, and after its end.
+  for (double at = between(1, 6); at < troubled_s;) {
+    const double lasts = between(0.3, 10);
+    const int whom = between(0, 1) < 0.6 ? -1 : static_cast<int>(random() % static_cast<unsigned>(members));
+    plan.steps.push_back({at, one_of(member_kinds_beside_changes), whom, lasts});
+    at += lasts + between(3, 9);
+  }
+  for (double at = between(0.5, 3); at < troubled_s; at += between(2, 6))
+    plan.steps.push_back(
+        {at, one_of(edge_kinds_beside_changes), static_cast<int>(random() % 3), between(0.3, 6)});
+  for (double at = between(2, 8); at < troubled_s; at += between(6, 14))
+    plan.steps.push_back({at, "storm", -1, 0});
+  std::sort(plan.steps.begin(), plan.steps.end(), [](const Step& a, const Step& b) { return a.at < b.at; });
+  return plan;
+}
+
 std::string text_of(const Plan& plan) {
   std::string text = fmt::format("seed {} members {} troubled {:.2f}{}\n", plan.seed, plan.members,
                                  plan.troubled_s, plan.mixed ? " mixed" : "");
--- a/tests/processes/processes_run.cpp
+++ b/tests/processes/processes_run.cpp
@@ -36,6 +36,7 @@
       : plan_(plan), options_(options), hall_(loop_, scene_, options, true), random_(plan.seed) {
     scene_.net = options.net;
     if (plan.mixed) scene_.remembered = remembered_of_old;
+    scene_.probed = options.traffic;
   }
 
   Result run() {
@@ -243,9 +244,11 @@
       in_turn(0);
     } else if (kind == "power") {
       turning_ = true;
+      const double lost_at = scene_.judge.now();
       for (int i = 0; i < hall_.members(); ++i) hall_.kill(i);
-      after(step.for_s, [this] {
+      after(step.for_s, [this, lost_at] {
         for (int i = 0; i < hall_.members(); ++i) hall_.start_member(i, false);
+        configurations_.core_lost(lost_at, scene_.judge.now());
         when([this] { return !scene_.leader().empty(); }, up_within_s,
              [this](bool held) {
                if (!held) scene_.judge.fault("RECOVER", "nobody leads after all were killed at once");
@@ -276,36 +279,57 @@
       hall_.stall_log(edge, true);
       after(step.for_s, [this, edge] { hall_.stall_log(edge, false); });
     } else if (step.kind == "edge_term") {
-      if (edges_troubled_.insert(edge).second) end_edge(edge, step.for_s);
-    } else if (edges_troubled_.insert(edge).second) {
+      if (edge_trouble_begins(edge)) end_edge(edge, step.for_s);
+    } else if (edge_trouble_begins(edge)) {
       if (step.kind == "edge_kill") hall_.start_edge(edge, older());
       if (step.kind == "edge_freeze") hall_.signal_edge(edge, SIGSTOP);
-      if (step.kind == "edge_cut") hall_.cut_edge(edge, true);
+      if (step.kind.starts_with("edge_cut")) hall_.cut_edge(edge, cut_of(step.kind));
       // Where it is killed it starts again at once, and its connections have ended.
       history_.troubled(hall_.front_door(edge), now - 0.01, now + step.for_s);
       after(step.for_s, [this, edge] {
         hall_.signal_edge(edge, SIGCONT);
-        hall_.cut_edge(edge, false);
-        in_touch_from_ = scene_.judge.now() + in_touch_s;
-        edges_troubled_.erase(edge);
+        hall_.heal_edge(edge);
+        edge_trouble_ends(edge);
       });
     }
   }
 
+  // False if the edge is in trouble already.
+  bool edge_trouble_begins(int edge) { return edges_troubled_.emplace(edge, scene_.judge.now()).second; }
+  void edge_trouble_ends(int edge) {
+    const double now = scene_.judge.now();
+    configurations_.edge_troubled(hall_.front_door(edge), edges_troubled_.at(edge), now);
+    in_touch_from_ = now + in_touch_s;
+    edges_troubled_.erase(edge);
+  }
+
+  // "edge_cut", with "_leader" for the link to whoever leads now (all links if nobody does), and "_in" or
+  // "_out" for one direction.
+  Hall::EdgeCut cut_of(const std::string& kind) {
+    Hall::EdgeCut cut;
+    cut.in = !kind.ends_with("_out");
+    cut.out = !kind.ends_with("_in");
+    if (kind.starts_with("edge_cut_leader")) cut.member = hall_.by_control(scene_.leader());
+    return cut;
+  }
+
   void begin_traffic() {
     // Until every edge knows the servers.
     turn_until(scene_.judge.now() + 2.5);
     for (int i = 0; i < options_.edges; ++i) {
       history_.troubled(hall_.front_door(i), 0, scene_.judge.now());
+      configurations_.edge_troubled(hall_.front_door(i), 0, scene_.judge.now());
       sizes_.push_back(hall_.size_of_edge(i));
     }
     clients_ = std::make_unique<MisbehavingClients>(scene_, history_, plan_.seed, client_threads);
+    probes_ = std::make_unique<ConfigurationProbes>(scene_, history_, plan_.seed);
   }
 
   // All clients are gone: what edges hold for them is given back.
   void end_traffic() {
     if (!options_.traffic || !came_up_) return;
     clients_.reset();
+    probes_.reset();
     turn_until(scene_.judge.now() + 1.5);
     for (int i = 0; i < options_.edges; ++i) {
       const auto [resident_mb, descriptors] = hall_.size_of_edge(i);
@@ -316,6 +340,9 @@
     }
     servers_.reset();
     history_.close();
+    for (const double at : hall_.core_disturbed()) configurations_.core_disturbed(at);
+    result_.configurations = configurations_.judge(scene_.judge.changes(), history_.probe_outcomes());
+    history_.add_verdict(result_.configurations);
     result_.traffic = history_.summary();
     result_.evidence = history_.evidence();
   }
@@ -332,8 +359,7 @@
            after(down_s, [this, edge, door, asked] {
              hall_.start_edge(edge, older());
              history_.troubled(door, asked, scene_.judge.now() + 1);
-             in_touch_from_ = scene_.judge.now() + in_touch_s;
-             edges_troubled_.erase(edge);
+             edge_trouble_ends(edge);
            });
          });
   }
@@ -485,7 +511,7 @@
   std::size_t slots_ = 0;
   std::set<int> lost_;
   std::map<int, int> successor_;
-  std::set<int> edges_troubled_;
+  std::map<int, double> edges_troubled_;  // since when
   double in_touch_from_ = 0, left_until_ = 0;
   bool turning_ = false;
   bool came_up_ = false;
@@ -495,6 +521,8 @@
   TrafficHistory history_{scene_.judge};
   std::unique_ptr<MisbehavingServers> servers_;
   std::unique_ptr<MisbehavingClients> clients_;
+  std::unique_ptr<ConfigurationProbes> probes_;
+  ConfigurationJudge configurations_;
   std::vector<std::pair<double, int>> sizes_;  // of edges, before the traffic
 };
 
--- a/tests/processes/traffic.h
+++ b/tests/processes/traffic.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "processes/configuration_judge.h"
 #include "processes/processes.h"
 
 namespace pearspar::processes {
@@ -29,6 +30,7 @@
   double sent_at = 0;       // the first byte
   double deadline_s = 0;    // as the client named it
   bool safe = true;         // its route may be repeated
+  bool probes = false;      // on a route that is not in every configuration
   bool kept = false;        // not the first request on its connection
   std::string behind;       // pipelined: the request before it, not answered yet when this one was sent
   bool all_sent = false;    // the edge has every byte of it
@@ -79,6 +81,10 @@
   void fault(const std::string& rule, const std::string& what) { judge_.fault(rule, what); }
   // Every rule over all that was seen; the faults go to the judge.
   void close();
+  // What became of each probe, as far as it shows the edge's configuration.
+  std::vector<ProbeOutcome> probe_outcomes() const;
+  // Broken rules of the edges' configurations go to the judge.
+  void add_verdict(const ConfigurationVerdict& verdict);
   std::string summary() const;
   // All that is known of the requests that broken rules name, with those before them on their connections.
   std::string evidence() const;
@@ -132,4 +138,14 @@
   std::vector<std::thread> threads_;
 };
 
+// Probes of which configuration each edge goes by, in threads of this process.
+class ConfigurationProbes {
+ public:
+  ConfigurationProbes(Scene& scene, TrafficHistory& history, std::uint64_t seed);
+  ~ConfigurationProbes();
+
+ private:
+  std::vector<std::thread> threads_;
+};
+
 }  // namespace pearspar::processes
--- a/tests/processes/traffic_clients.cpp
+++ b/tests/processes/traffic_clients.cpp
@@ -1,14 +1,12 @@
 // Clients that misbehave, each in a thread of its own, with a connection that it keeps as long as it pleases.
 #include <fmt/format.h>
 #include <poll.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <chrono>
 #include <random>
 
-#include "http/message.h"
-#include "net/socket.h"
+#include "processes/client_connection.h"
 #include "processes/traffic.h"
 
 namespace pearspar::processes {
@@ -17,17 +15,16 @@
 using namespace std::chrono_literals;
 
 constexpr double answer_slack_s = 1.5;  // past the deadline, before a client gives up for good
-constexpr double connect_within_s = 0.5;
 
 class Client {
  public:
   Client(Scene& scene, TrafficHistory& history, std::uint64_t seed)
-      : scene_(scene), history_(history), random_(seed) {}
+      : scene_(scene), history_(history), random_(seed), connection_(history) {}
 
   void run() {
     while (!scene_.over) {
-      if (!fd_ || chance(15)) connect();
-      if (!fd_) {
+      if (!connection_.is_open() || chance(15)) connect();
+      if (!connection_.is_open()) {
         rest(0.05);
         continue;
       }
@@ -41,36 +38,15 @@
   bool chance(unsigned percent) { return random_() % 100 < percent; }
   static void rest(double seconds) { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); }
 
-  bool wait(short events, double until) {
-    pollfd waiting{fd_.get(), events, 0};
-    const double left = until - history_.now();
-    return left > 0 && ::poll(&waiting, 1, static_cast<int>(left * 1000) + 1) > 0;
-  }
-
   void connect() {
-    fd_.reset();
-    in_ = net::Buffer();
+    connection_.close();
     used_ = 0;
     {
       std::lock_guard lock(scene_.mutex);
       if (scene_.edges.empty()) return;
       edge_ = scene_.edges[random_() % scene_.edges.size()];
     }
-    int error = 0;
-    fd_ = net::start_connect(net::Address::of(edge_), error);
-    if (!fd_) return;
-    if (!wait(POLLOUT, history_.now() + connect_within_s) || net::connect_error(fd_) != 0) fd_.reset();
-  }
-
-  bool send(std::string_view bytes, double until) {
-    while (!bytes.empty()) {
-      std::size_t written = 0;
-      const net::IoResult result = net::write_from(fd_, bytes, written);
-      if (result == net::IoResult::failed) return false;
-      bytes.remove_prefix(written);
-      if (result == net::IoResult::none && !wait(POLLOUT, until)) return false;
-    }
-    return true;
+    connection_.connect(edge_);
   }
 
   ClientTry draw() {
@@ -93,9 +69,7 @@
   }
 
   std::string text_of(const ClientTry& attempt, bool chunked) const {
-    std::string text =
-        fmt::format("{} {} HTTP/1.1\r\nHost: hall.example\r\nRequest-Id: {}\r\nDeadline-Ms: {:.0f}\r\n",
-                    attempt.method, attempt.path, attempt.id, attempt.deadline_s * 1000);
+    std::string text = request_head(attempt);
     if (attempt.method == "GET") return text + "\r\n";
     if (!chunked)
       return text + fmt::format("Content-Length: {}\r\n\r\n{}", attempt.body.size(), attempt.body);
@@ -116,26 +90,26 @@
     const double until = attempt.sent_at + attempt.deadline_s + answer_slack_s;
     const auto manner = random_() % 100;
     if (manner < 4) return half_a_request(attempt, text);
-    const bool sent = manner < 8 ? drip(text, until) : send(text, until);
-    if (!sent) return broken_off(attempt);
+    const bool sent = manner < 8 ? drip(text, until) : connection_.send(text, until);
+    if (!sent) return connection_.broken_off(attempt);
     history_.sent_whole(attempt.id);
     ++used_;
     if (manner >= 8 && manner < 20) return leave_early(attempt);
     if (manner >= 20 && manner < 24) return pipelined(attempt, until);
-    read_answer(attempt, until);
+    connection_.read_answer(attempt, until);
   }
 
   void half_a_request(const ClientTry& attempt, const std::string& text) {
-    send(std::string_view(text).substr(0, text.size() / 2), history_.now() + 1);
+    connection_.send(std::string_view(text).substr(0, text.size() / 2), history_.now() + 1);
     rest(0.2);
     history_.left(attempt.id);
-    fd_.reset();
+    connection_.close();
   }
 
   bool drip(std::string_view text, double until) {
     const std::size_t step = text.size() / 5 + 1;
     while (!text.empty()) {
-      if (!send(text.substr(0, step), until)) return false;
+      if (!connection_.send(text.substr(0, step), until)) return false;
       text.remove_prefix(std::min(step, text.size()));
       rest(0.03);
     }
@@ -144,9 +118,10 @@
 
   void leave_early(const ClientTry& attempt) {
     rest(0.02 + 0.001 * static_cast<double>(random_() % 300));
-    if (wait(POLLIN, history_.now() + 0.001)) return read_answer(attempt, history_.now() + 2);
+    if (connection_.wait(POLLIN, history_.now() + 0.001))
+      return connection_.read_answer(attempt, history_.now() + 2);
     history_.left(attempt.id);
-    fd_.reset();
+    connection_.close();
   }
 
   // The next one before the answer to the first is here.
@@ -155,47 +130,18 @@
     second.sent_at = history_.now();
     second.behind = first.id;
     history_.sent(second);
-    const bool sent = send(text_of(second, false), until);
+    const bool sent = connection_.send(text_of(second, false), until);
     if (sent) history_.sent_whole(second.id);
-    read_answer(first, until);
-    if (!fd_) return history_.left(second.id);  // what crosses a close is not passed on
-    if (!sent) return broken_off(second);
-    read_answer(second, until + second.deadline_s);
-  }
-
-  void broken_off(const ClientTry& attempt) {
-    history_.closed(attempt.id);
-    fd_.reset();
-  }
-
-  void read_answer(const ClientTry& attempt, double until) {
-    http::MessageReader reader(http::MessageKind::reply, {16 * 1024, std::size_t{4} << 20, 4096});
-    while (true) {
-      const http::Progress progress = reader.advance(in_);
-      if (progress == http::Progress::failed) {
-        history_.fault("MIXED", attempt.edge + " sends what is no answer: " + reader.failure_reason());
-        return broken_off(attempt);
-      }
-      if (progress == http::Progress::done) break;
-      // No answer long after its deadline: the history has it as unanswered.
-      if (!wait(POLLIN, until)) return fd_.reset();
-      const net::IoResult result = net::read_into(fd_, in_, 65536);
-      if (result == net::IoResult::ended || result == net::IoResult::failed) return broken_off(attempt);
-    }
-    const http::Message& message = reader.message();
-    std::string head;
-    for (const auto& [name, value] : message.headers) head += fmt::format("{}: {}\r\n", name, value);
-    history_.answered(attempt.id, message.status, head, std::string(message.body));
-    const bool keeps = message.keep_alive;
-    reader.next(in_);
-    if (!keeps) fd_.reset();
+    connection_.read_answer(first, until);
+    if (!connection_.is_open()) return history_.left(second.id);  // what crosses a close is not passed on
+    if (!sent) return connection_.broken_off(second);
+    connection_.read_answer(second, until + second.deadline_s);
   }
 
   Scene& scene_;
   TrafficHistory& history_;
   std::mt19937_64 random_;
-  net::Fd fd_;
-  net::Buffer in_;
+  ClientConnection connection_;
   std::string edge_;
   int used_ = 0;
 };
--- a/tests/processes/traffic_history.cpp
+++ b/tests/processes/traffic_history.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t record_bytes = 16;
 constexpr std::size_t top = 20;
 constexpr int most_tries = 2;  // of every route
+constexpr int not_found = 404;
 
 std::string header(const std::string& head, const std::string& name) {
   std::istringstream lines(head);
@@ -92,7 +93,7 @@
   ClientTry& attempt = tries_[id];
   attempt.status = status;
   attempt.ended_at = now();
-  judge_.client(attempt.path, status);
+  if (!attempt.probes) judge_.client(attempt.path, status);
   auto mixed = [&](const std::string& what) {
     fault_of(id, "MIXED", fmt::format("{} {} at {}: {}", attempt.path, id, attempt.edge, what));
   };
@@ -301,6 +302,27 @@
   judge_ends();
 }
 
+std::vector<ProbeOutcome> TrafficHistory::probe_outcomes() const {
+  std::lock_guard lock(mutex_);
+  std::vector<ProbeOutcome> outcomes;
+  for (const Arrival& arrival : arrivals_) {
+    const ClientTry* attempt = find(arrival.id);
+    if (attempt && attempt->probes && arrival.ran)
+      outcomes.push_back(
+          {arrival.id, attempt->edge, attempt->path, attempt->sent_at, arrival.at, arrival.service});
+  }
+  for (const auto& [id, attempt] : tries_)
+    if (attempt.probes && attempt.status == not_found)
+      outcomes.push_back({id, attempt.edge, attempt.path, attempt.sent_at, attempt.ended_at, std::nullopt});
+  return outcomes;
+}
+
+void TrafficHistory::add_verdict(const ConfigurationVerdict& verdict) {
+  std::lock_guard lock(mutex_);
+  for (const ConfigurationVerdict::Late& late : verdict.late) fault_of(late.id, "CONFIG", late.what);
+  summary_ += "; " + verdict.summary();
+}
+
 void TrafficHistory::fault_of(const std::string& id, const std::string& rule, const std::string& what) {
   judge_.fault(rule, what);
   if (std::find(named_.begin(), named_.end(), id) == named_.end()) named_.push_back(id);
