Configuration lag: refused orders no longer count as possibly in force

A probe was excused by any revision sent, also by one that every operator had been refused. Such revisions are left out now, which makes the judge stricter. The largest lag is reported with how long before it the edge and the core were last in trouble, and a late probe likewise.

--- a/tests/processes/configuration_judge.cpp
+++ b/tests/processes/configuration_judge.cpp
@@ -63,12 +63,13 @@
 
 std::string text_of(const Lag& lag) {
   if (lag.seconds <= 0) return "0.000 s";
-  return fmt::format("{:.3f} s ({} at {}, {} {})", lag.seconds, lag.probe.path, lag.probe.edge,
-                     lag.probe.service ? "run by " + *lag.probe.service : "404", lag.probe.id);
+  return fmt::format("{:.3f} s ({} at {}, {} {}; {})", lag.seconds, lag.probe.path, lag.probe.edge,
+                     lag.probe.service ? "run by " + *lag.probe.service : "404", lag.probe.id,
+                     lag.circumstances);
 }
 
-void keep_larger(Lag& largest, double seconds, const ProbeOutcome& probe) {
-  if (seconds > largest.seconds) largest = {seconds, probe};
+void keep_larger(Lag& largest, const Lag& lag) {
+  if (lag.seconds > largest.seconds) largest = lag;
 }
 
 }  // namespace
@@ -120,8 +121,8 @@
   late.insert(late.end(), other.late.begin(), other.late.end());
   settled += other.settled;
   unsettled += other.unsettled;
-  keep_larger(largest_settled, other.largest_settled.seconds, other.largest_settled.probe);
-  keep_larger(largest_unsettled, other.largest_unsettled.seconds, other.largest_unsettled.probe);
+  keep_larger(largest_settled, other.largest_settled);
+  keep_larger(largest_unsettled, other.largest_unsettled);
 }
 
 std::string ConfigurationVerdict::summary() const {
@@ -148,11 +149,15 @@
                       [&](const auto& span) { return overlaps(span, from, until); });
 }
 
-std::string ConfigurationJudge::account_of(const std::string& edge) const {
-  std::string text;
-  if (const auto found = edge_troubled_.find(edge); found != edge_troubled_.end())
-    for (const auto& [from, until] : found->second) text += fmt::format(" {:.3f}-{:.3f}", from, until);
-  return text.empty() ? " none" : text;
+std::string ConfigurationJudge::circumstances_of(const ProbeOutcome& probe) const {
+  double edge_at = -never_acknowledged, core_at = -never_acknowledged;
+  if (const auto found = edge_troubled_.find(probe.edge); found != edge_troubled_.end())
+    for (const auto& [from, until] : found->second)
+      if (from <= probe.sent_at) edge_at = std::max(edge_at, until);
+  for (const double at : core_disturbed_)
+    if (at <= probe.sent_at) core_at = std::max(core_at, at);
+  return fmt::format("the edge's last trouble ended {:.3f} s and the core was disturbed {:.3f} s before",
+                     probe.sent_at - edge_at, probe.sent_at - core_at);
 }
 
 ConfigurationVerdict ConfigurationJudge::judge(std::vector<Change> changes,
@@ -168,17 +173,18 @@
     ++(settled ? verdict.settled : verdict.unsettled);
     const std::uint64_t seen = newest_like(changes, probe, *route).value_or(0);
     const double lag = lag_behind(changes, seen, probe.sent_at);
-    keep_larger(settled ? verdict.largest_settled : verdict.largest_unsettled, lag, probe);
+    Lag& largest = settled ? verdict.largest_settled : verdict.largest_unsettled;
+    if (lag > largest.seconds) largest = {lag, probe, circumstances_of(probe)};
     const std::uint64_t oldest = oldest_allowed(changes, probe.sent_at - *bound);
     if (seen >= oldest) continue;
     verdict.late.push_back(
         {probe.id,
          fmt::format("{} {} sent to {} at {:.3f} was {} by {:.3f}: handled by revision {} or older; "
                      "a newer one was acknowledged {:.3f} s before, {} more than {:.0f} s before; "
-                     "the edge's troubles:{}",
+                     "{}",
                      probe.path, probe.id, probe.edge, probe.sent_at,
                      probe.service ? "run by " + *probe.service : "refused with 404", probe.handled_at, seen,
-                     lag, oldest, *bound, account_of(probe.edge))});
+                     lag, oldest, *bound, circumstances_of(probe))});
   }
   return verdict;
 }
--- a/tests/processes/configuration_judge.h
+++ b/tests/processes/configuration_judge.h
@@ -44,7 +44,7 @@
 std::uint64_t brief_block_dropped(std::uint64_t revision);
 std::uint64_t steady_block_added(std::uint64_t revision);
 
-// One revision that operators sent, refused or not.
+// One revision that operators sent.
 struct Change {
   std::uint64_t revision = 0;
   double sent_at = 0;
@@ -65,6 +65,7 @@
 struct Lag {
   double seconds = 0;
   ProbeOutcome probe;
+  std::string circumstances;  // the troubles last before it
 };
 
 struct ConfigurationVerdict {
@@ -100,7 +101,8 @@
   // The bound that holds for a probe, in seconds after an acknowledgement; none if none does.
   std::optional<double> bound_for(const ProbeOutcome& probe) const;
   bool core_ran(double from, double until) const;
-  std::string account_of(const std::string& edge) const;
+  // The last troubles of the edge and of the core before the probe was sent.
+  std::string circumstances_of(const ProbeOutcome& probe) const;
 
   std::vector<double> core_disturbed_;
   std::vector<std::pair<double, double>> core_lost_;
--- a/tests/processes/processes.h
+++ b/tests/processes/processes.h
@@ -66,8 +66,8 @@
   void client(const std::string& path, int status);
   void fault(const std::string& rule, const std::string& what);
   void settled(const std::string& edge, std::uint64_t revision);
-  std::uint64_t newest() const;  // acknowledged or read
-  std::vector<Change> changes() const;
+  std::uint64_t newest() const;         // acknowledged or read
+  std::vector<Change> changes() const;  // that may be or have been in force: all but those refused
   std::uint64_t acknowledged_before(double at) const;
   std::vector<std::pair<Order, int>> definite() const;
   Told finish();
@@ -78,6 +78,7 @@
   std::map<std::string, std::pair<Order, int>> settled_;  // by text: the definite answer
   std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> edges_;
   std::map<std::uint64_t, Change> changes_;  // by revision: all that were ever sent
+  std::map<std::uint64_t, int> undecided_;   // by revision: orders without a definite answer
   std::uint64_t newest_ = 0;
   Told told_;
 };
--- a/tests/processes/processes_judge.cpp
+++ b/tests/processes/processes_judge.cpp
@@ -18,6 +18,7 @@
   std::lock_guard lock(mutex_);
   checker_.change_sent(order.base, order.revision, order.text);
   changes_.try_emplace(order.revision, Change{order.revision, now()});
+  ++undecided_[order.revision];
 }
 
 bool Judge::answered(const Order& order, int status, const std::string& why) {
@@ -29,7 +30,10 @@
   }
   checker_.change_answered(now(), order.base, order.revision, order.text, status);
   auto [first, fresh] = settled_.try_emplace(order.text, order, status);
-  if (fresh) ++(status == 200 ? told_.taken : told_.refused);
+  if (fresh) {
+    ++(status == 200 ? told_.taken : told_.refused);
+    --undecided_[order.revision];
+  }
   if (!fresh && (first->second.second == 200) != (status == 200))
     checker_.broken("CONFIG", fmt::format("edition {} was answered {} and later {}", order.revision,
                                           first->second.second, status));
@@ -95,7 +99,10 @@
 std::vector<Change> Judge::changes() const {
   std::lock_guard lock(mutex_);
   std::vector<Change> all;
-  for (const auto& [revision, change] : changes_) all.push_back(change);
+  for (const auto& [revision, change] : changes_) {
+    const bool refused = change.acknowledged_at == never_acknowledged && undecided_.at(revision) == 0;
+    if (!refused) all.push_back(change);
+  }
   return all;
 }
 
