Edges behind or unconfirmed refuse oversized requests with 503, not 413 or 431

Cause: the limits were applied before the check that the configuration is the newest. An edge in touch that knows that it lacks a configuration, or that no leader has confirmed, answered 413 or 431, which clients do not repeat, to what the newest configuration may allow (DENIED); for a path without a route it answered 503 already.

Change: RequestHandler::limits_are_current(); HttpServer answers 503 with Retry-After where they are not. Tests of LOST across a configuration that moves or drops a route, of the silence timeout to nodes, the listen queue, SIGPIPE and a refusal to a client that is still sending.

--- a/src/altavia/reverse_proxy.cpp
+++ b/src/altavia/reverse_proxy.cpp
@@ -103,6 +103,10 @@
   requests_.erase(found);
 }
 
+bool ReverseProxy::limits_are_current() const {
+  return gateway_.dispatcher().routes_are_current(loop_.now());
+}
+
 void ReverseProxy::request_arrived(net::SlotId connection, const http::Message& message) {
   dispatch::ClientRequest client_request;
   client_request.method = message.method;
--- a/src/altavia/reverse_proxy.h
+++ b/src/altavia/reverse_proxy.h
@@ -49,6 +49,7 @@
  private:
   void request_arrived(net::SlotId connection, const http::Message& message) override;
   void client_left(net::SlotId connection) override;
+  bool limits_are_current() const override;
   void answer(net::SlotId connection, dispatch::ClientResponse answer);
 
   net::Loop& loop_;
--- a/src/clients/http_server.cpp
+++ b/src/clients/http_server.cpp
@@ -24,7 +24,8 @@
 constexpr int max_accepts_per_event = 64;
 constexpr net::Duration close_linger = 1s;          // for the client to read the last answer
 constexpr net::Duration accept_retry_delay = 20ms;  // after running out of descriptors
-constexpr std::size_t max_arrivals = 8;             // later bytes share the time of the last entry
+constexpr double outdated_limits_retry_after_s = 0.2;
+constexpr std::size_t max_arrivals = 8;  // later bytes share the time of the last entry
 
 }  // namespace
 
@@ -184,6 +185,16 @@
   return true;
 }
 
+Answer HttpServer::refusal_of_unreadable(const http::MessageReader& reader) const {
+  const int status = reader.failure_status();
+  const bool exceeds_limits = status == 413 || status == 431;
+  Answer refusal{status, error_body(reader.failure_reason()), "application/json", {}, 0};
+  if (!exceeds_limits || handler_.limits_are_current()) return refusal;
+  refusal.status = 503;
+  refusal.retry_after_s = outdated_limits_retry_after_s;
+  return refusal;
+}
+
 // Passes the request at the front of the buffer to the handler once it is complete.
 void HttpServer::advance(net::SlotId id) {
   Connection& connection = *connections_.find(id);
@@ -201,15 +212,12 @@
         if (!connection.timer.pending()) set_timeout(id, timeouts_.request);
       }
       return update_events(connection);
-    case http::Progress::failed: {
+    case http::Progress::failed:
       ++counters_.bad_requests;
-      std::string body = error_body(connection.reader.failure_reason());
       connection.timer.reset();
       // Closes the connection, since the start of the next request is unknown.
-      queue(connection, {connection.reader.failure_status(), std::move(body), "application/json", {}, 0},
-            true);
+      queue(connection, refusal_of_unreadable(connection.reader), true);
       return write(id);
-    }
     case http::Progress::done:
       break;
   }
--- a/src/clients/http_server.h
+++ b/src/clients/http_server.h
@@ -51,6 +51,9 @@
   virtual void request_arrived(net::SlotId connection, const http::Message& message) = 0;
   // The client disconnected before its request was answered.
   virtual void client_left(net::SlotId connection) = 0;
+  // Whether the limits in force are known to be the newest. Where they are not, a request that exceeds them
+  // gets 503 instead of 413 or 431: the newest may allow it.
+  virtual bool limits_are_current() const { return true; }
 };
 
 // How long a client may take to send a request and to read its answer.
@@ -150,6 +153,7 @@
   void write(net::SlotId id);
   void finish_write(net::SlotId id);
   void update_events(Connection& connection);
+  Answer refusal_of_unreadable(const http::MessageReader& reader) const;
   void queue(Connection& connection, const Answer& answer, bool close_after);
   void set_timeout(net::SlotId id, net::Duration span);
   void on_timeout(net::SlotId id);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -83,6 +83,8 @@
   // From when on the routes are known to have been replaced for too long: requests that arrive later are
   // refused. Time::max() where no newer ones are known.
   void set_routes_outdated_from(Time from) { routes_outdated_from_ = from; }
+  // Whether the configuration in force is known to be the newest, so that it may refuse requests for good.
+  bool routes_are_current(Time now) const { return routes_confirmed(now) && now < routes_outdated_from_; }
   bool routes_were_confirmed() const { return routes_confirmed_until_ != Time::min(); }
   void set_edges(std::uint32_t edges);
   void set_retry_budget(const RetryBudgetRules& rules) { retry_budget_.set_rules(rules); }
--- a/tests/system/links_test.cpp
+++ b/tests/system/links_test.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <csignal>
 #include <deque>
 #include <map>
 #include <memory>
@@ -136,6 +137,10 @@
   CPPUNIT_TEST(inboundLimitsAreEnforced);
   CPPUNIT_TEST(acceptingPausesWithoutDescriptors);
   CPPUNIT_TEST(requestExpiredWhileConnectingIsNotSent);
+  CPPUNIT_TEST(connectionToANodeDetectsSilence);
+  CPPUNIT_TEST(burstOfConnectionsIsQueued);
+  CPPUNIT_TEST(writeToAClosedConnectionRaisesNoSignal);
+  CPPUNIT_TEST(refusalReachesAClientThatIsStillSending);
   CPPUNIT_TEST_SUITE_END();
 
   struct Ended {
@@ -403,6 +408,95 @@
     }
   }
 
+  // A node without power says nothing: without a timeout its connections would hang.
+  void connectionToANodeDetectsSilence() {
+    ScriptedNode node(loop, [](const std::string&, int) { return std::string(); });
+    CPPUNIT_ASSERT(start(node.address()));
+    until([&] { return node.requests == 1; });
+    const net::Address address = *net::Address::parse(node.address());
+    int dialled_ends = 0;
+    for (int fd = 3; fd < 256; ++fd) {
+      sockaddr_in peer{};
+      socklen_t size = sizeof peer;
+      if (::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) continue;
+      if (ntohs(peer.sin_port) != address.port) continue;
+      int timeout_ms = 0;
+      size = sizeof timeout_ms;
+      CPPUNIT_ASSERT_EQUAL(0, ::getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, &size));
+      CPPUNIT_ASSERT_EQUAL(1500, timeout_ms);
+      ++dialled_ends;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, dialled_ends);
+  }
+
+  // A full queue of new connections drops the opening packet, which is sent again only after a second.
+  void burstOfConnectionsIsQueued() {
+    constexpr std::size_t burst = 400;
+    const net::Address address = free_address();
+    const net::Fd listener = net::listen_on(address);
+    std::vector<net::Fd> clients;
+    for (std::size_t i = 0; i < burst; ++i) {
+      int error = 0;
+      clients.push_back(net::start_connect(address, error));
+      CPPUNIT_ASSERT_EQUAL(0, error);
+    }
+    std::size_t accepted = 0;
+    net::Fd connection;
+    const net::Time end = loop.read_clock() + net::Duration(0.5);
+    std::vector<net::Fd> kept;
+    while (accepted < burst && loop.read_clock() < end) {
+      // The kernel queues one connection more than its bound; accepting late would hide a short queue.
+      loop.run_once(net::Duration(0.1));
+      while (net::accept_one(listener, connection) == net::AcceptResult::accepted) {
+        ++accepted;
+        kept.push_back(std::move(connection));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(burst, accepted);
+  }
+
+  // A write to a connection that the peer has closed raises SIGPIPE, which ends the process.
+  void writeToAClosedConnectionRaisesNoSignal() {
+    static volatile std::sig_atomic_t raised;
+    raised = 0;
+    const auto previous = std::signal(SIGPIPE, [](int) { raised = raised + 1; });
+    const net::Address address = free_address();
+    const net::Fd listener = net::listen_on(address);
+    int error = 0;
+    const net::Fd writer = net::start_connect(address, error);
+    net::Fd reader;
+    until([&] { return reader || net::accept_one(listener, reader) == net::AcceptResult::accepted; });
+    reader.reset();
+    std::size_t written = 0;
+    until([&] { return net::write_from(writer, "x", written) == net::IoResult::failed; });
+    CPPUNIT_ASSERT(net::write_from(writer, "x", written) == net::IoResult::failed);
+    std::signal(SIGPIPE, previous);
+    CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(raised));
+  }
+
+  // Closing with unread bytes resets the connection: the client would see a reset instead of the refusal.
+  void refusalReachesAClientThatIsStillSending() {
+    struct NoHandler : clients::RequestHandler {
+      void request_arrived(net::SlotId, const http::Message&) override {}
+      void client_left(net::SlotId) override {}
+    } no_handler;
+    clients::HttpServer front(loop, [](std::string_view) {}, 8, no_handler, {}, {1024, 1000, 64});
+    front.listen({0x7f000001, 0});
+    int error = 0;
+    const net::Fd client = net::start_connect(front.address(), error);
+    const std::string head = "POST /x HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
+    std::size_t written = 0;
+    until([&] { return written > 0 || net::write_from(client, head, written) == net::IoResult::some; });
+    const std::string piece(4000, 'b');
+    for (int i = 0; i < 30; ++i) {
+      CPPUNIT_ASSERT(net::write_from(client, piece, written) == net::IoResult::some);
+      loop.run_once(net::Duration(0.002));
+    }
+    net::Buffer received;
+    CPPUNIT_ASSERT(net::read_into(client, received, 4096) == net::IoResult::some);
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413"), std::string(received.view().substr(0, 12)));
+  }
+
   // Links between processes.
   std::vector<std::string> frames;
   std::vector<transport::LinkId> up, down;
--- a/tests/system/request_guarantees_test.cpp
+++ b/tests/system/request_guarantees_test.cpp
@@ -19,13 +19,31 @@
 
 using namespace std::chrono_literals;
 
-constexpr net::Duration cancellation_timeout = 500ms;  // after its client has left
+constexpr net::Duration cancellation_timeout = 500ms;   // after its client has left
+constexpr net::Duration max_configuration_lag = 200ms;  // then an edge that lacks one refuses
 constexpr const char* configuration =
     R"({"edition":1,"postalRoutes":[{"name":"s","hostName":"h","pathPrefix":"/s/","lineKind":"safe",)"
     R"("deadlineMs":4000,"depot":"p","tries":2},{"name":"u","hostName":"h","pathPrefix":"/u/",)"
     R"("lineKind":"unsafe","deadlineMs":4000,"depot":"p","tries":2}],)"
     R"("depots":[{"name":"p","connLimit":20}]})";
 
+// Both routes go to another service; an index server of the first one may still be at work.
+constexpr const char* moved_routes =
+    R"({"edition":2,"postalRoutes":[{"name":"s","hostName":"h","pathPrefix":"/s/","lineKind":"safe",)"
+    R"("deadlineMs":900,"depot":"q","tries":2},{"name":"u","hostName":"h","pathPrefix":"/u/",)"
+    R"("lineKind":"unsafe","deadlineMs":900,"depot":"q","tries":2}],)"
+    R"("depots":[{"name":"p","connLimit":20},{"name":"q","connLimit":20}]})";
+constexpr const char* no_routes = R"({"edition":2,"postalRoutes":[],"depots":[]})";
+constexpr transport::LinkId leader_link = 1;
+constexpr const char* larger_limits =
+    R"({"edition":2,"postalRoutes":[{"name":"u","hostName":"h","pathPrefix":"/u/","lineKind":"unsafe",)"
+    R"("deadlineMs":4000,"depot":"p","tries":2}],"depots":[{"name":"p","connLimit":20}],)"
+    R"("limits":{"maxBodyBytes":400000}})";
+constexpr std::size_t large_body_bytes = 300'000;  // more than `configuration` allows, not `larger_limits`
+constexpr std::size_t body_piece_bytes = 50'000;
+const std::string large_request = fmt::format(
+    "POST /u/x HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\nContent-Length: {}\r\n\r\n", large_body_bytes);
+
 struct NullTransport : transport::Transport {
   void set_targets(const std::vector<std::string>&) override {}
   bool send_to(const std::string&, std::string_view) override { return true; }
@@ -133,6 +151,12 @@
   CPPUNIT_TEST(openRequestsAreAnsweredWhenTheEdgeStops);
   CPPUNIT_TEST(responseWithoutLengthEndsWithItsConnection);
   CPPUNIT_TEST(responseWithoutLengthIsIncompleteAfterAReset);
+  CPPUNIT_TEST(openRequestIsAnsweredThoughItsRouteMoves);
+  CPPUNIT_TEST(openRequestIsAnsweredThoughItsRouteAndNodeAreDropped);
+  CPPUNIT_TEST(idleLimitOfANewConfigurationSparesOpenRequests);
+  CPPUNIT_TEST(limitsOfAnOutdatedConfigurationAreNotFinal);
+  CPPUNIT_TEST(limitsOfAnUnconfirmedConfigurationAreNotFinal);
+  CPPUNIT_TEST(limitsOfAConfirmedConfigurationAreFinal);
   CPPUNIT_TEST_SUITE_END();
 
   net::Loop loop;
@@ -142,34 +166,43 @@
 
  public:
   void setUp() override {
+    loop.run_once(net::Duration(0));  // updates its clock, which dates from the start of the program
     server = std::make_unique<ScriptedServer>(loop);
     altavia::ReverseProxy::Options options;
     options.follower.incarnation = 1;
+    options.follower.max_configuration_lag = max_configuration_lag;
     options.retry_budget = {1, 100, net::Duration(10)};
     options.max_clients = 20;
     options.warn = [](std::string_view) {};
     proxy = std::make_unique<altavia::ReverseProxy>(loop, null_transport, std::move(options));
     proxy->start({0x7f000001, 0});
+    proxy->gateway().link_up(leader_link, "127.0.0.1:1");
+    receive(protocol::pack(snapshot_of(1, configuration, true)));
+    CPPUNIT_ASSERT(proxy->take_configuration());
+  }
+  void tearDown() override {
+    proxy.reset();
+    server.reset();
+  }
+
+  protocol::StateSnapshot snapshot_of(catalog::Revision revision, const std::string& text,
+                                      bool includes_node) {
     protocol::StateSnapshot snapshot;
-    snapshot.at = {1, 1};
+    snapshot.at = {1, revision};
     snapshot.complete = true;
     snapshot.edges = 1;
-    snapshot.revision = 1;
-    snapshot.configuration = configuration;
+    snapshot.revision = revision;
+    snapshot.configuration = text;
+    if (!includes_node) return snapshot;
     catalog::Node node;
     node.id = "i-1";
     node.service = "p";
     node.address = server->address();
     node.slots = 10;
     snapshot.nodes.push_back({node, 0});
-    proxy->gateway().link_up(1, "127.0.0.1:1");
-    proxy->gateway().link_frame(loop.now(), 1, protocol::pack(snapshot));
-    CPPUNIT_ASSERT(proxy->take_configuration());
-  }
-  void tearDown() override {
-    proxy.reset();
-    server.reset();
+    return snapshot;
   }
+  void receive(const std::string& frame) { proxy->gateway().link_frame(loop.now(), leader_link, frame); }
 
   bool wait_until(net::Duration timeout, const std::function<bool()>& condition) {
     const net::Time end = loop.read_clock() + timeout;
@@ -304,6 +337,103 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, waiting_client->received().find("HTTP/1.1 502"));
     CPPUNIT_ASSERT(waiting_client->received().find("half") == std::string::npos);
   }
+
+  // Sends a request of each route, changes the configuration while half of each answer is there, and expects
+  // both answers whole.
+  void expect_answers_across(const protocol::StateSnapshot& next) {
+    auto safe_client = client(), unsafe_client = client();
+    safe_client->send(request("/s/x", "a", 3000));
+    CPPUNIT_ASSERT(wait_until(1s, [&] { return server->requests.size() == 1; }));
+    unsafe_client->send(request("/u/x", "b", 3000));
+    CPPUNIT_ASSERT(wait_until(1s, [&] { return server->requests.size() == 2; }));
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\nPostmark: m\r\nRequest-Id: ";
+    server->send(0, head + "a\r\n\r\nthe whole ");
+    server->send(1, head + "b\r\n\r\nthe whole ");
+    wait_until(20ms, [] { return false; });
+    receive(protocol::pack(next));
+    CPPUNIT_ASSERT(proxy->take_configuration());
+    // Longer than the deadlines of the new routes, and long enough for the periodic sweep.
+    for (int i = 0; i < 10; ++i) {
+      wait_until(100ms, [] { return false; });
+      proxy->sweep();
+    }
+    CPPUNIT_ASSERT_MESSAGE("nothing is answered by the new configuration",
+                           safe_client->received().empty() && unsafe_client->received().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server->requests.size());
+    server->send(0, "body");
+    server->send(1, "body");
+    for (ScriptedClient* waiting : {safe_client.get(), unsafe_client.get()}) {
+      CPPUNIT_ASSERT(
+          wait_until(1s, [&] { return waiting->received().find("the whole body") != std::string::npos; }));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, waiting->received().find("HTTP/1.1 200"));
+    }
+  }
+
+  // LOST: a request that is open while its route moves would lose its answer.
+  void openRequestIsAnsweredThoughItsRouteMoves() {
+    expect_answers_across(snapshot_of(2, moved_routes, true));
+  }
+
+  // LOST: a request that is open while its route, its service and its index server go would lose its answer.
+  void openRequestIsAnsweredThoughItsRouteAndNodeAreDropped() {
+    expect_answers_across(snapshot_of(2, no_routes, false));
+    auto later_client = client();
+    later_client->send(request("/s/x", "c", 3000));
+    CPPUNIT_ASSERT(wait_until(1s, [&] { return !later_client->received().empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server->requests.size());
+  }
+
+  // LOST: a shorter idle limit would end connections whose request is at an index server.
+  void idleLimitOfANewConfigurationSparesOpenRequests() {
+    expect_answers_across(snapshot_of(
+        2, R"({"edition":2,"postalRoutes":[],"depots":[],"limits":{"idleLimitMs":1,"headerWaitMs":1}})",
+        true));
+  }
+
+  std::string answer_to_a_large_body() {
+    auto sending_client = client();
+    sending_client->send(large_request);
+    CPPUNIT_ASSERT(wait_until(1s, [&] { return !sending_client->received().empty(); }));
+    return sending_client->received();
+  }
+  std::string answer_to_a_large_header() {
+    auto sending_client = client();
+    sending_client->send("GET /u/x HTTP/1.1\r\nHost: h\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n");
+    CPPUNIT_ASSERT(wait_until(1s, [&] { return !sending_client->received().empty(); }));
+    return sending_client->received();
+  }
+
+  // DENIED: an edge that knows that it lacks a configuration would refuse with 413 and 431, which no client
+  // repeats, what that configuration may allow.
+  void limitsOfAnOutdatedConfigurationAreNotFinal() {
+    receive(protocol::pack(protocol::ConfigurationNotice{2}));
+    wait_until(max_configuration_lag * 1.5, [] { return false; });
+    for (const std::string& answer : {answer_to_a_large_body(), answer_to_a_large_header()}) {
+      CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), answer.substr(0, 12));
+      CPPUNIT_ASSERT(answer.find("Retry-After: ") != std::string::npos);
+    }
+    receive(protocol::pack(protocol::ConfigurationUpdate{0, 2, 0, larger_limits}));
+    CPPUNIT_ASSERT(proxy->take_configuration());
+    auto sending_client = client();
+    sending_client->send(large_request);
+    for (std::size_t sent = 0; sent < large_body_bytes; sent += body_piece_bytes) {
+      sending_client->send(std::string(body_piece_bytes, 'b'));
+      wait_until(10ms, [] { return false; });
+    }
+    CPPUNIT_ASSERT(wait_until(1s, [&] { return server->requests.size() == 1; }));
+  }
+
+  // The same for an edge that no leader has confirmed yet.
+  void limitsOfAnUnconfirmedConfigurationAreNotFinal() {
+    proxy->gateway().dispatcher().set_routes_confirmed_until(net::Time::min());
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), answer_to_a_large_body().substr(0, 12));
+  }
+
+  // A 503 instead of 413 or 431 would have clients repeat what no configuration allows.
+  void limitsOfAConfirmedConfigurationAreFinal() {
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413"), answer_to_a_large_body().substr(0, 12));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 431"), answer_to_a_large_header().substr(0, 12));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestGuaranteesTest);
