Added edges are told seeds that are gone in their test

The simulated cluster drops seeds that are gone before it tells them to a starting process, so the test passed with an edge that dials its first seed only.

--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -121,6 +121,11 @@
   bool transfer_under_way() const;
   // From now on processes are told these; those that run too.
   void set_seeds(std::vector<std::string> seeds);
+  // Edges that start from now on are told exactly these, also such as are gone.
+  void set_seeds_of_added_edges(std::vector<std::string> seeds) { added_edge_seeds_ = std::move(seeds); }
+  std::vector<std::string> seeds_of_added_edges() const {
+    return added_edge_seeds_.empty() ? seeds() : added_edge_seeds_;
+  }
   // Something is done until then: to the core, so that its answers may take long; to edges.
   void disturbed(double until_s);
   void edges_disturbed(double until_s);
@@ -335,6 +340,7 @@
     bool in = false, out = false, all = false;
   };
   std::map<std::string, CutOff> cut_off_;
+  std::vector<std::string> added_edge_seeds_;
   std::vector<std::string> told_seeds_;  // empty = the first that stand
   std::uint64_t next_request_ = 0;
   std::map<std::string, Heard> heard_;
--- a/src/simulation/cluster_edges.cpp
+++ b/src/simulation/cluster_edges.cpp
@@ -58,7 +58,8 @@
 
 edge_gateway::EdgeGateway& Cluster::Edge::Process::make_gateway(std::uint64_t number) {
   const ClusterOptions& options = cluster.options_;
-  subscription::FollowerOptions follower{number, edge.name, "z", cluster.seeds(), edge.address};
+  subscription::FollowerOptions follower{number, edge.name, "z", cluster.seeds_of_added_edges(),
+                                         edge.address};
   dispatch::RetryBudgetRules rules{options.retry_ratio, options.retry_slack, std::chrono::seconds(10)};
   if (!options.http) {
     alone = std::make_unique<edge_gateway::EdgeGateway>(port, follower, *this, rules);
--- a/tests/system/fleet_events_test.cpp
+++ b/tests/system/fleet_events_test.cpp
@@ -67,7 +67,7 @@
 class FleetEventsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetEventsTest);
   CPPUNIT_TEST(allMachinesStartInNoOrderAfterAKillOfAll);
-  CPPUNIT_TEST(addedEdgeFindsTheCoreByOneSeedThatStands);
+  CPPUNIT_TEST(addedEdgesFindTheCoreByOneSeedThatStands);
   CPPUNIT_TEST(changeSurvivesResetsOfAllMembersLinks);
   CPPUNIT_TEST(fullDisksOfAllMembersAcknowledgeNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -93,15 +93,16 @@
     }
   }
 
-  // An edge that is added after the core has moved is told two seeds that are gone and one that stands.
-  void addedEdgeFindsTheCoreByOneSeedThatStands() {
+  // Edges that are added after the core has moved are told two seeds that are gone and one that stands. No
+  // other edge is there that could tell them the members.
+  void addedEdgesFindTheCoreByOneSeedThatStands() {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
       Cluster cluster(small_cluster(seed));
       cluster.run(3);
       change_configuration(cluster, seed);
       const std::vector<std::string> gone{cluster.core_address(0), cluster.core_address(1)};
       constexpr double absence_s = 32;  // longer than the replacements take
-      cluster.kill_edge(0, absence_s);
+      for (std::size_t edge = 0; edge < cluster.edges(); ++edge) cluster.kill_edge(edge, absence_s);
       const double starts_at = cluster.seconds() + absence_s;
       for (std::size_t place = 0; place < 3; ++place) {
         cluster.replace_core(place, 0.5);
@@ -109,9 +110,10 @@
       }
       const std::vector<std::string> standing = standing_members(cluster);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(label(seed, "members"), std::size_t{3}, standing.size());
-      cluster.set_seeds({gone[0], gone[1], standing[seed % standing.size()]});
+      cluster.set_seeds_of_added_edges({gone[0], gone[1], standing[seed % standing.size()]});
       cluster.run(starts_at - cluster.seconds() + 0.05);
-      CPPUNIT_ASSERT_MESSAGE(label(seed, "the edge has started"), cluster.follower(0));
+      for (std::size_t edge = 0; edge < cluster.edges(); ++edge)
+        CPPUNIT_ASSERT_MESSAGE(label(seed, "each edge has started"), cluster.follower(edge));
       change_configuration(cluster, seed);
       expect_no_broken_rule(cluster, seed);
     }
