--- a/src/subscription/configuration_arrival.h
+++ b/src/subscription/configuration_arrival.h
@@ -30,7 +30,7 @@
 struct LateConfiguration {
   catalog::Revision revision = 0;
   ConfigurationSource source = ConfigurationSource::none;
-  Duration behind_for{};  // since the edge knew of a newer configuration than its own
+  Duration behind_for{};  // since its own had been replaced, as members announced
   Duration age{};         // since it was first known to be in force
 };
 
@@ -38,8 +38,8 @@
  public:
   // A member has announced that it applied this revision so long ago.
   void on_announced(Time now, catalog::Revision revision, std::uint32_t age_ms);
-  // The edge goes by this revision. `behind_since` is when the edge got to know that its configuration had
-  // been replaced; Time::max() if it did not know. Does nothing unless the revision is newer.
+  // The edge goes by this revision. `behind_since` is when its configuration had been replaced, as members
+  // announced; Time::max() if none did. Does nothing unless the revision is newer.
   void on_adopted(Time now, catalog::Revision revision, ConfigurationSource source, Time behind_since);
 
   ConfigurationSource source() const { return source_; }
