The simulated cluster judges how late each edge in touch goes by a change

Change: LagJudge (src/simulation/lag_judge) is told acknowledgements, what edges go by and what was done to machines; an edge in touch (RULES.md) that is late by over ClusterOptions::config_within_s (3 s) breaks CONFIG, by its age since the first acknowledgement of a newer revision. The largest lag with edge and revision stands in Outcome, in the summary of pearspar-measure-cluster and in its JSON.

--- a/src/measure/cluster_measure.cpp
+++ b/src/measure/cluster_measure.cpp
@@ -31,8 +31,25 @@
   std::map<std::string, std::vector<double>> waits;  // longest of each trouble, by kind
   std::map<std::string, std::size_t> struck;
   std::vector<int> broken_seeds;
+  LagJudge::Lag largest_lag;  // over all schedules
+  int largest_lag_seed = 0;
+
+  void add_lag(const LagJudge::Lag& lag, int seed) {
+    if (lag.seconds <= largest_lag.seconds) return;
+    largest_lag = lag;
+    largest_lag_seed = seed;
+  }
 };
 
+// Where the simulated time of a schedule begins.
+constexpr double schedule_epoch_s = 1000;
+
+void print_lag(const char* what, const LagJudge::Lag& lag) {
+  std::printf("%s: %.0f ms, %s by edition %llu, at %.2f s\n", what, 1e3 * lag.seconds,
+              lag.edge.empty() ? "no edge" : lag.edge.c_str(), static_cast<unsigned long long>(lag.revision),
+              lag.edge.empty() ? 0.0 : lag.at - schedule_epoch_s);
+}
+
 double part_of(std::vector<double>& sorted, double part) {
   if (sorted.empty()) return 0;
   std::sort(sorted.begin(), sorted.end());
@@ -49,6 +66,8 @@
       sum.played, sum.broken, took_s, whole(sum.acknowledged), whole(sum.refused), whole(sum.unclear),
       whole(sum.asked),
       sum.asked > 0 ? static_cast<double>(sum.served) / static_cast<double>(sum.asked) : 0.0);
+  print_lag(("largest lag of an edge in touch (seed " + std::to_string(sum.largest_lag_seed) + ")").c_str(),
+            sum.largest_lag);
   if (sum.rollouts > 0)
     std::printf("roll-outs: %zu, %zu not dealt with as their version asks for; bad ones delivered: %zu\n",
                 sum.rollouts, sum.missed_rollouts, sum.delivered_bad);
@@ -65,9 +84,9 @@
   if (!file) return false;
   std::fprintf(file,
                "{\"schedules\":%d,\"broken\":%d,\"seconds\":%.1f,\"acknowledged\":%llu,\"refused\":%llu,"
-               "\"unclear\":%llu,\"brokenSeeds\":[",
+               "\"unclear\":%llu,\"largestLagMs\":%.1f,\"largestLagSeed\":%d,\"brokenSeeds\":[",
                sum.played, sum.broken, took_s, whole(sum.acknowledged), whole(sum.refused),
-               whole(sum.unclear));
+               whole(sum.unclear), 1e3 * sum.largest_lag.seconds, sum.largest_lag_seed);
   for (std::size_t i = 0; i < sum.broken_seeds.size(); ++i)
     std::fprintf(file, "%s%d", i > 0 ? "," : "", sum.broken_seeds[i]);
   std::fprintf(file, "],\"waitMs\":{");
@@ -249,6 +268,7 @@
     sum.delivered_bad += outcome.delivered_bad;
     sum.asked += outcome.totals.asked;
     sum.served += outcome.totals.served;
+    sum.add_lag(outcome.largest_lag, seed);
     for (const Befallen& each : outcome.befallen) {
       ++sum.struck[each.kind];
       if (each.met) sum.waits[each.kind].push_back(each.longest_wait);
@@ -263,6 +283,7 @@
     }
     if (outcome.faults.empty() && !verbose) return;
     std::printf("seed %d: %zu broken\n", seed, outcome.faults.size());
+    print_lag("  largest lag of an edge in touch", outcome.largest_lag);
     for (std::size_t f = 0; f < outcome.faults.size() && f < 5; ++f)
       std::printf("  %s\n", outcome.faults[f].c_str());
     if (verbose)
--- a/src/simulation/cluster.cpp
+++ b/src/simulation/cluster.cpp
@@ -10,7 +10,14 @@
   return text.substr(at, text.find(to, at) - at);
 }
 
-Cluster::Cluster(const ClusterOptions& options) : options_(options), world_(options.seed), net_(world_) {
+Cluster::Cluster(const ClusterOptions& options)
+    : options_(options),
+      world_(options.seed),
+      net_(world_),
+      lag_judge_(options.config_within_s, in_touch_s,
+                 [this](const std::string& rule, const std::string& what) {
+                   checker_.broken(rule, std::to_string(seconds() - 1000) + " s: " + what);
+                 }) {
   checker_.retry_ratio = options.retry_ratio;
   checker_.retry_slack = options.retry_slack;
   for (int i = 0; i < options.shards; ++i) shards_.push_back("shard" + std::to_string(i));
@@ -47,6 +54,7 @@
     clients_ = std::make_unique<Clients>(*this);
     streams_.reach = [this](const std::string& address) { return reach(address); };
   }
+  judge_lags();
   if (options.retrievals_per_s > 0) world_.in(Duration(3), [this] { retrieve(); });
   if (options.requests_per_s > 0) world_.in(Duration(3), [this] { ask(); });
 }
--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -18,6 +18,7 @@
 #include "simulation/call_judge.h"
 #include "simulation/checker.h"
 #include "simulation/disk.h"
+#include "simulation/lag_judge.h"
 #include "simulation/net.h"
 #include "simulation/rollout_judge.h"
 #include "simulation/streams.h"
@@ -64,6 +65,9 @@
   // About so many bytes of accounts are in the state from the start: members find them on their disks, as if
   // the core had lived before. (In service edges' reports make them; the rig would need hours of traffic.)
   std::size_t ballast = 0;
+  // An edge in touch that goes by an older configuration so long after an acknowledgement breaks CONFIG:
+  // `configWithinMs` of the small deployments.
+  double config_within_s = 3;
 };
 
 class Cluster {
@@ -130,6 +134,8 @@
   std::size_t edges() const { return edges_.size(); }
   void kill_edge(std::size_t edge, double back_s);
   void freeze_edge(std::size_t edge, double for_s);
+  // As freeze_edge, but by a fault of its own, which excuses it from nothing.
+  void stop_responding(std::size_t edge, double for_s);
   const subscription::Follower* follower(std::size_t edge) const;
   const dispatch::Dispatcher* dispatcher(std::size_t edge) const;
   std::string edge_address(std::size_t edge) const;
@@ -225,6 +231,7 @@
   // Routes beside the two that are asked, from the next change on.
   void set_more_routes(int routes) { options_.more_routes = routes; }
   const Auditor& auditor() const { return auditor_; }
+  const LagJudge& lag_judge() const { return lag_judge_; }
   std::vector<std::string> audit(const std::vector<Auditor::Limit>& limits, bool exactly) const;
   const edge_gateway::EdgeGateway* gateway(std::size_t edge) const;
   // Told whenever an edge routes by another revision.
@@ -276,6 +283,13 @@
   bool answers_badly(Node& node, const std::string& target);
   void note_decisions(const Node& node);
   double calm_seconds(double since) const;
+  // An operator has this answer to its change.
+  void change_answered(const Order& order, const std::string& text, int status);
+  // Tells the judge of lags, again and again, who is out of touch now, and lets it judge.
+  void judge_lags();
+  bool is_running(const Core& core) const;
+  std::vector<const Core*> members_with_majority() const;
+  bool reaches_both_ways(const std::string& one, const std::string& other) const;
   void touched(const std::string& address);
   void cut(const std::string& address, const std::string& other);
   double settled_at() const;
@@ -312,6 +326,7 @@
   CallJudge calls_{[this](const std::string& rule, const std::string& what) { checker_.broken(rule, what); }};
   RolloutJudge rollout_judge_{
       [this](const std::string& rule, const std::string& what) { checker_.broken(rule, what); }};
+  LagJudge lag_judge_;
   std::vector<std::unique_ptr<Core>> cores_;
   std::vector<std::unique_ptr<Edge>> edges_;
   std::vector<std::unique_ptr<Node>> nodes_;
--- a/src/simulation/cluster_core.cpp
+++ b/src/simulation/cluster_core.cpp
@@ -128,6 +128,7 @@
 void Cluster::disturbed(double until_s) {
   core_calm_since_ = std::max(core_calm_since_, Time(Duration(until_s)));
   rollout_judge_.unsettled(core_calm_since_.time_since_epoch().count());
+  lag_judge_.core_unsettled(core_calm_since_.time_since_epoch().count());
   edges_disturbed(until_s);
 }
 
@@ -190,6 +191,7 @@
   if (auto& process = cores_[index]->process) {
     process->event_takes = Duration(event_s);
     process->slow_until = world_.now() + Duration(for_s);
+    lag_judge_.core_unsettled(seconds() + for_s);
   }
 }
 
--- a/src/simulation/cluster_edges.cpp
+++ b/src/simulation/cluster_edges.cpp
@@ -12,6 +12,7 @@
 void Cluster::start_edge(Edge& edge) {
   if (edge.process) return;
   ++edge.starts;
+  lag_judge_.edge_started(seconds(), edge.name);
   edge.process = std::make_unique<Edge::Process>(*this, edge, world_.number());
   Edge::Process& process = *edge.process;
   process.port.run = [&process](std::function<void()> what) { process.life.run(std::move(what)); };
@@ -209,7 +210,7 @@
 }
 
 // Whether the rules with a bound in time hold for edges now: nothing was done to the core or to them lately.
-bool Cluster::edge_in_touch() const { return world_.now() >= calm_since_ + Duration(4); }
+bool Cluster::edge_in_touch() const { return world_.now() >= calm_since_ + Duration(in_touch_s); }
 
 void Cluster::ask() {
   world_.in(Duration(world_.uniform(0.5, 1.5) / options_.requests_per_s), [this] { ask(); });
@@ -273,11 +274,17 @@
   if (!edge.process) return;
   net_.end(edge.process->port, false);
   edge.process.reset();
+  lag_judge_.edge_ended(seconds(), edge.name);
   world_.in(Duration(back_s), [this, &edge] { start_edge(edge); });
 }
 
 void Cluster::freeze_edge(std::size_t index, double for_s) {
   calm_since_ = std::max(calm_since_, world_.now() + Duration(for_s));
+  lag_judge_.edge_disturbed(edges_[index]->name, seconds() + for_s);
+  stop_responding(index, for_s);
+}
+
+void Cluster::stop_responding(std::size_t index, double for_s) {
   if (auto& process = edges_[index]->process) process->life.frozen_until = world_.now() + Duration(for_s);
 }
 
--- a/src/simulation/cluster_operators.cpp
+++ b/src/simulation/cluster_operators.cpp
@@ -9,7 +9,6 @@
 constexpr double operator_patience = 1.0;
 constexpr std::size_t most_orders = 8;
 constexpr int most_tries = 60;
-constexpr double in_touch_s = 4;
 constexpr double acknowledged_within_s = 5;
 constexpr double route_s = 0.003;  // more, for each route
 
@@ -108,8 +107,7 @@
       call("", member, "PUT", "/pearspar/config", std::to_string(order.on_top_of), sent->text,
            [this, sent](int status, const std::string&) {
              if (status == 200 || status == 400 || status == 412)
-               checker_.change_answered(seconds(), sent->order.on_top_of, sent->order.revision, sent->text,
-                                        status);
+               change_answered(sent->order, sent->text, status);
            });
   push(sent);
   return true;
@@ -164,7 +162,7 @@
   call(order.from, member, "PUT", "/pearspar/config", std::to_string(order.on_top_of), sent->text,
        [this, sent, member, served, next](int status, const std::string&) {
          if (status != 200 && status != 400 && status != 412) return next();
-         checker_.change_answered(seconds(), sent->order.on_top_of, sent->order.revision, sent->text, status);
+         change_answered(sent->order, sent->text, status);
          if (sent->over) return;
          count_wait(sent, member, served);
          answered(sent, static_cast<int>(member), status);
@@ -172,6 +170,11 @@
   world_.in(Duration(operator_patience), next);
 }
 
+void Cluster::change_answered(const Order& order, const std::string& text, int status) {
+  checker_.change_answered(seconds(), order.on_top_of, order.revision, text, status);
+  if (status == 200) lag_judge_.acknowledged(seconds(), order.revision);
+}
+
 void Cluster::answered(const std::shared_ptr<Sent>& sent, int member, int status) {
   judge_wait(sent);
   sent->over = true;
--- a/src/simulation/cluster_parts.h
+++ b/src/simulation/cluster_parts.h
@@ -14,6 +14,7 @@
 
 constexpr std::size_t top_records = 20;
 constexpr double min_shard_ratio = 0.5;
+constexpr double in_touch_s = 4;  // `inTouchMs`
 
 std::string between(const std::string& text, const std::string& from, const std::string& to);
 
@@ -153,6 +154,7 @@
       routed = gateway.routed_revision();
       cluster.checker_.edge_routes_by(cluster.seconds(), edge.name, edge.starts, routed,
                                       gateway.follower().view().configuration()->text);
+      cluster.lag_judge_.edge_routes_by(cluster.seconds(), edge.name, routed);
       cluster.edge_told(edge.place, routed);
     }
     bool cancel(dispatch::CallId, bool) override { return false; }  // its own wire lets calls run on
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -177,6 +177,7 @@
   outcome.totals = cluster.totals();
   outcome.acknowledged = cluster.checker().acknowledged();
   outcome.frames = cluster.net().frames();
+  outcome.largest_lag = cluster.lag_judge().largest();
   return outcome;
 }
 
--- a/src/simulation/schedule.h
+++ b/src/simulation/schedule.h
@@ -40,7 +40,8 @@
   std::size_t rollouts = 0;
   std::size_t missed_rollouts = 0;
   std::size_t delivered_bad = 0;
-  std::uint64_t frames = 0;  // between processes
+  std::uint64_t frames = 0;   // between processes
+  LagJudge::Lag largest_lag;  // of a configuration, over the edges in touch
 };
 
 const std::vector<std::string>& trouble_kinds();
