Simulated processors; lags of a slowed large fleet, with dark edges and resets

Cause: a real fleet fell from a lag of 1.5 s to one of 15 s as processors grew slower, and the simulation could not play slow processors of edges.

Change: Processor (src/simulation/processor.h) takes time for each event, for each byte received or sent and for each byte of a configuration that an edge puts in force; what comes meanwhile waits its turn, and an edge counts as going by a configuration when it is parsed.

--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -20,6 +20,7 @@
 #include "simulation/disk.h"
 #include "simulation/lag_judge.h"
 #include "simulation/net.h"
+#include "simulation/processor.h"
 #include "simulation/rollout_judge.h"
 #include "simulation/streams.h"
 #include "simulation/strikes.h"
@@ -68,6 +69,10 @@
   // An edge in touch that goes by an older configuration so long after an acknowledgement breaks CONFIG:
   // `configWithinMs` of the small deployments.
   double config_within_s = 3;
+  // Of the processes of members and edges: what work takes on a whole processor, and their shares of one.
+  ProcessorCosts processor_costs;
+  double core_processor_share = 1;
+  double edge_processor_share = 1;
 };
 
 class Cluster {
--- a/src/simulation/cluster_core.cpp
+++ b/src/simulation/cluster_core.cpp
@@ -45,18 +45,24 @@
   if (options_.clock_drift > 0)
     process.rate = 1 + world_.uniform(-options_.clock_drift / 2, options_.clock_drift / 2);
   process.step = core.clock_step;
-  process.life.busy_until = [&core, &process] { return std::max(core.disk.busy_until(), process.cpu_until); };
+  process.life.busy_until = [&core, &process] {
+    return std::max(core.disk.busy_until(), process.busy_until());
+  };
   process.port.leaves = [&core, &process] {
-    return std::max({core.disk.busy_until(), process.life.frozen_until, process.cpu_until});
+    return std::max({core.disk.busy_until(), process.life.frozen_until, process.busy_until()});
   };
+  process.processor.set(options_.processor_costs, options_.core_processor_share);
+  process.port.on_send = [&process](std::size_t bytes) { process.processor.take_bytes(bytes); };
   process.port.run = [&process](std::function<void()> what) { process.life.run(std::move(what)); };
   process.life.after = [this, &core, &process] {
-    if (world_.now() < process.slow_until) process.cpu_until = world_.now() + process.event_takes;
+    process.processor.take_event();
+    if (world_.now() < process.slow_until) process.slowed_until = world_.now() + process.event_takes;
     if (!process.member->started()) process.member->start(process.now());
     bool freezes = process.freeze_looks >= 0 && !process.askers.empty() && world_.chance(0.3);
     int looks = 0;
     auto ready = [this, &core, &process] {
-      return std::max({world_.now(), core.disk.busy_until(), process.life.frozen_until, process.cpu_until});
+      return std::max(
+          {world_.now(), core.disk.busy_until(), process.life.frozen_until, process.busy_until()});
     };
     auto clock = [&] {
       Time now = process.own(ready());
--- a/src/simulation/cluster_edges.cpp
+++ b/src/simulation/cluster_edges.cpp
@@ -15,8 +15,13 @@
   lag_judge_.edge_started(seconds(), edge.name);
   edge.process = std::make_unique<Edge::Process>(*this, edge, world_.number());
   Edge::Process& process = *edge.process;
+  process.processor.set(options_.processor_costs, options_.edge_processor_share);
+  process.life.busy_until = [&process] { return process.processor.busy_until(); };
+  process.port.leaves = [&process] { return process.processor.busy_until(); };
+  process.port.on_send = [&process](std::size_t bytes) { process.processor.take_bytes(bytes); };
   process.port.run = [&process](std::function<void()> what) { process.life.run(std::move(what)); };
   process.life.after = [this, &process] {
+    process.processor.take_event();
     Time now = world_.now();
     process.turn();
     process.tell_routes();
@@ -55,6 +60,7 @@
       edge(of),
       life(to.world_),
       port(to.net_, of.address, *this),
+      processor(to.world_),
       gateway(make_gateway(number)) {}
 
 edge_gateway::EdgeGateway& Cluster::Edge::Process::make_gateway(std::uint64_t number) {
@@ -82,6 +88,22 @@
   service->loop.reset();
 }
 
+void Cluster::Edge::Process::tell_routes() {
+  if (gateway.routed_revision() == routed) return;
+  routed = gateway.routed_revision();
+  const std::string& text = gateway.follower().view().configuration()->text;
+  processor.take_configuration(text.size());
+  auto tell = [this, revision = routed, text, alive = life.alive] {
+    if (!*alive) return;
+    cluster.checker_.edge_routes_by(cluster.seconds(), edge.name, edge.starts, revision, text);
+    cluster.lag_judge_.edge_routes_by(cluster.seconds(), edge.name, revision);
+    cluster.edge_told(edge.place, revision);
+  };
+  // Requests that come while it is parsed wait, and go by it.
+  if (processor.busy_until() <= life.world.now()) return tell();
+  life.world.at(processor.busy_until(), tell);
+}
+
 void Cluster::Edge::Process::sweep() {
   service->second = service->loop->at(service->loop->now() + Duration(1), [this] {
     sweep();
--- a/src/simulation/cluster_parts.h
+++ b/src/simulation/cluster_parts.h
@@ -84,9 +84,10 @@
     double rate = 1;
     Time started;
     Duration step{};  // its time of day at its start, beside the others'
-    Time cpu_until{};
-    Duration event_takes{};
+    Processor processor;
+    Duration event_takes{};  // beside that
     Time slow_until{};
+    Time slowed_until{};
     // A look at the clock that serves all calls of a turn, and those that have come since.
     std::optional<Time> look;
     std::deque<std::function<void()>> calls;
@@ -94,7 +95,8 @@
     int freeze_looks = -1;
     Duration freeze_span{};
     Process(World& world, Net& net, const std::string& address)
-        : life(world), port(net, address, *this), started(world.now()) {}
+        : life(world), port(net, address, *this), started(world.now()), processor(world) {}
+    Time busy_until() const { return std::max(processor.busy_until(), slowed_until); }
     Time own(Time at) const { return started + step + (at - started) * rate; }
     Time worlds(Time own) const { return started + (own - step - started) / rate; }
     Time now() const { return own(life.world.now()); }
@@ -102,6 +104,7 @@
       member->link_up(now(), link, address);
     }
     void link_frame(transport::LinkId link, std::string_view frame) override {
+      processor.take_bytes(frame.size());
       member->link_frame(now(), link, frame);
     }
     void link_down(transport::LinkId link) override { member->link_down(link); }
@@ -121,6 +124,7 @@
     Edge& edge;
     Life life;
     Port port;
+    Processor processor;
     // The HTTP side as in service, on simulated streams; null where the dispatcher is called by itself.
     struct Service {
       Host host;
@@ -146,17 +150,12 @@
     }
     void link_down(transport::LinkId link) override { gateway.link_down(link); }
     void link_frame(transport::LinkId link, std::string_view frame) override {
+      processor.take_bytes(frame.size());
       gateway.link_frame(life.world.now(), link, frame);
       tell_routes();
     }
-    void tell_routes() {
-      if (gateway.routed_revision() == routed) return;
-      routed = gateway.routed_revision();
-      cluster.checker_.edge_routes_by(cluster.seconds(), edge.name, edge.starts, routed,
-                                      gateway.follower().view().configuration()->text);
-      cluster.lag_judge_.edge_routes_by(cluster.seconds(), edge.name, routed);
-      cluster.edge_told(edge.place, routed);
-    }
+    // Tells the judges of a revision that it has begun to route by.
+    void tell_routes();
     bool cancel(dispatch::CallId, bool) override { return false; }  // its own wire lets calls run on
     bool start(dispatch::CallId call, const dispatch::NodeState& node, int most,
                dispatch::NodeRequest request, dispatch::Time end) override;
--- a/src/simulation/net.cpp
+++ b/src/simulation/net.cpp
@@ -57,6 +57,7 @@
   auto found = net_.links_.find(link);
   if (found == net_.links_.end()) return false;
   auto [held, dialler] = found->second;
+  on_send(frame.size());
   if (net_.overfills(held, dialler, frame.size())) return true;
   net_.transmit(held, dialler, std::string(frame), std::max(net_.world_.now(), leaves()));
   return true;
--- a/src/simulation/net.h
+++ b/src/simulation/net.h
@@ -33,6 +33,8 @@
 
   // When what is sent now leaves: later than now where the process waits for its disk.
   std::function<Time()> leaves = [] { return Time{}; };
+  // Told of the bytes of each frame that it sends.
+  std::function<void(std::size_t bytes)> on_send = [](std::size_t) {};
   // Runs what happens to the process: now, or when it is awake again.
   std::function<void(std::function<void()>)> run = [](std::function<void()> what) { what(); };
   const std::string& address() const { return address_; }
