--- a/src/measure/cluster_measure.cpp
+++ b/src/measure/cluster_measure.cpp
@@ -160,7 +160,7 @@
 
 int main(int argc, const char** argv) {
   int count = 100, jobs = 4, from = 1, cores = 0, edges = 0, verbose = 0, lying = 0, returns = 0,
-      rollouts = 0;
+      rollouts = 0, large_fleet = 0;
   int http_every = -1;
   int states = 0, timeouts = 4, crashes = 1, wipes = 1, changes = 1, newcomers = 0, in_flight = 3;
   double sync_ms = -1, rate = -1, away_s = 20, mbit = -1, ballast_mb = -1, disk_mb = -1, note_kb = -1;
@@ -196,6 +196,8 @@
       {"json", 0, POPT_ARG_STRING, &json, 0, "the figures, for programs", "FILE"},
       {"http-every", 0, POPT_ARG_INT, &http_every, 0, "of so many, one speaks HTTP in bytes; 0 = none", "N"},
       {"rollouts", 0, POPT_ARG_NONE, &rollouts, 0, "with roll-outs of good and bad versions", nullptr},
+      {"large-fleet", 0, POPT_ARG_NONE, &large_fleet, 0,
+       "295 edges at 43 Mbit/s, large configurations, shares of a processor", nullptr},
       {"verbose", 'v', POPT_ARG_NONE, &verbose, 0, "tell what was done in each schedule", nullptr},
       {"tell-core", 'V', POPT_ARG_VAL, &verbose, 2, "and what became of each member", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -245,6 +247,7 @@
   for_seeds(from, count, jobs, [&](int seed) {
     ScheduleOptions schedule = rollouts ? drawn_rollout_schedule(static_cast<std::uint64_t>(seed))
                                         : drawn_schedule(static_cast<std::uint64_t>(seed));
+    if (large_fleet) make_large(schedule);
     if (cores > 0) schedule.cluster.cores = cores;
     if (edges > 0) schedule.cluster.edges = edges;
     if (sync_ms >= 0) schedule.cluster.sync_s = sync_ms / 1000;
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -4,9 +4,16 @@
 #include <random>
 
 #include "simulation/http_days.h"
+#include "simulation/large_fleet.h"
 #include "simulation/player.h"
 
 namespace pearspar::simulation {
+namespace {
+
+// Each takes as long as some dozens of small ones.
+constexpr double large_fleet_share = 0.002;
+
+}  // namespace
 
 Player::Player(const ScheduleOptions& options, Cluster& cluster, Outcome& outcome)
     : options_(options),
@@ -149,9 +156,16 @@
     cluster.more_routes = 0;
     options.troubled_s = 60;
   }
+  if (chance(large_fleet_share)) make_large(options);
   return options;
 }
 
+void make_large(ScheduleOptions& options) {
+  constexpr double least_change_every_s = 0.9;
+  set_large_fleet(options.cluster);
+  options.change_every_s = std::max(options.change_every_s, least_change_every_s);
+}
+
 Outcome play(const ScheduleOptions& options) {
   Outcome outcome;
   Cluster cluster(options.cluster);
--- a/src/simulation/schedule.h
+++ b/src/simulation/schedule.h
@@ -48,6 +48,8 @@
 // A schedule whose shape is the seed's: how many members, how long, how slow the disks, how large the
 // configurations. Most are small, so that many can be played; some are whole systems.
 ScheduleOptions drawn_schedule(std::uint64_t seed);
+// On a large fleet (large_fleet.h), otherwise as it is.
+void make_large(ScheduleOptions& options);
 // One with roll-outs under traffic; its shape is the seed's.
 ScheduleOptions drawn_rollout_schedule(std::uint64_t seed);
 Outcome play(const ScheduleOptions& options);
