--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -20,7 +20,9 @@
 #include "simulation/call_judge.h"
 #include "simulation/checker.h"
 #include "simulation/disk.h"
+#include "simulation/lag_judge.h"
 #include "simulation/net.h"
+#include "simulation/processor.h"
 #include "simulation/rollout_judge.h"
 #include "simulation/streams.h"
 #include "simulation/strikes.h"
@@ -66,6 +68,13 @@
   // About so many bytes of accounts are in the state from the start: members find them on their disks, as if
   // the core had lived before. (In service edges' reports make them; the rig would need hours of traffic.)
   std::size_t ballast = 0;
+  // An edge in touch that goes by an older configuration so long after an acknowledgement breaks CONFIG:
+  // `configWithinMs` of the small deployments.
+  double config_within_s = 3;
+  // Of the processes of members and edges: what work takes on a whole processor, and their shares of one.
+  ProcessorCosts processor_costs;
+  double core_processor_share = 1;
+  double edge_processor_share = 1;
 };
 
 class Cluster {
@@ -137,6 +146,8 @@
   std::size_t edges() const { return edges_.size(); }
   void kill_edge(std::size_t edge, double back_s);
   void freeze_edge(std::size_t edge, double for_s);
+  // As freeze_edge, but by a fault of its own, which excuses it from nothing.
+  void stop_responding(std::size_t edge, double for_s);
   const subscription::Follower* follower(std::size_t edge) const;
   const dispatch::Dispatcher* dispatcher(std::size_t edge) const;
   std::string edge_address(std::size_t edge) const;
@@ -232,6 +243,7 @@
   // Routes beside the two that are asked, from the next change on.
   void set_more_routes(int routes) { options_.more_routes = routes; }
   const Auditor& auditor() const { return auditor_; }
+  const LagJudge& lag_judge() const { return lag_judge_; }
   std::vector<std::string> audit(const std::vector<Auditor::Limit>& limits, bool exactly) const;
   const edge_gateway::EdgeGateway* gateway(std::size_t edge) const;
   // Told whenever an edge routes by another revision.
@@ -284,6 +296,13 @@
   // Asked after each step of a member: it may die before a request reaches a server.
   void note_decisions(const control_plane::Member& member);
   double calm_seconds(double since) const;
+  // An operator has this answer to its change.
+  void change_answered(const Order& order, const std::string& text, int status);
+  // Tells the judge of lags, again and again, who is out of touch now, and lets it judge.
+  void judge_lags();
+  bool is_running(const Core& core) const;
+  std::vector<const Core*> members_with_majority() const;
+  bool reaches_both_ways(const std::string& one, const std::string& other) const;
   void touched(const std::string& address);
   void cut(const std::string& address, const std::string& other);
   double settled_at() const;
@@ -321,6 +340,7 @@
   RolloutJudge rollout_judge_{
       [this](const std::string& rule, const std::string& what) { checker_.broken(rule, what); }};
   std::set<rollout::RolloutNumber> decided_rollouts_;  // that the judge was told of
+  LagJudge lag_judge_;
   std::vector<std::unique_ptr<Core>> cores_;
   std::vector<std::unique_ptr<Edge>> edges_;
   std::vector<std::unique_ptr<Node>> nodes_;
--- a/src/simulation/cluster_edges.cpp
+++ b/src/simulation/cluster_edges.cpp
@@ -12,10 +12,16 @@
 void Cluster::start_edge(Edge& edge) {
   if (edge.process) return;
   ++edge.starts;
+  lag_judge_.edge_started(seconds(), edge.name);
   edge.process = std::make_unique<Edge::Process>(*this, edge, world_.number());
   Edge::Process& process = *edge.process;
+  process.processor.set(options_.processor_costs, options_.edge_processor_share);
+  process.life.busy_until = [&process] { return process.processor.busy_until(); };
+  process.port.leaves = [&process] { return process.processor.busy_until(); };
+  process.port.on_send = [&process](std::size_t bytes) { process.processor.take_bytes(bytes); };
   process.port.run = [&process](std::function<void()> what) { process.life.run(std::move(what)); };
   process.life.after = [this, &process] {
+    process.processor.take_event();
     Time now = world_.now();
     process.turn();
     process.tell_routes();
@@ -54,6 +60,7 @@
       edge(of),
       life(to.world_),
       port(to.net_, of.address, *this),
+      processor(to.world_),
       gateway(make_gateway(number)) {}
 
 edge_gateway::EdgeGateway& Cluster::Edge::Process::make_gateway(std::uint64_t number) {
@@ -82,6 +89,22 @@
   service->loop.reset();
 }
 
+void Cluster::Edge::Process::tell_routes() {
+  if (gateway.routed_revision() == routed) return;
+  routed = gateway.routed_revision();
+  const std::string& text = gateway.follower().view().configuration()->text;
+  processor.take_configuration(text.size());
+  auto tell = [this, revision = routed, text, alive = life.alive] {
+    if (!*alive) return;
+    cluster.checker_.edge_routes_by(cluster.seconds(), edge.name, edge.starts, revision, text);
+    cluster.lag_judge_.edge_routes_by(cluster.seconds(), edge.name, revision);
+    cluster.edge_told(edge.place, revision);
+  };
+  // Requests that come while it is parsed wait, and go by it.
+  if (processor.busy_until() <= life.world.now()) return tell();
+  life.world.at(processor.busy_until(), tell);
+}
+
 void Cluster::Edge::Process::sweep() {
   service->second = service->loop->at(service->loop->now() + Duration(1), [this] {
     sweep();
@@ -210,7 +233,7 @@
 }
 
 // Whether the rules with a bound in time hold for edges now: nothing was done to the core or to them lately.
-bool Cluster::edge_in_touch() const { return world_.now() >= calm_since_ + Duration(4); }
+bool Cluster::edge_in_touch() const { return world_.now() >= calm_since_ + Duration(in_touch_s); }
 
 void Cluster::ask() {
   world_.in(Duration(world_.uniform(0.5, 1.5) / options_.requests_per_s), [this] { ask(); });
@@ -274,11 +297,17 @@
   if (!edge.process) return;
   net_.end(edge.process->port, false);
   edge.process.reset();
+  lag_judge_.edge_ended(seconds(), edge.name);
   world_.in(Duration(back_s), [this, &edge] { start_edge(edge); });
 }
 
 void Cluster::freeze_edge(std::size_t index, double for_s) {
   calm_since_ = std::max(calm_since_, world_.now() + Duration(for_s));
+  lag_judge_.edge_disturbed(edges_[index]->name, seconds() + for_s);
+  stop_responding(index, for_s);
+}
+
+void Cluster::stop_responding(std::size_t index, double for_s) {
   if (auto& process = edges_[index]->process) process->life.frozen_until = world_.now() + Duration(for_s);
 }
 
--- a/src/simulation/schedule.h
+++ b/src/simulation/schedule.h
@@ -40,13 +40,16 @@
   std::size_t rollouts = 0;
   std::size_t missed_rollouts = 0;
   std::size_t delivered_bad = 0;
-  std::uint64_t frames = 0;  // between processes
+  std::uint64_t frames = 0;   // between processes
+  LagJudge::Lag largest_lag;  // of a configuration, over the edges in touch
 };
 
 const std::vector<std::string>& trouble_kinds();
 // A schedule whose shape is the seed's: how many members, how long, how slow the disks, how large the
 // configurations. Most are small, so that many can be played; some are whole systems.
 ScheduleOptions drawn_schedule(std::uint64_t seed);
+// On a large fleet (large_fleet.h), otherwise as it is.
+void make_large(ScheduleOptions& options);
 // One with roll-outs under traffic; its shape is the seed's.
 ScheduleOptions drawn_rollout_schedule(std::uint64_t seed);
 Outcome play(const ScheduleOptions& options);
