--- a/review/stand-2.h
+++ b/review/stand-2.h
@@ -8,11 +8,13 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdarg>
@@ -223,7 +225,7 @@
       int first = 20000 + static_cast<int>(random() % 9000);
       bool free = true;
       for (int port = first; port < first + 20; ++port) {
-        int fd = listen_at("0.0.0.0", port);
+        int fd = listen_at(net + ".1", port);
         free = free && fd >= 0;
         if (fd >= 0) ::close(fd);
       }
@@ -273,6 +275,7 @@
       int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(out, 1);
       ::dup2(out, 2);
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // no process outlives the script
       ::setenv("PEARSPAR_CONFIG", file.c_str(), 1);
       ::execl(program.c_str(), program.c_str(), "serve", nullptr);
       ::_exit(127);
