Edge: count gathered requests on an unconfirmed configuration, log pauses

Change: altavia_unconfirmed_gathered_total; the lines configuration_confirmed and configuration_unconfirmed have unconfirmed_gathered and leader_silent_s; a line process_paused. No decision changes.

--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <system_error>
+#include <utility>
 
 #include "allocation/allocation.h"
 #include "altavia/memory_shares.h"
@@ -22,7 +23,8 @@
 constexpr double max_end_margin_share_of_grace = 0.14;
 constexpr net::Duration final_answer_time = 200ms;  // for clients to read the last answers
 constexpr transport::TcpTransport::InboundLimits edge_link_limits{64, 1024};
-constexpr std::size_t reserved_descriptors = 300;  // not available for clients
+constexpr net::Duration min_logged_pause = 1500ms;  // a timer ends each wait of the loop after a second
+constexpr std::size_t reserved_descriptors = 300;   // not available for clients
 
 std::size_t max_clients(const process_settings::Settings& settings) {
   auto file_limit = static_cast<std::size_t>(settings.open_file_limit);
@@ -65,6 +67,7 @@
   readiness_.omit_body_for_head();
   if (!settings.readiness_listen_address.empty())
     readiness_.listen(net::Address::of(settings.readiness_listen_address));
+  last_turn_ = loop_.now();
   each_second();
 }
 
@@ -150,15 +153,25 @@
 // Logs when a leader has confirmed the configuration, and when that is too long ago.
 void Edge::log_confirmation() {
   const dispatch::Dispatcher& dispatcher = proxy_.gateway().dispatcher();
+  const subscription::Follower& follower = proxy_.gateway().follower();
   const bool confirmed = dispatcher.routes_confirmed(loop_.now());
   if (confirmed == configuration_confirmed_) return;
   configuration_confirmed_ = confirmed;
   log(Level::info, confirmed ? "configuration_confirmed" : "configuration_unconfirmed",
-      {{"edition", proxy_.gateway().follower().view().revision()},
+      {{"edition", follower.view().revision()},
+       {"leader_silent_s", follower.leader_silence(loop_.now()).count()},
        {"unconfirmed_requests", dispatcher.counters().unconfirmed_requests},
+       {"unconfirmed_gathered", dispatcher.counters().unconfirmed_gathered},
        {"unconfirmed_second_calls", dispatcher.counters().unconfirmed_second_calls}});
 }
 
+// Logs that this process stood still: frozen, or without the processor.
+void Edge::log_pause() {
+  const net::Duration since_last_turn = loop_.now() - std::exchange(last_turn_, loop_.now());
+  if (since_last_turn < min_logged_pause) return;
+  log(Level::warning, "process_paused", {{"for_s", since_last_turn.count()}});
+}
+
 void Edge::each_second() {
   second_timer_ = loop_.at(loop_.now() + 1s, [this] { each_second(); });
   proxy_.sweep();
@@ -169,6 +182,7 @@
   net::Time now = loop_.now();
   proxy_.after_turn();
   apply_configuration();
+  log_pause();
   log_confirmation();
   log_outdated_configuration();
   log_late_configuration();
@@ -243,6 +257,8 @@
       {"altavia_second_calls_total", "of those past the first of a part", number(dispatcher.second_calls)},
       {"altavia_unconfirmed_total", "requests while no leader had confirmed the configuration of late",
        number(dispatcher.unconfirmed_requests)},
+      {"altavia_unconfirmed_gathered_total", "of those, sent to the shards of a route that gathers",
+       number(dispatcher.unconfirmed_gathered)},
       {"altavia_outdated_refused_total",
        "refused since a newer configuration was known to be in force and had not been received",
        number(dispatcher.outdated_requests)},
--- a/src/altavia/edge.h
+++ b/src/altavia/edge.h
@@ -49,6 +49,7 @@
 
   void apply_configuration();
   void log_confirmation();
+  void log_pause();
   void log_outdated_configuration();
   void log_late_configuration();
   void each_second();
@@ -63,6 +64,7 @@
   ReverseProxy proxy_;
   net::Timer second_timer_;
   net::Timer due_timer_;
+  net::Time last_turn_{};                 // of the loop
   bool configuration_confirmed_ = false;  // as logged last
   bool configuration_outdated_ = false;   // as logged last: requests are refused
   std::uint64_t refused_before_ = 0;      // outdated requests before the edge fell behind
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -65,6 +65,7 @@
   request.confirmed = confirmed;
   request.repeatable = route->safe && confirmed;
   if (!request.confirmed) ++counters_.unconfirmed_requests;
+  if (!request.confirmed && route->gathers()) ++counters_.unconfirmed_gathered;
   request.arrived = now;
   const Time received_at =
       client_request.received_at == Time{} ? now : std::min(now, client_request.received_at);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -60,6 +60,7 @@
   std::uint64_t calls = 0;                     // calls to nodes
   std::uint64_t second_calls = 0;              // of `calls`: retries and hedged calls
   std::uint64_t unconfirmed_requests = 0;      // accepted while the routes were not confirmed
+  std::uint64_t unconfirmed_gathered = 0;      // of those: sent to the shards of a route that gathers
   std::uint64_t unconfirmed_second_calls = 0;  // of `second_calls`: those of such requests
   std::uint64_t outdated_requests = 0;         // refused since a newer configuration had not been received
   std::uint64_t withheld = 0;                  // retries and hedged calls that the retry budget did not allow
--- a/src/subscription/follower.h
+++ b/src/subscription/follower.h
@@ -75,6 +75,8 @@
   // Returns false where no leader is known.
   bool send_rollout_report(const rollout::RolloutReport& report);
   std::vector<rollout::RolloutGrant> take_rollout_grants() { return std::exchange(rollout_grants_, {}); }
+  // For how long no update of a leader has come.
+  Duration leader_silence(Time now) const { return now - last_update_; }
   // The link on which the leader's last update arrived; 0 = none.
   transport::LinkId leader_link() const { return leader_link_; }
   // A time before which the leader's last update had not been sent yet. Time::min() if none has come.
