--- a/src/altavia/edge.cpp
+++ b/src/altavia/edge.cpp
@@ -162,6 +162,7 @@
        {"leader_silent_s", follower.leader_silence(loop_.now()).count()},
        {"unconfirmed_requests", dispatcher.counters().unconfirmed_requests},
        {"unconfirmed_gathered", dispatcher.counters().unconfirmed_gathered},
+       {"unconfirmed_refused", dispatcher.counters().unconfirmed_refused},
        {"unconfirmed_second_calls", dispatcher.counters().unconfirmed_second_calls}});
 }
 
@@ -257,8 +258,10 @@
       {"altavia_second_calls_total", "of those past the first of a part", number(dispatcher.second_calls)},
       {"altavia_unconfirmed_total", "requests while no leader had confirmed the configuration of late",
        number(dispatcher.unconfirmed_requests)},
-      {"altavia_unconfirmed_gathered_total", "of those, sent to the shards of a route that gathers",
+      {"altavia_unconfirmed_gathered_total", "of those, sent to one shard of a route that gathers",
        number(dispatcher.unconfirmed_gathered)},
+      {"altavia_unconfirmed_refused_total", "of those, refused since several shards would have to run them",
+       number(dispatcher.unconfirmed_refused)},
       {"altavia_outdated_refused_total",
        "refused since a newer configuration was known to be in force and had not been received",
        number(dispatcher.outdated_requests)},
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -52,9 +52,6 @@
   if (!route && !confirmed)
     return ++counters_.refused, refuse(503, unavailable_retry_after_s, Reason::unconfirmed_configuration);
   if (!route) return ++counters_.no_route, refuse(404, 0, Reason::no_route);
-  // It would run at every shard, although it may not be repeatable any more.
-  if (route->gathers() && !routes_were_confirmed())
-    return ++counters_.refused, refuse(503, unavailable_retry_after_s, Reason::unconfirmed_configuration);
   if (requests_.size() >= max_open_requests)
     return ++counters_.refused, refuse(503, unavailable_retry_after_s, Reason::too_many_open);
 
@@ -65,7 +62,6 @@
   request.confirmed = confirmed;
   request.repeatable = route->safe && confirmed;
   if (!request.confirmed) ++counters_.unconfirmed_requests;
-  if (!request.confirmed && route->gathers()) ++counters_.unconfirmed_gathered;
   request.arrived = now;
   const Time received_at =
       client_request.received_at == Time{} ? now : std::min(now, client_request.received_at);
@@ -128,30 +124,43 @@
 
 // Chooses the services or shards that the request goes to. False with a response if it is rejected.
 bool Dispatcher::plan_parts(Time now, Request& request, ClientResponse& response) {
+  return request.route->gathers() ? plan_shards(now, request, response)
+                                  : plan_service(now, request, response);
+}
+
+bool Dispatcher::plan_service(Time now, Request& request, ClientResponse& response) {
   const catalog::Route& route = *request.route;
-  if (!route.gathers()) {
-    const std::string* service = &route.services[0].service;
-    if (route.services.size() > 1) {
-      double sum = 0;
-      for (const catalog::WeightedService& share : route.services) sum += share.weight;
-      double at = std::fmod(static_cast<double>(++sequence_) * golden_ratio_fraction, 1.0) * sum;
-      for (const catalog::WeightedService& share : route.services) {
-        if (share.weight <= 0) continue;
-        service = &share.service;
-        if ((at -= share.weight) < 0) break;
-      }
+  const std::string* service = &route.services[0].service;
+  if (route.services.size() > 1) {
+    double sum = 0;
+    for (const catalog::WeightedService& share : route.services) sum += share.weight;
+    double at = std::fmod(static_cast<double>(++sequence_) * golden_ratio_fraction, 1.0) * sum;
+    for (const catalog::WeightedService& share : route.services) {
+      if (share.weight <= 0) continue;
+      service = &share.service;
+      if ((at -= share.weight) < 0) break;
     }
-    if (!admit(now, route, {*service}, 1, response, request)) return false;
-    request.parts.resize(1);
-    request.parts[0].service = *service;
-    request.parts[0].selected = true;
-    retry_budget_.record_request(now, *service);
-    return true;
   }
+  if (!admit(now, route, {*service}, 1, response, request)) return false;
+  request.parts.resize(1);
+  request.parts[0].service = *service;
+  request.parts[0].selected = true;
+  retry_budget_.record_request(now, *service);
+  return true;
+}
+
+bool Dispatcher::plan_shards(Time now, Request& request, ClientResponse& response) {
+  const catalog::Route& route = *request.route;
   ++counters_.gathered;
-  if (!admit(now, route, route.shards, required_parts(route.shards.size(), route.min_shard_ratio), response,
-             request))
+  const std::size_t required = required_parts(route.shards.size(), route.min_shard_ratio);
+  // Every shard that is sent the request runs it, but by a newer configuration it may have to run only once.
+  if (!request.confirmed && required > 1) {
+    ++counters_.refused;
+    ++counters_.unconfirmed_refused;
+    response = unconfirmed_response(request);
     return false;
+  }
+  if (!admit(now, route, route.shards, required, response, request)) return false;
   request.parts.resize(route.shards.size());
   for (std::size_t i = 0; i < route.shards.size(); ++i) request.parts[i].service = route.shards[i];
   // Routes that need all parts query every shard, also under overload.
@@ -163,8 +172,9 @@
       weights[i] = 0;
       request.parts[i].is_probe = true;
     }
-  for (std::size_t i : select_heaviest(weights, coverage, route.min_shard_ratio))
-    request.parts[i].selected = true;
+  std::vector<std::size_t> heaviest = select_heaviest(weights, coverage, route.min_shard_ratio);
+  if (!request.confirmed) heaviest.resize(required);
+  for (std::size_t i : heaviest) request.parts[i].selected = true;
   std::size_t selected = 0;
   for (Part& part : request.parts) {
     if (part.selected && part.is_probe && !load_balancer_.take_probe(now, part.service))
@@ -172,11 +182,12 @@
     part.closed = !part.selected;
     selected += part.selected;
   }
-  if (selected < required_parts(route.shards.size(), route.min_shard_ratio)) {
+  if (selected < required) {
     ++counters_.refused;
     response = refusal_response(request, Reason::too_few_parts);
     return false;
   }
+  if (!request.confirmed) ++counters_.unconfirmed_gathered;
   for (const Part& part : request.parts)
     if (part.selected) retry_budget_.record_request(now, part.service);
   return true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -60,7 +60,8 @@
   std::uint64_t calls = 0;                     // calls to nodes
   std::uint64_t second_calls = 0;              // of `calls`: retries and hedged calls
   std::uint64_t unconfirmed_requests = 0;      // accepted while the routes were not confirmed
-  std::uint64_t unconfirmed_gathered = 0;      // of those: sent to the shards of a route that gathers
+  std::uint64_t unconfirmed_gathered = 0;      // of those: sent to one shard of a route that gathers
+  std::uint64_t unconfirmed_refused = 0;       // of those: refused, since several shards would run them
   std::uint64_t unconfirmed_second_calls = 0;  // of `second_calls`: those of such requests
   std::uint64_t outdated_requests = 0;         // refused since a newer configuration had not been received
   std::uint64_t withheld = 0;                  // retries and hedged calls that the retry budget did not allow
@@ -78,7 +79,7 @@
 
   void set_routes(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
   // Until when the routes are known to be those in force; at first they are not. Requests accepted at other
-  // times are not repeated, since a newer configuration may not allow it.
+  // times go to one service and are not repeated, since a newer configuration may not allow it.
   void set_routes_confirmed_until(Time until) { routes_confirmed_until_ = until; }
   bool routes_confirmed(Time now) const { return now <= routes_confirmed_until_; }
   // From when on the routes are known to have been replaced for too long: requests that arrive later are
@@ -131,6 +132,9 @@
   };
 
   bool plan_parts(Time now, Request& request, ClientResponse& response);
+  bool plan_service(Time now, Request& request, ClientResponse& response);
+  bool plan_shards(Time now, Request& request, ClientResponse& response);
+  ClientResponse unconfirmed_response(const Request& request) const;
   bool admit(Time now, const catalog::Route& route, const std::vector<std::string>& services,
              std::size_t min_parts, ClientResponse& response, const Request& request);
   bool send_call(Time now, RequestId id, std::size_t part);
--- a/src/dispatch/dispatcher_responses.cpp
+++ b/src/dispatch/dispatcher_responses.cpp
@@ -13,6 +13,7 @@
 // The assumed value of a response after the latency target, where a timely and complete one is worth 1. A
 // timely response is worth the square of the share of its parts.
 constexpr double late_response_value = 0.33;
+constexpr double no_leader_retry_after_s = 0.2;  // while one is being elected
 
 bool suffices(const Request& request, std::size_t parts) {
   return parts >= required_parts(request.parts.size(), request.route->min_shard_ratio);
@@ -103,6 +104,13 @@
   return response;
 }
 
+// Another edge may be in touch with the leader, unless none leads yet.
+ClientResponse Dispatcher::unconfirmed_response(const Request& request) const {
+  ClientResponse response = refusal_response(request, Reason::unconfirmed_configuration);
+  if (!routes_were_confirmed()) response.retry_after_s = no_leader_retry_after_s;
+  return response;
+}
+
 // The request failed, and a node may have run it.
 ClientResponse Dispatcher::failure_response(Time now, const Request& request) const {
   ClientResponse response;
--- a/tests/system/unconfirmed_configuration_test.cpp
+++ b/tests/system/unconfirmed_configuration_test.cpp
@@ -29,10 +29,12 @@
          R"(","deadlineMs":1000,"targetMs":500,"tries":2,)" + target + "}";
 }
 
-// From edition 2 on, what is below /s/pay/ is not repeatable.
+// From edition 2 on, what is below /s/pay/ is not repeatable. One of two shards suffices for /h/, not for
+// /g/.
 std::string configuration(int edition) {
   std::string routes = route("s", "/s/", "safe", R"("depot":"p")") + "," +
-                       route("g", "/g/", "safe", R"("gatherFrom":["a","b"],"topN":2,"minShare":0.5)");
+                       route("g", "/g/", "safe", R"("gatherFrom":["a","b"],"topN":2,"minShare":0.75)") + "," +
+                       route("h", "/h/", "safe", R"("gatherFrom":["a","b"],"topN":2,"minShare":0.5)");
   if (edition > 1) routes += "," + route("u", "/s/pay/", "unsafe", R"("depot":"p")");
   return R"({"edition":)" + std::to_string(edition) + R"(,"postalRoutes":[)" + routes +
          R"(],"depots":[{"name":"p"},{"name":"a"},{"name":"b"}]})";
@@ -234,6 +236,9 @@
   CPPUNIT_TEST(refusalComesWithinTheBoundOfTheDeployment);
   CPPUNIT_TEST(unknownPathIsNot404);
   CPPUNIT_TEST(gatheredRequestWaitsForALeader);
+  CPPUNIT_TEST(edgeOutOfTouchGathersNothing);
+  CPPUNIT_TEST(edgeThatWakesGathersNothing);
+  CPPUNIT_TEST(oneShardServesWhereItSuffices);
   CPPUNIT_TEST(newerConfigurationOfALaterMemberIsUsed);
   CPPUNIT_TEST(edgesWithoutALeaderDoNotSpendTheSlackEach);
   CPPUNIT_TEST_SUITE_END();
@@ -507,6 +512,47 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, edge.calls());
   }
 
+  // TWICE: an edge that a leader had confirmed once, and that was cut off from it since, sent what had become
+  // unsafe to every shard.
+  void edgeOutOfTouchGathersNothing() {
+    TestedEdge edge;
+    edge.receive(state({4, 1}, 1));
+    edge.run(2600);
+    CPPUNIT_ASSERT_EQUAL(503, edge.refused("/g/7"));
+    edge.gateway.link_down(member_link);
+    edge.run(60'000);
+    CPPUNIT_ASSERT_EQUAL(503, edge.refused("/g/7"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, edge.calls());
+    edge.gateway.link_up(member_link, member_address);
+    edge.receive(state({5, 1}, 1));
+    edge.submit("/g/7");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, edge.calls());
+  }
+
+  // TWICE: an edge that had been frozen handled its clients' requests before the news on its links, and sent
+  // what had become unsafe to every shard (review/4).
+  void edgeThatWakesGathersNothing() {
+    TestedEdge edge;
+    edge.receive(state({4, 1}, 1));
+    edge.now += std::chrono::seconds(4);
+    CPPUNIT_ASSERT_EQUAL(503, edge.refused("/g/7"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, edge.calls());
+  }
+
+  // An edge out of touch refused also what it may serve: at one service, and there once.
+  void oneShardServesWhereItSuffices() {
+    TestedEdge edge;
+    edge.receive(state({4, 1}, 1));
+    edge.run(2600);
+    edge.submit("/h/7");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, edge.calls());
+    edge.end(0, CallOutcome::answered, 200);
+    CPPUNIT_ASSERT_EQUAL(200, edge.status());
+    edge.submit("/h/7");
+    edge.end(1, CallOutcome::broken);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, edge.calls());
+  }
+
   // An edge that had been handed a configuration took no newer one from the members that came back later.
   void newerConfigurationOfALaterMemberIsUsed() {
     RestartedMember former_leader(1), former_follower(2);
