Edge: judge a request's configuration by the time at which it was read

Callers: an unsafe request could be repeated or gathered at an edge that is frozen in the middle of a turn of its loop, between its look at the clock and its read from the client's connection. Cause: whether the configuration is confirmed was decided by the loop's time, which is read once a turn, after poll(2). What is read after a freeze in that turn was judged by the time before it. Change: the clock is read once more after the request's last byte (ClientRequest::read_by). Why this works: whatever the client sent was sent before that time, so a confirmation that holds at that time held when the request was sent.

--- a/src/altavia/reverse_proxy.cpp
+++ b/src/altavia/reverse_proxy.cpp
@@ -104,7 +104,7 @@
 }
 
 bool ReverseProxy::limits_are_current() const {
-  return gateway_.dispatcher().routes_are_current(loop_.now());
+  return gateway_.dispatcher().routes_are_current(loop_.read_clock());
 }
 
 void ReverseProxy::request_arrived(net::SlotId connection, const http::Message& message) {
@@ -116,6 +116,7 @@
   client_request.id = unique_request_id(message);
   client_request.body = message.body;
   client_request.received_at = front_.request_began(connection);
+  client_request.read_by = loop_.read_clock();
   if (auto deadline = message.header("Deadline-Ms")) {
     double ms = 0;
     auto [stop, error] = std::from_chars(deadline->data(), deadline->data() + deadline->size(), ms);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -42,12 +42,14 @@
     return RequestId{};
   };
   if (!routes_) return ++counters_.refused, refuse(503, unavailable_retry_after_s, Reason::no_configuration);
-  if (now >= routes_outdated_from_) {
+  // It may have been sent later than `now`, where this process stood still between.
+  const Time read_by = std::max(now, client_request.read_by);
+  if (read_by >= routes_outdated_from_) {
     ++counters_.outdated_requests;
     return ++counters_.refused, refuse(503, unavailable_retry_after_s, Reason::outdated_configuration);
   }
   const catalog::Route* route = routes_->find(client_request.host, client_request.target);
-  const bool confirmed = routes_confirmed(now);
+  const bool confirmed = routes_confirmed(read_by);
   // A newer configuration may have a route for it.
   if (!route && !confirmed)
     return ++counters_.refused, refuse(503, unavailable_retry_after_s, Reason::unconfirmed_configuration);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -43,6 +43,7 @@
   std::string_view id;
   double deadline_ms = 0;  // 0 = none given
   Time received_at{};      // when its first byte arrived; the deadline counts from here. Unset means now
+  Time read_by{};          // a time after its last byte was read; unset means now
   std::string head;        // request line and header lines to be forwarded, each with its line end
   std::string_view body;
 };
--- a/tests/system/request_guarantees_test.cpp
+++ b/tests/system/request_guarantees_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -157,6 +158,7 @@
   CPPUNIT_TEST(limitsOfAnOutdatedConfigurationAreNotFinal);
   CPPUNIT_TEST(limitsOfAnUnconfirmedConfigurationAreNotFinal);
   CPPUNIT_TEST(limitsOfAConfirmedConfigurationAreFinal);
+  CPPUNIT_TEST(requestReadAfterAPauseIsUnconfirmed);
   CPPUNIT_TEST_SUITE_END();
 
   net::Loop loop;
@@ -434,6 +436,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413"), answer_to_a_large_body().substr(0, 12));
     CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 431"), answer_to_a_large_header().substr(0, 12));
   }
+
+  // TWICE: an edge that was frozen between its look at the clock and a request went by the time before, and
+  // took its configuration for the one in force.
+  void requestReadAfterAPauseIsUnconfirmed() {
+    int ends[2];
+    CPPUNIT_ASSERT_EQUAL(0, ::pipe(ends));
+    const net::Fd readable(ends[0]), writable(ends[1]);
+    bool paused = false;
+    // Handled before the client's connection, which comes later.
+    const net::Watch pause = loop.watch(readable.get(), POLLIN, [&](short) {
+      if (std::exchange(paused, true)) return;
+      proxy->gateway().dispatcher().set_routes_confirmed_until(loop.now());
+      while (loop.read_clock() <= loop.now()) {
+      }
+    });
+    auto sending_client = client();
+    CPPUNIT_ASSERT(wait_until(1s, [&] { return proxy->front().counters().accepted == 1; }));
+    sending_client->send(request("/s/x", "a", 4000));
+    CPPUNIT_ASSERT_EQUAL(ssize_t{1}, ::write(writable.get(), "x", 1));
+    CPPUNIT_ASSERT(wait_until(1s, [&] { return server->requests.size() == 1; }));
+    CPPUNIT_ASSERT(paused);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, proxy->gateway().dispatcher().counters().unconfirmed_requests);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestGuaranteesTest);
