--- a/tests/processes/client_connection.cpp
+++ b/tests/processes/client_connection.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double connect_within_s = 0.5;
+constexpr double answer_slack_s = 1.5;  // past the deadline, before the client gives up
 constexpr std::size_t bytes_at_once = 65536;
 
 }  // namespace
@@ -39,6 +40,18 @@
   return true;
 }
 
+void ClientConnection::exchange(ClientTry attempt) {
+  attempt.sent_at = history_.now();
+  history_.sent(attempt);
+  std::string text = request_head(attempt);
+  if (!attempt.body.empty()) text += fmt::format("Content-Length: {}\r\n", attempt.body.size());
+  text += "\r\n" + attempt.body;
+  const double until = attempt.sent_at + attempt.deadline_s + answer_slack_s;
+  if (!send(text, until)) return broken_off(attempt);
+  history_.sent_whole(attempt.id);
+  read_answer(attempt, until);
+}
+
 void ClientConnection::broken_off(const ClientTry& attempt) {
   history_.closed(attempt.id);
   fd_.reset();
--- a/tests/processes/client_connection.h
+++ b/tests/processes/client_connection.h
@@ -24,6 +24,8 @@
   bool send(std::string_view bytes, double until);
   // Closes the connection if the answer doesn't come in time or in order.
   void read_answer(const ClientTry& attempt, double until);
+  // Sends a request and reads its answer, from now on.
+  void exchange(ClientTry attempt);
   // The edge closed the connection without an answer.
   void broken_off(const ClientTry& attempt);
 
--- a/tests/processes/configuration_probes.cpp
+++ b/tests/processes/configuration_probes.cpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <random>
+#include <utility>
 
 #include "processes/client_connection.h"
 #include "processes/configuration_judge.h"
@@ -11,7 +12,6 @@
 namespace pearspar::processes {
 namespace {
 
-constexpr double answer_slack_s = 1.5;  // past the deadline, before the prober gives up
 constexpr double probe_deadline_s = 1;
 constexpr double rest_s = 0.01;
 constexpr std::uint64_t probers_per_edge = 3;
@@ -59,12 +59,7 @@
     attempt.path = draw_route().path_prefix() + "x";
     attempt.deadline_s = probe_deadline_s;
     attempt.probes = true;
-    attempt.sent_at = history_.now();
-    history_.sent(attempt);
-    const double until = attempt.sent_at + attempt.deadline_s + answer_slack_s;
-    if (!connection_.send(request_head(attempt) + "\r\n", until)) return connection_.broken_off(attempt);
-    history_.sent_whole(attempt.id);
-    connection_.read_answer(attempt, until);
+    connection_.exchange(std::move(attempt));
   }
 
   Scene& scene_;
@@ -76,21 +71,10 @@
 
 }  // namespace
 
-ConfigurationProbes::ConfigurationProbes(Scene& scene, TrafficHistory& history, std::uint64_t seed) {
-  std::vector<std::string> edges;
-  {
-    std::lock_guard lock(scene.mutex);
-    edges = scene.edges;
-  }
-  for (std::size_t number = 0; number < edges.size() * probers_per_edge; ++number)
-    threads_.emplace_back(
-        [&scene, &history, edge = edges[number % edges.size()], own_seed = seed * 512 + 256 + number] {
-          Prober(scene, history, edge, own_seed).run();
-        });
-}
-
-ConfigurationProbes::~ConfigurationProbes() {
-  for (std::thread& each : threads_) each.join();
-}
+ConfigurationProbes::ConfigurationProbes(Scene& scene, TrafficHistory& history, std::uint64_t seed)
+    : threads_(scene, probers_per_edge,
+               [&scene, &history, seed](const std::string& edge, std::uint64_t number) {
+                 Prober(scene, history, edge, seed * 512 + 256 + number).run();
+               }) {}
 
 }  // namespace pearspar::processes
--- a/tests/processes/traffic.h
+++ b/tests/processes/traffic.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
@@ -142,24 +143,34 @@
   std::vector<std::thread> threads_;
 };
 
+// A thread of this process for each of so many clients of each edge.
+class EdgeThreads {
+ public:
+  // `run` gets the edge's address and the client's number; it returns once the scene is over.
+  EdgeThreads(Scene& scene, std::uint64_t clients_per_edge,
+              const std::function<void(const std::string& edge, std::uint64_t number)>& run);
+  ~EdgeThreads();
+
+ private:
+  std::vector<std::thread> threads_;
+};
+
 // Clients that send what becomes unsafe while they wait, on connections that they keep.
 class UnsafeClients {
  public:
   UnsafeClients(Scene& scene, TrafficHistory& history, std::uint64_t seed);
-  ~UnsafeClients();
 
  private:
-  std::vector<std::thread> threads_;
+  EdgeThreads threads_;
 };
 
-// Probes of which configuration each edge goes by, in threads of this process.
+// Probes of which configuration each edge goes by.
 class ConfigurationProbes {
  public:
   ConfigurationProbes(Scene& scene, TrafficHistory& history, std::uint64_t seed);
-  ~ConfigurationProbes();
 
  private:
-  std::vector<std::thread> threads_;
+  EdgeThreads threads_;
 };
 
 }  // namespace pearspar::processes
--- a/tests/processes/unsafe_clients.cpp
+++ b/tests/processes/unsafe_clients.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <random>
+#include <utility>
 
 #include "processes/client_connection.h"
 #include "processes/configuration_judge.h"
@@ -14,7 +15,6 @@
 
 constexpr std::uint64_t clients_per_edge = 6;
 constexpr double deadline_s = 6;
-constexpr double answer_slack_s = 1.5;  // past the deadline, before the client gives up
 constexpr double longest_rest_s = 0.6;  // so that some send late in a pause of their edge
 constexpr double in_force_after_s = config_within_ms * 0.001;
 
@@ -47,14 +47,7 @@
     attempt.body = "entry";
     attempt.deadline_s = deadline_s;
     attempt.kept = true;
-    attempt.sent_at = history_.now();
-    history_.sent(attempt);
-    const std::string text = request_head(attempt) +
-                             fmt::format("Content-Length: {}\r\n\r\n{}", attempt.body.size(), attempt.body);
-    const double until = attempt.sent_at + attempt.deadline_s + answer_slack_s;
-    if (!connection_.send(text, until)) return connection_.broken_off(attempt);
-    history_.sent_whole(attempt.id);
-    connection_.read_answer(attempt, until);
+    connection_.exchange(std::move(attempt));
   }
 
   Scene& scene_;
@@ -66,21 +59,10 @@
 
 }  // namespace
 
-UnsafeClients::UnsafeClients(Scene& scene, TrafficHistory& history, std::uint64_t seed) {
-  std::vector<std::string> edges;
-  {
-    std::lock_guard lock(scene.mutex);
-    edges = scene.edges;
-  }
-  for (std::size_t number = 0; number < edges.size() * clients_per_edge; ++number)
-    threads_.emplace_back(
-        [&scene, &history, edge = edges[number % edges.size()], own_seed = seed * 512 + 384 + number] {
-          UnsafeClient(scene, history, edge, own_seed).run();
-        });
-}
-
-UnsafeClients::~UnsafeClients() {
-  for (std::thread& each : threads_) each.join();
-}
+UnsafeClients::UnsafeClients(Scene& scene, TrafficHistory& history, std::uint64_t seed)
+    : threads_(scene, clients_per_edge,
+               [&scene, &history, seed](const std::string& edge, std::uint64_t number) {
+                 UnsafeClient(scene, history, edge, seed * 512 + 384 + number).run();
+               }) {}
 
 }  // namespace pearspar::processes
